--- /dev/null
+++ b/source/model/finding.h
@@ -0,0 +1,28 @@
+// A fault found in an input, with its place. Checks collect all findings and
+// report them together.
+
+#ifndef PARSLEYHITCH_MODEL_FINDING_H_
+#define PARSLEYHITCH_MODEL_FINDING_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace parsleyhitch::model {
+
+struct finding {
+  // A field path such as "/workspaces/0/name"; empty for the whole input.
+  const std::string place;
+  const std::string message;
+  // 1-based position in a file; 0 when the input has no lines.
+  const std::uint32_t line = 0;
+  const std::uint32_t column = 0;
+
+  bool operator==(const finding&) const = default;
+};
+
+using findings = std::vector<finding>;
+
+}  // namespace parsleyhitch::model
+
+#endif  // PARSLEYHITCH_MODEL_FINDING_H_
--- /dev/null
+++ b/source/model/time.h
@@ -0,0 +1,15 @@
+// Time as the reducer sees it: values carried by events, never read from a clock.
+
+#ifndef PARSLEYHITCH_MODEL_TIME_H_
+#define PARSLEYHITCH_MODEL_TIME_H_
+
+#include <chrono>
+
+namespace parsleyhitch::model {
+
+using duration = std::chrono::milliseconds;
+using timestamp = std::chrono::sys_time<duration>;
+
+}  // namespace parsleyhitch::model
+
+#endif  // PARSLEYHITCH_MODEL_TIME_H_
--- /dev/null
+++ b/source/scheduler/fold.cc
@@ -0,0 +1,133 @@
+// The root of the fold: repeats are dropped, the clock advances, each record goes
+// to the reducer of its kind.
+
+#include "scheduler/fold.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "scheduler/guarantees.h"
+#include "scheduler/manifest_rules.h"
+
+namespace parsleyhitch::scheduler {
+
+namespace {
+
+// Room for records of one batch in a fence's low bits.
+constexpr std::uint32_t kFenceIndexBits = 16;
+
+bool IsRepeat(const model::ledger& ledger, const model::batch& batch) {
+  const std::uint64_t* last =
+      ledger.last_sequence.Find({.entry = batch.by, .incarnation = batch.incarnation});
+  return last != nullptr && batch.sequence <= *last;
+}
+
+// Keeps one incarnation for each entry: an older one can't append any more once
+// the newer has been folded.
+bool IsSuperseded(const model::ledger& ledger, const model::batch& batch) {
+  for (const auto& [writer, sequence] : ledger.last_sequence) {
+    if (writer.entry == batch.by && writer.incarnation > batch.incarnation)
+      return true;
+  }
+  return false;
+}
+
+model::ledger NoteWriter(model::ledger ledger, const model::batch& batch) {
+  std::vector<model::writer> older;
+  for (const auto& [writer, sequence] : ledger.last_sequence) {
+    if (writer.entry == batch.by && writer.incarnation < batch.incarnation)
+      older.push_back(writer);
+  }
+  for (const model::writer& writer : older)
+    ledger.last_sequence.Erase(writer);
+  ledger.last_sequence.Put({.entry = batch.by, .incarnation = batch.incarnation},
+                           batch.sequence);
+  return ledger;
+}
+
+model::ledger ForgetOldClaims(model::ledger ledger, const model::limits& limits) {
+  while (!ledger.claim_ages.empty()) {
+    const auto oldest = *ledger.claim_ages.begin();
+    if (oldest.first + limits.key_retention > ledger.clock)
+      break;
+    ledger.claims.Erase(oldest.second);
+    ledger.claim_ages.erase(ledger.claim_ages.begin());
+  }
+  return ledger;
+}
+
+}  // namespace
+
+fold_step FoldBatch(const fold_rules& rules,
+                    fold_step step,
+                    const model::logged_batch& logged) {
+  const model::batch& batch = logged.content;
+  step.ledger.next_offset = logged.offset + 1;
+  if (IsRepeat(step.ledger, batch) || IsSuperseded(step.ledger, batch))
+    return step;
+  step.ledger = NoteWriter(std::move(step.ledger), batch);
+  step.ledger.clock = std::max(step.ledger.clock, batch.at);
+  const model::writer author{.entry = batch.by, .incarnation = batch.incarnation};
+  std::uint32_t index = 0;
+  for (const model::record& record : batch.records) {
+    const model::fence position = (logged.offset << kFenceIndexBits) | index;
+    detail::record_step folded = std::visit(
+        [&](const auto& each) {
+          return detail::FoldRecord(rules, std::move(step), position, each);
+        },
+        record);
+    step = std::move(folded.step);
+    step.changes.push_back(record_verdict{.author = author,
+                                          .sequence = batch.sequence,
+                                          .index = index,
+                                          .accepted = folded.faults.empty(),
+                                          .faults = std::move(folded.faults)});
+    ++index;
+  }
+  step.ledger = ForgetOldClaims(std::move(step.ledger), rules.limits);
+  return step;
+}
+
+namespace detail {
+
+record_step Accept(fold_step step) {
+  return {.step = std::move(step), .faults = {}};
+}
+
+record_step Refuse(fold_step step, std::string place, std::string message) {
+  model::findings faults;
+  faults.push_back({.place = std::move(place), .message = std::move(message)});
+  return {.step = std::move(step), .faults = std::move(faults)};
+}
+
+record_step FoldRecord(const fold_rules& rules,
+                       fold_step step,
+                       model::fence,
+                       const model::manifest_published& record) {
+  const model::manifest* in_force = step.ledger.in_force.Get();
+  if (!rules.behaviour.supersedes(in_force, record.proposed)) {
+    return Refuse(std::move(step), "/base",
+                  "the version in force is not the base of this manifest");
+  }
+  model::findings faults = CheckManifest(record.proposed);
+  if (faults.empty())
+    faults = CheckAgainstFleet(record.proposed, step.ledger);
+  if (!faults.empty())
+    return {.step = std::move(step), .faults = std::move(faults)};
+  step.ledger.in_force.Put(record.proposed);
+  step = ApplyGuarantees(std::move(step));
+  step.changes.push_back(manifest_changed{.version = record.proposed.version});
+  return Accept(std::move(step));
+}
+
+// Checkpoints tell nothing new to an entry that has folded all before them.
+record_step FoldRecord(const fold_rules&,
+                       fold_step step,
+                       model::fence,
+                       const model::checkpoint_chunk&) {
+  return Accept(std::move(step));
+}
+
+}  // namespace detail
+
+}  // namespace parsleyhitch::scheduler
--- /dev/null
+++ b/source/scheduler/fold_jobs.cc
@@ -0,0 +1,458 @@
+// Jobs in the ledger: submission, the claim on capacity, the gang's progress from
+// its members' reports, and its end.
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "scheduler/capacity.h"
+#include "scheduler/fold.h"
+#include "scheduler/guarantees.h"
+#include "scheduler/job_rules.h"
+#include "scheduler/manifest_rules.h"
+
+namespace parsleyhitch::scheduler {
+
+namespace {
+
+std::vector<model::worker_id> WorkersOf(const model::placement& placed) {
+  std::vector<model::worker_id> workers;
+  for (const model::member& each : placed.members)
+    workers.push_back(each.worker);
+  return workers;
+}
+
+model::job_status WithPhase(const model::job_status& job,
+                            model::job_phase phase,
+                            model::stop_reason reason,
+                            model::timestamp since) {
+  return {.spec = job.spec,
+          .phase = phase,
+          .reason = reason,
+          .failed_attempts = job.failed_attempts,
+          .submitted = job.submitted,
+          .submitted_at = job.submitted_at,
+          .since = since};
+}
+
+model::job_status WithFailure(const model::job_status& job) {
+  return {.spec = job.spec,
+          .phase = job.phase,
+          .reason = job.reason,
+          .failed_attempts = job.failed_attempts + 1,
+          .submitted = job.submitted,
+          .submitted_at = job.submitted_at,
+          .since = job.since};
+}
+
+// Moves a job to a phase, keeping the queue and the list of ended jobs in step.
+fold_step EnterPhase(const fold_rules& rules,
+                     fold_step step,
+                     const model::job_id& id,
+                     model::job_phase phase,
+                     model::stop_reason reason) {
+  const model::job_status old = *step.ledger.jobs.Find(id);
+  if (old.phase == model::job_phase::kWaiting)
+    step.ledger.waiting.erase(PositionOf(id, old));
+  step.ledger.jobs.Put(id, WithPhase(old, phase, reason, step.ledger.clock));
+  if (phase == model::job_phase::kWaiting)
+    step.ledger.waiting.insert(PositionOf(id, old));
+  if (!IsEnd(phase))
+    return step;
+  step.ledger.ended.insert({step.ledger.clock, id});
+  while (step.ledger.ended.size() > rules.limits.finished_jobs_kept) {
+    const model::job_id oldest = step.ledger.ended.begin()->second;
+    const model::job_spec& spec = step.ledger.jobs.Find(oldest)->spec;
+    step.ledger.job_keys.Erase({.owner = spec.owner, .key = spec.key});
+    step.ledger.jobs.Erase(oldest);
+    step.ledger.ended.erase(step.ledger.ended.begin());
+  }
+  return step;
+}
+
+// Each member's room, given that the guarantee's own reservation is the job's.
+bool HasRoom(const fold_rules& rules,
+             const model::ledger& ledger,
+             const model::placement& placed,
+             const model::worker_id& worker) {
+  if (FreeOf(ledger, worker) < placed.accelerators)
+    return false;
+  if (!placed.firm)
+    return true;
+  const model::capacity use = UseOf(ledger, worker);
+  const std::uint32_t total = ledger.workers.Find(worker)->spec.accelerators;
+  const std::uint32_t own = placed.claims ? placed.accelerators : 0;
+  const model::capacity others{
+      .firm = use.firm, .soft = use.soft, .reserved = use.reserved - own};
+  return rules.behaviour.leaves_guarantees(others, total, placed.accelerators);
+}
+
+bool AreNear(const model::ledger& ledger,
+             const std::vector<model::worker_id>& workers,
+             model::adjacency nearness) {
+  const model::worker_spec& first = ledger.workers.Find(workers.front())->spec;
+  return std::ranges::all_of(workers, [&](const model::worker_id& worker) {
+    const model::worker_spec& spec = ledger.workers.Find(worker)->spec;
+    if (nearness == model::adjacency::kAny)
+      return true;
+    if (spec.failure_domain != first.failure_domain)
+      return false;
+    return nearness == model::adjacency::kFailureDomain || spec.rack == first.rack;
+  });
+}
+
+bool AreDistinctAndLive(const model::ledger& ledger,
+                        const std::vector<model::worker_id>& workers) {
+  std::set<model::worker_id> seen;
+  return std::ranges::all_of(workers, [&](const model::worker_id& worker) {
+    const model::worker_status* status = ledger.workers.Find(worker);
+    return status != nullptr && status->phase == model::worker_phase::kLive &&
+           seen.insert(worker).second;
+  });
+}
+
+bool IsReservedOnAll(const model::ledger& ledger,
+                     const model::guarantee_id& id,
+                     const std::vector<model::worker_id>& workers) {
+  const std::vector<model::worker_id>& reserved = ledger.guarantees.Find(id)->workers;
+  return std::ranges::all_of(workers, [&](const model::worker_id& worker) {
+    return std::ranges::count(reserved, worker) > 0;
+  });
+}
+
+model::placement ProposedPlacement(const model::ledger& ledger,
+                                   const model::job_spec& spec,
+                                   model::fence position,
+                                   const std::vector<model::worker_id>& workers) {
+  std::optional<model::guarantee_id> claims = ClaimableBy(ledger, spec, {});
+  if (claims && !IsReservedOnAll(ledger, *claims, workers))
+    claims.reset();
+  std::vector<model::member> members;
+  for (const model::worker_id& worker : workers)
+    members.push_back({.worker = worker});
+  return {.token = position,
+          .accelerators = spec.capacity.accelerators,
+          .firm = !spec.preemptible,
+          .claims = claims,
+          .members = std::move(members)};
+}
+
+bool AllOver(const model::placement& placed) {
+  return std::ranges::all_of(placed.members,
+                             [](const auto& each) { return IsOver(each.state); });
+}
+
+bool AllFinished(const model::placement& placed) {
+  return std::ranges::all_of(placed.members, [](const auto& each) {
+    return each.state == model::task_state::kFinished;
+  });
+}
+
+model::placement WithMemberState(const model::placement& placed,
+                                 const model::worker_id& worker,
+                                 model::task_state state) {
+  std::vector<model::member> members;
+  members.reserve(placed.members.size());
+  for (const model::member& each : placed.members) {
+    members.push_back({.worker = each.worker,
+                       .state = each.worker == worker ? state : each.state});
+  }
+  return {.token = placed.token,
+          .accelerators = placed.accelerators,
+          .firm = placed.firm,
+          .claims = placed.claims,
+          .members = std::move(members)};
+}
+
+model::ledger LearnRunTime(model::ledger ledger, const model::job_status& job) {
+  constexpr std::int64_t kPermille = 1000;
+  constexpr std::uint32_t kWindow = 8;
+  const model::work_kind kind{.owner = job.spec.owner, .kind = job.spec.kind};
+  const std::int64_t ran = (ledger.clock - job.since).count();
+  const std::int64_t sample = ran * kPermille / job.spec.declared_run_time.count();
+  const model::run_time_estimate* old = ledger.estimates.Find(kind);
+  const std::uint32_t samples = old == nullptr ? 0 : old->samples;
+  const std::int64_t weight = std::min(samples, kWindow - 1);
+  const std::int64_t before = old == nullptr ? 0 : old->ratio_permille;
+  const std::int64_t ratio = (before * weight + sample) / (weight + 1);
+  ledger.estimates.Put(kind, {.ratio_permille = static_cast<std::uint32_t>(ratio),
+                              .samples = samples + 1});
+  return ledger;
+}
+
+// What becomes of a job whose gang has stopped.
+model::job_phase PhaseAfterStop(const fold_rules& rules, const model::job_status& job) {
+  if (job.reason == model::stop_reason::kCancelled)
+    return model::job_phase::kCancelled;
+  if (job.failed_attempts >= rules.limits.max_attempts)
+    return model::job_phase::kFailed;
+  return model::job_phase::kWaiting;
+}
+
+// The last member is over: the placement ends.
+fold_step EndPlacement(const fold_rules& rules, fold_step step, const model::job_id& id) {
+  const model::placement placed = *step.ledger.placements.Find(id);
+  const model::job_status job = *step.ledger.jobs.Find(id);
+  step.ledger.placements.Erase(id);
+  if (placed.claims)
+    step = Unclaim(std::move(step), id, placed);
+  step = RetryShortGuarantees(std::move(step));
+  if (AllFinished(placed)) {
+    step.ledger = LearnRunTime(std::move(step.ledger), job);
+    return EnterPhase(rules, std::move(step), id, model::job_phase::kFinished,
+                      model::stop_reason::kNone);
+  }
+  return EnterPhase(rules, std::move(step), id, PhaseAfterStop(rules, job), job.reason);
+}
+
+fold_step StopGang(const fold_rules& rules,
+                   fold_step step,
+                   const model::job_id& id,
+                   model::stop_reason reason) {
+  step = EnterPhase(rules, std::move(step), id, model::job_phase::kStopping, reason);
+  const model::placement& placed = *step.ledger.placements.Find(id);
+  step.changes.push_back(job_changed{.job = id, .workers = WorkersOf(placed)});
+  return step;
+}
+
+bool AllAtLeast(const model::placement& placed, model::task_state wanted) {
+  return std::ranges::all_of(placed.members, [&](const auto& each) {
+    return each.state == wanted || each.state == model::task_state::kRunning ||
+           each.state == model::task_state::kFinished;
+  });
+}
+
+// Moves the gang on after a member's state changed: one decision for the whole.
+fold_step AdvanceGang(const fold_rules& rules, fold_step step, const model::job_id& id) {
+  const model::placement placed = *step.ledger.placements.Find(id);
+  const model::job_phase phase = step.ledger.jobs.Find(id)->phase;
+  if (AllOver(placed))
+    return EndPlacement(rules, std::move(step), id);
+  if (phase == model::job_phase::kHolding &&
+      AllAtLeast(placed, model::task_state::kHeld)) {
+    step = EnterPhase(rules, std::move(step), id, model::job_phase::kStarting,
+                      model::stop_reason::kNone);
+    step.changes.push_back(job_changed{.job = id, .workers = WorkersOf(placed)});
+  }
+  if (phase == model::job_phase::kStarting &&
+      AllAtLeast(placed, model::task_state::kRunning)) {
+    return EnterPhase(rules, std::move(step), id, model::job_phase::kRunning,
+                      model::stop_reason::kNone);
+  }
+  return step;
+}
+
+model::stop_reason ReasonFor(model::task_state state) {
+  return state == model::task_state::kFailed ? model::stop_reason::kMemberFailed
+                                             : model::stop_reason::kMemberLost;
+}
+
+// Sets one member's state and draws the consequences for its gang.
+fold_step SetMember(const fold_rules& rules,
+                    fold_step step,
+                    const model::job_id& id,
+                    const model::worker_id& worker,
+                    model::task_state state) {
+  const model::placement old = *step.ledger.placements.Find(id);
+  step.ledger.placements.Put(id, WithMemberState(old, worker, state));
+  if (!IsOver(state))
+    return AdvanceGang(rules, std::move(step), id);
+  step.ledger = ChangeMember(std::move(step.ledger), id, old, worker,
+                             member_change::kGiveBack);
+  step.changes.push_back(job_changed{.job = id, .workers = {worker}});
+  const bool stopping = step.ledger.jobs.Find(id)->phase == model::job_phase::kStopping;
+  if (state != model::task_state::kFinished && !stopping) {
+    if (state == model::task_state::kFailed)
+      step.ledger.jobs.Put(id, WithFailure(*step.ledger.jobs.Find(id)));
+    step = StopGang(rules, std::move(step), id, ReasonFor(state));
+  }
+  return AdvanceGang(rules, std::move(step), id);
+}
+
+// The member's present state; nothing when the report is stale or tells no news.
+const model::member* MemberToUpdate(const model::ledger& ledger,
+                                    const model::worker_id& worker,
+                                    const model::task_report& report) {
+  const model::placement* placed = ledger.placements.Find(report.job);
+  if (placed == nullptr || placed->token != report.token)
+    return nullptr;
+  for (const model::member& each : placed->members) {
+    if (each.worker != worker)
+      continue;
+    const bool news = !IsOver(each.state) && each.state < report.state;
+    return news ? &each : nullptr;
+  }
+  return nullptr;
+}
+
+// A worker that fails job after job is held back for longer each time.
+model::ledger NoteFailure(const fold_rules& rules,
+                          model::ledger ledger,
+                          const model::worker_id& worker,
+                          const model::job_id& job) {
+  constexpr std::uint32_t kMaxDoublings = 16;
+  const model::worker_status old = *ledger.workers.Find(worker);
+  if (old.last_failed == job)
+    return ledger;
+  const std::uint32_t failures = old.failures + 1;
+  model::timestamp until = old.ejected_until;
+  if (failures >= rules.limits.worker_failures_to_eject) {
+    const std::uint32_t beyond = failures - rules.limits.worker_failures_to_eject;
+    const model::duration hold =
+        rules.limits.eject_base * (1U << std::min(beyond, kMaxDoublings));
+    until = ledger.clock + std::min(hold, rules.limits.eject_max);
+  }
+  return PutWorker(std::move(ledger), {.spec = old.spec,
+                                       .phase = old.phase,
+                                       .suspected_by = old.suspected_by,
+                                       .failures = failures,
+                                       .last_failed = job,
+                                       .ejected_until = until});
+}
+
+model::ledger NoteSuccess(model::ledger ledger, const model::worker_id& worker) {
+  const model::worker_status old = *ledger.workers.Find(worker);
+  if (old.failures == 0)
+    return ledger;
+  return PutWorker(std::move(ledger), {.spec = old.spec,
+                                       .phase = old.phase,
+                                       .suspected_by = old.suspected_by});
+}
+
+// Guaranteed shapes do not wait on a worker that fails what it is given.
+fold_step NoteWorkerOutcome(const fold_rules& rules,
+                            fold_step step,
+                            const model::worker_id& worker,
+                            const model::task_report& report) {
+  if (report.state == model::task_state::kFinished) {
+    step.ledger = NoteSuccess(std::move(step.ledger), worker);
+    return step;
+  }
+  if (report.state != model::task_state::kFailed &&
+      report.state != model::task_state::kRefused) {
+    return step;
+  }
+  step.ledger = NoteFailure(rules, std::move(step.ledger), worker, report.job);
+  if (step.ledger.workers.Find(worker)->ejected_until <= step.ledger.clock)
+    return step;
+  return MoveGuaranteesOff(std::move(step), worker);
+}
+
+}  // namespace
+
+namespace detail {
+
+record_step FoldRecord(const fold_rules&,
+                       fold_step step,
+                       model::fence position,
+                       const model::job_submitted& record) {
+  model::findings faults = CheckJob(record.spec, step.ledger);
+  if (!faults.empty())
+    return {.step = std::move(step), .faults = std::move(faults)};
+  const model::scoped_key key{.owner = record.spec.owner, .key = record.spec.key};
+  if (step.ledger.jobs.Contains(record.job) || step.ledger.job_keys.Contains(key))
+    return Refuse(std::move(step), "/key", "the job is already known");
+  const model::job_status job{.spec = record.spec,
+                              .submitted = position,
+                              .submitted_at = step.ledger.clock,
+                              .since = step.ledger.clock};
+  step.ledger.jobs.Put(record.job, job);
+  if (!record.spec.key.empty())
+    step.ledger.job_keys.Put(key, {.job = record.job});
+  step.ledger.waiting.insert(PositionOf(record.job, job));
+  return Accept(std::move(step));
+}
+
+record_step FoldRecord(const fold_rules& rules,
+                       fold_step step,
+                       model::fence position,
+                       const model::job_placed& record) {
+  const model::job_status* job = step.ledger.jobs.Find(record.job);
+  if (job == nullptr || job->phase != model::job_phase::kWaiting)
+    return Refuse(std::move(step), "/job", "does not wait for a placement");
+  const model::job_spec spec = job->spec;
+  if (record.workers.size() != spec.capacity.gang_size || record.workers.empty() ||
+      !AreDistinctAndLive(step.ledger, record.workers) ||
+      !AreNear(step.ledger, record.workers, spec.capacity.nearness)) {
+    return Refuse(std::move(step), "/workers", "can't hold the gang");
+  }
+  if (!WithinQuota(step.ledger, spec))
+    return Refuse(std::move(step), "/job", "is above its workspace's quota");
+  const model::placement placed =
+      ProposedPlacement(step.ledger, spec, position, record.workers);
+  const bool room = std::ranges::all_of(record.workers, [&](const auto& worker) {
+    return HasRoom(rules, step.ledger, placed, worker);
+  });
+  if (!room)
+    return Refuse(std::move(step), "/workers", "have no room left");
+  if (placed.claims)
+    step.ledger = Claim(std::move(step.ledger), *placed.claims, record.job, placed);
+  step.ledger.placements.Put(record.job, placed);
+  for (const model::worker_id& worker : record.workers)
+    step.ledger = ChangeMember(std::move(step.ledger), record.job, placed, worker,
+                               member_change::kTake);
+  step = EnterPhase(rules, std::move(step), record.job, model::job_phase::kHolding,
+                    model::stop_reason::kNone);
+  step.changes.push_back(job_changed{.job = record.job, .workers = record.workers});
+  return Accept(std::move(step));
+}
+
+record_step FoldRecord(const fold_rules& rules,
+                       fold_step step,
+                       model::fence,
+                       const model::job_preempted& record) {
+  const model::placement* placed = step.ledger.placements.Find(record.job);
+  if (placed == nullptr || placed->token != record.token || placed->firm)
+    return Refuse(std::move(step), "/job", "has no such preemptible placement");
+  if (!CanBeStopped(step.ledger.jobs.Find(record.job)->phase))
+    return Refuse(std::move(step), "/job", "is already stopping");
+  return Accept(StopGang(rules, std::move(step), record.job,
+                         model::stop_reason::kPreempted));
+}
+
+record_step FoldRecord(const fold_rules& rules,
+                       fold_step step,
+                       model::fence,
+                       const model::job_cancelled& record) {
+  const model::job_status* job = step.ledger.jobs.Find(record.job);
+  if (job == nullptr)
+    return Refuse(std::move(step), "/job", "no such job");
+  if (IsEnd(job->phase))
+    return Refuse(std::move(step), "/job", "has already ended");
+  if (job->phase == model::job_phase::kWaiting) {
+    return Accept(EnterPhase(rules, std::move(step), record.job,
+                             model::job_phase::kCancelled,
+                             model::stop_reason::kCancelled));
+  }
+  return Accept(StopGang(rules, std::move(step), record.job,
+                         model::stop_reason::kCancelled));
+}
+
+record_step FoldRecord(const fold_rules& rules,
+                       fold_step step,
+                       model::fence,
+                       const model::tasks_reported& record) {
+  for (const model::task_report& report : record.tasks) {
+    if (MemberToUpdate(step.ledger, record.worker, report) == nullptr)
+      continue;
+    step = NoteWorkerOutcome(rules, std::move(step), record.worker, report);
+    step = SetMember(rules, std::move(step), report.job, record.worker, report.state);
+  }
+  return Accept(std::move(step));
+}
+
+fold_step BreakGangsOn(const fold_rules& rules,
+                       fold_step step,
+                       const model::worker_id& worker) {
+  const std::set<model::job_id>* present = step.ledger.tasks_on.Find(worker);
+  if (present == nullptr)
+    return step;
+  const std::set<model::job_id> jobs = *present;
+  for (const model::job_id& job : jobs)
+    step = SetMember(rules, std::move(step), job, worker, model::task_state::kStopped);
+  return step;
+}
+
+}  // namespace detail
+
+}  // namespace parsleyhitch::scheduler
--- /dev/null
+++ b/source/scheduler/hooks.cc
@@ -0,0 +1,101 @@
+// The product's hooks. Each is small enough to be read as a rule.
+
+#include "scheduler/hooks.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "scheduler/plan.h"
+
+namespace parsleyhitch::scheduler {
+
+namespace {
+
+constexpr std::uint32_t kMaxBackoffDoublings = 8;
+
+std::uint64_t HashText(std::string_view text) {
+  return XXH64(text.data(), text.size(), 0);
+}
+
+// Full jitter: a random wait below a bound that doubles with each attempt.
+model::duration JitteredBackoff(const model::limits& limits,
+                                std::uint32_t attempt,
+                                std::uint64_t random) {
+  const std::uint32_t doublings = std::min(attempt, kMaxBackoffDoublings);
+  const std::int64_t bound = limits.retry_backoff.count() << doublings;
+  const std::uint64_t wait = random % static_cast<std::uint64_t>(bound + 1);
+  return model::duration(static_cast<std::int64_t>(wait));
+}
+
+bool LeavesGuarantees(const model::capacity& use,
+                      std::uint32_t total,
+                      std::uint32_t accelerators) {
+  return use.firm + use.reserved + accelerators <= total;
+}
+
+// A member is started only when the whole gang is held or further.
+bool WholeGangIsHeld(const model::placement& placed, const model::member&) {
+  return std::ranges::all_of(placed.members, [](const model::member& each) {
+    return each.state == model::task_state::kHeld ||
+           each.state == model::task_state::kRunning ||
+           each.state == model::task_state::kFinished;
+  });
+}
+
+bool IsAwaitedAttempt(const attempt_view& view) {
+  return view.answered == view.awaited;
+}
+
+model::run_state TruthfulRefusal(const dispatch_view& view) {
+  return view.ambiguous_attempts == 0 ? model::run_state::kNotRun
+                                      : model::run_state::kOutcomeUnknown;
+}
+
+bool HoldsClaim(const model::request_claim* claim, const model::writer& self) {
+  return claim != nullptr && claim->by == self.entry &&
+         claim->incarnation == self.incarnation && !claim->result.has_value();
+}
+
+bool AnySourceSaysLeaving(const leaving_view& view) {
+  return view.listed || view.told_by_endpoint || view.told_by_peer;
+}
+
+bool NothingInHand(const drain_view& view) {
+  if (view.timed_out)
+    return true;
+  return view.open_requests == 0 && view.open_calls == 0 && view.unfolded_records == 0;
+}
+
+// Compare-and-swap on the version that the author had read.
+bool SupersedesBase(const model::manifest* in_force,
+                    const model::manifest& proposed) {
+  const std::uint64_t version = in_force == nullptr ? 0 : in_force->version;
+  return proposed.base == version && proposed.version > version;
+}
+
+}  // namespace
+
+hooks DefaultHooks() {
+  return hooks{
+      .hash = HashText,
+      .plan = PlanPlacements,
+      .backoff = JitteredBackoff,
+      .leaves_guarantees = LeavesGuarantees,
+      .may_start = WholeGangIsHeld,
+      .answers_request = IsAwaitedAttempt,
+      .refusal_state = TruthfulRefusal,
+      .may_run_once = HoldsClaim,
+      .is_leaving = AnySourceSaysLeaving,
+      .may_stop = NothingInHand,
+      .supersedes = SupersedesBase,
+  };
+}
+
+hooks BaselineHooks() {
+  hooks baseline = DefaultHooks();
+  baseline.plan = PlanFirstFit;
+  return baseline;
+}
+
+}  // namespace parsleyhitch::scheduler
--- /dev/null
+++ b/source/scheduler/job_rules.cc
@@ -0,0 +1,136 @@
+// Rules of jobs.
+
+#include "scheduler/job_rules.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "scheduler/capacity.h"
+#include "scheduler/manifest_rules.h"
+
+namespace parsleyhitch::scheduler {
+
+namespace {
+
+constexpr std::int64_t kPermille = 1000;
+
+use_kind KindOf(const model::placement& placed) {
+  return placed.firm ? use_kind::kFirm : use_kind::kSoft;
+}
+
+model::ledger AddTask(model::ledger ledger,
+                      const model::worker_id& worker,
+                      const model::job_id& job) {
+  const std::set<model::job_id>* present = ledger.tasks_on.Find(worker);
+  std::set<model::job_id> tasks;
+  if (present != nullptr)
+    tasks = *present;
+  tasks.insert(job);
+  ledger.tasks_on.Put(worker, std::move(tasks));
+  return ledger;
+}
+
+model::ledger RemoveTask(model::ledger ledger,
+                         const model::worker_id& worker,
+                         const model::job_id& job) {
+  std::set<model::job_id> tasks = *ledger.tasks_on.Find(worker);
+  tasks.erase(job);
+  if (tasks.empty()) {
+    ledger.tasks_on.Erase(worker);
+    return ledger;
+  }
+  ledger.tasks_on.Put(worker, std::move(tasks));
+  return ledger;
+}
+
+model::ledger CountHeld(model::ledger ledger,
+                        const model::workspace_id& owner,
+                        std::int64_t change) {
+  const std::uint64_t* held = ledger.held_by_workspace.Find(owner);
+  const std::uint64_t before = held == nullptr ? 0 : *held;
+  const std::uint64_t after = before + static_cast<std::uint64_t>(change);
+  if (after == 0) {
+    ledger.held_by_workspace.Erase(owner);
+    return ledger;
+  }
+  ledger.held_by_workspace.Put(owner, after);
+  return ledger;
+}
+
+}  // namespace
+
+bool WithinQuota(const model::ledger& ledger, const model::job_spec& spec) {
+  const model::manifest* manifest = ledger.in_force.Get();
+  if (manifest == nullptr)
+    return false;
+  const std::uint64_t wanted =
+      std::uint64_t{spec.capacity.gang_size} * spec.capacity.accelerators;
+  const model::workspace* at = FindWorkspace(*manifest, spec.owner);
+  while (at != nullptr) {
+    std::uint64_t held = 0;
+    for (const model::workspace& each : manifest->workspaces) {
+      const std::uint64_t* own = ledger.held_by_workspace.Find(each.id);
+      const bool counts = each.id == at->id || each.parent == at->id;
+      held += counts && own != nullptr ? *own : 0;
+    }
+    if (at->quota_accelerators != 0 && held + wanted > at->quota_accelerators)
+      return false;
+    at = at->parent.empty() ? nullptr : FindWorkspace(*manifest, at->parent);
+  }
+  return true;
+}
+
+bool IsOver(model::task_state state) {
+  return state == model::task_state::kFinished || state == model::task_state::kFailed ||
+         state == model::task_state::kRefused || state == model::task_state::kStopped;
+}
+
+bool IsEnd(model::job_phase phase) {
+  return phase == model::job_phase::kFinished || phase == model::job_phase::kFailed ||
+         phase == model::job_phase::kCancelled;
+}
+
+bool CanBeStopped(model::job_phase phase) {
+  return phase == model::job_phase::kHolding || phase == model::job_phase::kStarting ||
+         phase == model::job_phase::kRunning;
+}
+
+model::queue_position PositionOf(const model::job_id& id, const model::job_status& job) {
+  return {.priority = job.spec.priority, .submitted = job.submitted, .job = id};
+}
+
+model::ledger ChangeMember(model::ledger ledger,
+                           const model::job_id& job,
+                           const model::placement& placed,
+                           const model::worker_id& worker,
+                           member_change kind) {
+  const bool take = kind == member_change::kTake;
+  const auto amount = static_cast<std::int32_t>(placed.accelerators);
+  const std::int32_t change = take ? amount : -amount;
+  ledger = ChangeUse(std::move(ledger), worker, KindOf(placed), change);
+  const model::workspace_id owner = ledger.jobs.Find(job)->spec.owner;
+  ledger = CountHeld(std::move(ledger), owner, change);
+  return take ? AddTask(std::move(ledger), worker, job)
+              : RemoveTask(std::move(ledger), worker, job);
+}
+
+model::duration ExpectedRunTime(const model::ledger& ledger,
+                                const model::job_spec& spec) {
+  const model::run_time_estimate* learned =
+      ledger.estimates.Find({.owner = spec.owner, .kind = spec.kind});
+  if (learned == nullptr)
+    return spec.declared_run_time;
+  return spec.declared_run_time * learned->ratio_permille / kPermille;
+}
+
+model::timestamp ExpectedEnd(const model::ledger& ledger,
+                             const model::job_status& job,
+                             model::timestamp now) {
+  const model::timestamp end = job.since + ExpectedRunTime(ledger, job.spec);
+  if (end > now)
+    return end;
+  return now + std::max(now - job.since, model::duration(1));
+}
+
+}  // namespace parsleyhitch::scheduler
--- /dev/null
+++ b/source/scheduler/reduce_jobs.cc
@@ -0,0 +1,276 @@
+// Callers' jobs and operators' manifests on their way into the log, and the plans of
+// the entry that is the planner's home.
+
+#include <optional>
+#include <utility>
+#include <variant>
+
+#include "scheduler/job_view.h"
+#include "scheduler/manifest_rules.h"
+#include "scheduler/reduce_parts.h"
+
+namespace parsleyhitch::scheduler::detail {
+
+namespace {
+
+constexpr char kPlannerSubject[] = "planner";
+
+model::findings One(std::string place, std::string message) {
+  model::findings found;
+  found.push_back({.place = std::move(place), .message = std::move(message)});
+  return found;
+}
+
+model::answer Invalid(model::findings faults) {
+  return {.kind = model::answer_kind::kInvalid,
+          .ran = model::run_state::kNotRun,
+          .faults = std::move(faults)};
+}
+
+model::answer Conflict(std::string place, std::string message) {
+  return {.kind = model::answer_kind::kConflict,
+          .ran = model::run_state::kNotRun,
+          .faults = One(std::move(place), std::move(message))};
+}
+
+model::answer Unavailable(const environment& environment, std::string why) {
+  return {.kind = model::answer_kind::kUnavailable,
+          .ran = model::run_state::kNotRun,
+          .faults = One("", std::move(why)),
+          .retry_after = environment.limits.retry_after};
+}
+
+model::answer Accepted(const model::ledger& ledger, const model::job_id& job) {
+  return {.kind = model::answer_kind::kAccepted, .job = ViewOf(ledger, job)};
+}
+
+// Why no new call can be taken now; nothing when it can.
+std::optional<model::answer> RefusalNow(const environment& environment,
+                                        const entry_state& state) {
+  if (RefusesNewCalls(environment, state))
+    return Unavailable(environment, "this entry is shutting down");
+  if (!IsReady(state))
+    return Unavailable(environment, "this entry has not caught up with the log");
+  return {};
+}
+
+// The answer to a job whose key is known: the same job, or a conflict.
+std::optional<model::answer> AnswerByKey(const model::ledger& ledger,
+                                         const model::job_spec& spec) {
+  const model::job_key* known =
+      ledger.job_keys.Find({.owner = spec.owner, .key = spec.key});
+  if (known == nullptr)
+    return {};
+  const model::job_status* job = ledger.jobs.Find(known->job);
+  if (job == nullptr || job->spec != spec)
+    return Conflict("/key", "was used for another job");
+  return Accepted(ledger, known->job);
+}
+
+step OpenCall(step step, model::call_number call, open_call opened) {
+  step = SetAlarm(std::move(step), {.at = opened.deadline,
+                                    .kind = alarm_kind::kCallDeadline,
+                                    .call = call});
+  step.state.calls.open.Put(call, std::move(opened));
+  return step;
+}
+
+step CloseCall(step step, model::call_number call, model::answer answer) {
+  const open_call& opened = *step.state.calls.open.Find(call);
+  step = DropAlarm(std::move(step), {.at = opened.deadline,
+                                     .kind = alarm_kind::kCallDeadline,
+                                     .call = call});
+  step.state.calls.open.Erase(call);
+  return Answer(std::move(step), call, std::move(answer));
+}
+
+// Takes the call's record out of the queue; false when it is in a batch already.
+bool Withdraw(log_state& log, model::call_number call) {
+  std::deque<pending_record> kept;
+  bool withdrawn = false;
+  for (pending_record& pending : log.queue) {
+    const bool match =
+        pending.waits.call == call && pending.waits.kind != waiter_kind::kPlan;
+    withdrawn = withdrawn || match;
+    if (!match)
+      kept.push_back(std::move(pending));
+  }
+  log.queue = std::move(kept);
+  return withdrawn;
+}
+
+model::answer AnswerToVerdict(const model::ledger& ledger,
+                              const record_verdict& verdict,
+                              const open_call& opened) {
+  if (opened.kind == waiter_kind::kManifest) {
+    const model::manifest* in_force = ledger.in_force.Get();
+    const std::uint64_t version = in_force == nullptr ? 0 : in_force->version;
+    if (verdict.accepted)
+      return {.kind = model::answer_kind::kAccepted, .version = version};
+    const bool stale = verdict.faults.front().place == "/base";
+    return {.kind = stale ? model::answer_kind::kConflict : model::answer_kind::kInvalid,
+            .ran = model::run_state::kNotRun,
+            .faults = verdict.faults,
+            .version = version};
+  }
+  if (verdict.accepted)
+    return Accepted(ledger, opened.job);
+  return {.kind = model::answer_kind::kConflict,
+          .ran = model::run_state::kNotRun,
+          .faults = verdict.faults,
+          .job = ViewOf(ledger, opened.job)};
+}
+
+// A submission that lost a race to the same key is answered by the winner's job.
+std::optional<model::answer> AnswerToRace(const entry_state& state,
+                                          const record_verdict& verdict,
+                                          const model::job_spec* spec) {
+  if (verdict.accepted || spec == nullptr)
+    return {};
+  return AnswerByKey(state.ledger, *spec);
+}
+
+const model::job_spec* SubmittedSpec(const entry_state& state, std::uint32_t index) {
+  const model::batch* batch = state.log.in_flight.Get();
+  if (batch == nullptr || index >= batch->records.size())
+    return nullptr;
+  const auto* submitted = std::get_if<model::job_submitted>(&batch->records[index]);
+  return submitted == nullptr ? nullptr : &submitted->spec;
+}
+
+bool MayPlan(const environment& environment, const entry_state& state) {
+  return state.calls.plan_due && state.calls.planned_records == 0 && IsReady(state) &&
+         IsHomeOf(environment, state, kPlannerSubject);
+}
+
+step PlanAgainAt(step step, model::timestamp at) {
+  const model::timestamp pending = step.state.calls.plan_alarm;
+  if (pending != model::timestamp() && pending <= at)
+    return step;
+  step.state.calls.plan_alarm = at;
+  return SetAlarm(std::move(step), {.at = at, .kind = alarm_kind::kPlan});
+}
+
+}  // namespace
+
+step On(const environment& environment, step step, const model::job_requested& event) {
+  std::optional<model::answer> refusal = RefusalNow(environment, step.state);
+  if (refusal)
+    return Answer(std::move(step), event.call, std::move(*refusal));
+  std::optional<model::answer> known = AnswerByKey(step.state.ledger, event.spec);
+  if (known)
+    return Answer(std::move(step), event.call, std::move(*known));
+  model::findings faults = CheckJob(event.spec, step.state.ledger);
+  if (!faults.empty())
+    return Answer(std::move(step), event.call, Invalid(std::move(faults)));
+  const model::job_id job(environment.me.value() + "-" +
+                          std::to_string(step.state.incarnation) + "-" +
+                          std::to_string(event.call));
+  step = Append(std::move(step), model::job_submitted{.job = job, .spec = event.spec},
+                {.kind = waiter_kind::kJob, .call = event.call});
+  return OpenCall(std::move(step), event.call,
+                  {.kind = waiter_kind::kJob, .deadline = event.deadline, .job = job});
+}
+
+step On(const environment& environment, step step, const model::job_cancel_requested& event) {
+  std::optional<model::answer> refusal = RefusalNow(environment, step.state);
+  if (refusal)
+    return Answer(std::move(step), event.call, std::move(*refusal));
+  if (!step.state.ledger.jobs.Contains(event.job)) {
+    return Answer(std::move(step), event.call,
+                  {.kind = model::answer_kind::kNotFound,
+                   .faults = One("/job", "no such job")});
+  }
+  step = Append(std::move(step), model::job_cancelled{.job = event.job},
+                {.kind = waiter_kind::kCancel, .call = event.call});
+  return OpenCall(
+      std::move(step), event.call,
+      {.kind = waiter_kind::kCancel, .deadline = event.deadline, .job = event.job});
+}
+
+step On(const environment&, step step, const model::job_read_requested& event) {
+  if (!step.state.ledger.jobs.Contains(event.job)) {
+    return Answer(std::move(step), event.call,
+                  {.kind = model::answer_kind::kNotFound,
+                   .faults = One("/job", "no such job")});
+  }
+  model::answer found{.kind = model::answer_kind::kFound,
+                      .job = ViewOf(step.state.ledger, event.job)};
+  return Answer(std::move(step), event.call, std::move(found));
+}
+
+step On(const environment& environment, step step, const model::manifest_offered& event) {
+  std::optional<model::answer> refusal = RefusalNow(environment, step.state);
+  if (refusal)
+    return Answer(std::move(step), event.call, std::move(*refusal));
+  model::findings faults = CheckManifest(event.proposed);
+  if (!faults.empty())
+    return Answer(std::move(step), event.call, Invalid(std::move(faults)));
+  step = Append(std::move(step), model::manifest_published{.proposed = event.proposed},
+                {.kind = waiter_kind::kManifest, .call = event.call});
+  return OpenCall(std::move(step), event.call,
+                  {.kind = waiter_kind::kManifest, .deadline = event.deadline});
+}
+
+step OnVerdict(const environment& environment,
+               step step,
+               const record_verdict& verdict,
+               const waiter& waits) {
+  if (waits.kind == waiter_kind::kPlan) {
+    if (step.state.calls.planned_records > 0)
+      --step.state.calls.planned_records;
+    step.state.calls.plan_due = true;
+    return step;
+  }
+  if (waits.kind == waiter_kind::kClaim)
+    return OnClaimVerdict(environment, std::move(step), verdict, waits.call);
+  const open_call* opened = step.state.calls.open.Find(waits.call);
+  if (opened == nullptr)
+    return step;
+  if (waits.kind == waiter_kind::kJob && verdict.accepted)
+    step.state.calls.plan_due = true;
+  const model::job_spec* spec = SubmittedSpec(step.state, verdict.index);
+  std::optional<model::answer> raced = AnswerToRace(step.state, verdict, spec);
+  model::answer answer =
+      raced ? std::move(*raced) : AnswerToVerdict(step.state.ledger, verdict, *opened);
+  return CloseCall(std::move(step), waits.call, std::move(answer));
+}
+
+step OnCallDeadline(const environment& environment, step step, model::call_number call) {
+  const open_call* opened = step.state.calls.open.Find(call);
+  if (opened == nullptr)
+    return step;
+  const model::job_id job = opened->job;
+  if (Withdraw(step.state.log, call)) {
+    return CloseCall(std::move(step), call,
+                     Unavailable(environment, "the log took no record in time"));
+  }
+  const bool submitted = opened->kind == waiter_kind::kJob;
+  std::optional<model::job_view> view;
+  if (submitted)
+    view.emplace(model::job_view{.job = job});
+  return CloseCall(std::move(step), call,
+                   {.kind = model::answer_kind::kDeadline,
+                    .ran = model::run_state::kOutcomeUnknown,
+                    .faults = One("", "the log has not confirmed the record yet"),
+                    .job = view});
+}
+
+step PlanIfDue(const environment& environment, step step) {
+  if (!MayPlan(environment, step.state))
+    return step;
+  if (step.state.now < step.state.calls.next_plan)
+    return PlanAgainAt(std::move(step), step.state.calls.next_plan);
+  step.state.calls.plan_due = false;
+  step.state.calls.next_plan = step.state.now + environment.limits.plan_pause;
+  if (step.state.ledger.waiting.empty())
+    return step;
+  std::vector<model::record> records = environment.behaviour.plan(
+      step.state.ledger, step.state.now, environment.limits);
+  step.state.calls.planned_records = static_cast<std::uint32_t>(records.size());
+  for (model::record& record : records)
+    step = Append(std::move(step), std::move(record), {.kind = waiter_kind::kPlan});
+  return PlanAgainAt(std::move(step), step.state.now + environment.limits.plan_interval);
+}
+
+}  // namespace parsleyhitch::scheduler::detail
--- /dev/null
+++ b/source/scheduler/rendezvous.h
@@ -0,0 +1,23 @@
+// Rendezvous hashing: which entry is the home of a thing. Homes route work so that
+// proposals seldom collide; they carry no authority. An entry with a wrong view of
+// its peers costs a void proposal or a repeated sync.
+
+#ifndef PARSLEYHITCH_SCHEDULER_RENDEZVOUS_H_
+#define PARSLEYHITCH_SCHEDULER_RENDEZVOUS_H_
+
+#include <string_view>
+#include <vector>
+
+#include "model/identifier.h"
+#include "scheduler/hooks.h"
+
+namespace parsleyhitch::scheduler {
+
+// The entry with the highest weight for `subject`; empty when there is none.
+model::entry_id HomeOf(const hooks& hooks,
+                       std::string_view subject,
+                       const std::vector<model::entry_id>& entries);
+
+}  // namespace parsleyhitch::scheduler
+
+#endif  // PARSLEYHITCH_SCHEDULER_RENDEZVOUS_H_
--- /dev/null
+++ b/source/scheduler/request_claims.cc
@@ -0,0 +1,175 @@
+// Non-idempotent requests: the claim of the key goes to the log first, and only the
+// earliest claim in log order runs. Others wait for its result.
+
+#include <utility>
+
+#include "scheduler/requests.h"
+
+namespace parsleyhitch::scheduler::detail {
+
+namespace {
+
+model::scoped_key KeyOf(const open_request& request) {
+  return {.owner = request.owner, .key = request.key};
+}
+
+model::writer Self(const environment& environment, const entry_state& state) {
+  return {.entry = environment.me, .incarnation = state.incarnation};
+}
+
+step SetPhase(step step, model::call_number call, request_phase phase, bool claimed) {
+  const request_progress old = *step.state.requests.progress.Find(call);
+  return SetProgress(std::move(step), call,
+                     {.phase = phase,
+                      .attempt = old.attempt,
+                      .ambiguous_attempts = old.ambiguous_attempts,
+                      .worker = old.worker,
+                      .claimed = claimed});
+}
+
+model::answer AnswerOf(const environment& environment, const model::request_result& result) {
+  if (result.outcome == model::request_outcome::kAnswered) {
+    return {.kind = model::answer_kind::kAnswered,
+            .endpoint_status = result.status,
+            .body = result.body};
+  }
+  return RefusalOf(environment, {.ambiguous_attempts = 1},
+                   model::answer_kind::kUnavailable,
+                   "the request was sent earlier and its answer was lost");
+}
+
+model::answer KeyConflict() {
+  model::findings faults;
+  faults.push_back({.place = "/key", .message = "was used for another request"});
+  return {.kind = model::answer_kind::kConflict,
+          .ran = model::run_state::kNotRun,
+          .faults = std::move(faults)};
+}
+
+// The key is claimed: answered by the result, or waits for it.
+step FollowClaim(const environment& environment,
+                 step step,
+                 model::call_number call,
+                 const model::request_claim& claim) {
+  const open_request& request = *step.state.requests.open.Find(call);
+  if (claim.digest != request.digest)
+    return CloseRequest(environment, std::move(step), call, KeyConflict());
+  if (claim.result) {
+    return CloseRequest(environment, std::move(step), call,
+                        AnswerOf(environment, *claim.result));
+  }
+  return SetPhase(std::move(step), call, request_phase::kAwaitingOther, false);
+}
+
+// True while another request of this entry is about to claim the same key.
+bool IsBeingClaimed(const entry_state& state,
+                    const std::set<model::call_number>& calls,
+                    model::call_number self) {
+  for (const model::call_number call : calls) {
+    const request_progress* progress = state.requests.progress.Find(call);
+    if (call != self && progress != nullptr &&
+        progress->phase != request_phase::kAwaitingOther) {
+      return true;
+    }
+  }
+  return false;
+}
+
+step JoinKey(step step, model::call_number call, const model::scoped_key& key) {
+  const std::set<model::call_number>* present = step.state.requests.by_key.Find(key);
+  std::set<model::call_number> calls;
+  if (present != nullptr)
+    calls = *present;
+  calls.insert(call);
+  step.state.requests.by_key.Put(key, std::move(calls));
+  return step;
+}
+
+}  // namespace
+
+step ClaimKey(const environment& environment, step step, model::call_number call) {
+  const open_request request = *step.state.requests.open.Find(call);
+  const model::scoped_key key = KeyOf(request);
+  step = JoinKey(std::move(step), call, key);
+  const model::request_claim* claim = step.state.ledger.claims.Find(key);
+  if (environment.behaviour.may_run_once(claim, Self(environment, step.state)) &&
+      claim == nullptr) {
+    return Enqueue(std::move(step), call);
+  }
+  if (claim != nullptr) {
+    const model::request_claim followed = *claim;
+    return FollowClaim(environment, std::move(step), call, followed);
+  }
+  if (IsBeingClaimed(step.state, *step.state.requests.by_key.Find(key), call))
+    return SetPhase(std::move(step), call, request_phase::kAwaitingOther, false);
+  step = SetPhase(std::move(step), call, request_phase::kClaiming, false);
+  return Append(std::move(step),
+                model::request_claimed{.owner = request.owner,
+                                       .key = request.key,
+                                       .digest = request.digest,
+                                       .by = environment.me,
+                                       .incarnation = step.state.incarnation},
+                {.kind = waiter_kind::kClaim, .call = call});
+}
+
+step FinishClaim(const environment& environment,
+                 step step,
+                 const open_request& request,
+                 model::request_result result) {
+  return Append(std::move(step),
+                model::request_finished{.owner = request.owner,
+                                        .key = request.key,
+                                        .by = environment.me,
+                                        .result = std::move(result)},
+                {});
+}
+
+step OnClaimVerdict(const environment& environment,
+                    step step,
+                    const record_verdict& verdict,
+                    model::call_number call) {
+  const open_request* open = step.state.requests.open.Find(call);
+  if (open != nullptr && verdict.accepted) {
+    step = SetPhase(std::move(step), call, request_phase::kQueued, true);
+    return Enqueue(std::move(step), call);
+  }
+  if (open != nullptr || !verdict.accepted)
+    return step;
+  // The caller was told "not run" before the claim was read: the key is given free.
+  const model::batch& batch = *step.state.log.in_flight.Get();
+  const auto& claimed = std::get<model::request_claimed>(batch.records.at(verdict.index));
+  return Append(std::move(step),
+                model::request_finished{
+                    .owner = claimed.owner,
+                    .key = claimed.key,
+                    .by = environment.me,
+                    .result = {.outcome = model::request_outcome::kNotRun}},
+                {});
+}
+
+step OnClaimChanged(const environment& environment, step step, const model::scoped_key& key) {
+  const std::set<model::call_number>* present = step.state.requests.by_key.Find(key);
+  if (present == nullptr)
+    return step;
+  const std::set<model::call_number> calls = *present;
+  const model::writer self = Self(environment, step.state);
+  for (const model::call_number call : calls) {
+    const request_progress* progress = step.state.requests.progress.Find(call);
+    if (progress == nullptr)
+      continue;
+    const model::request_claim* claim = step.state.ledger.claims.Find(key);
+    const bool lost_race = progress->phase == request_phase::kClaiming &&
+                           claim != nullptr &&
+                           !environment.behaviour.may_run_once(claim, self);
+    const bool waits = progress->phase == request_phase::kAwaitingOther;
+    if (claim != nullptr && (lost_race || waits)) {
+      const model::request_claim followed = *claim;
+      step = FollowClaim(environment, std::move(step), call, followed);
+    } else if (claim == nullptr && waits) {
+      step = ClaimKey(environment, std::move(step), call);
+    }
+  }
+  return step;
+}
+
+}  // namespace parsleyhitch::scheduler::detail
--- /dev/null
+++ b/source/scheduler/request_queue.cc
@@ -0,0 +1,235 @@
+// The line of requests and the choice of endpoints: the most important first, then
+// by deadline; a share of the slots is kept for urgent requests, so that short work
+// does not wait behind long.
+
+#include <algorithm>
+#include <utility>
+
+#include "scheduler/requests.h"
+
+namespace parsleyhitch::scheduler::detail {
+
+namespace {
+
+constexpr std::uint32_t kPermille = 1000;
+constexpr std::int64_t kMeanWindow = 8;
+
+request_position PositionOf(model::call_number call, const open_request& request) {
+  return {.rank = request.rank, .deadline = request.deadline, .call = call};
+}
+
+// Slots of the worker that are this entry's: entries share each without talking.
+std::uint32_t ShareOf(const entry_state& state, const model::worker_id& worker) {
+  const model::worker_status* status = state.ledger.workers.Find(worker);
+  if (status == nullptr || status->spec.slots == 0)
+    return 0;
+  const auto entries = static_cast<std::uint32_t>(
+      std::max<std::size_t>(1, state.peers.alive.size()));
+  return std::max(1U, status->spec.slots / entries);
+}
+
+endpoint_rank RankOf(const model::worker_id& worker, const endpoint_load& load) {
+  return {.in_flight = load.in_flight, .turn = load.turn, .worker = worker};
+}
+
+// May the endpoint be given a request at all?
+bool IsOpen(const environment& environment,
+            const entry_state& state,
+            const model::worker_id& worker,
+            const endpoint_load& load) {
+  const model::worker_status* status = state.ledger.workers.Find(worker);
+  if (status == nullptr || status->phase != model::worker_phase::kLive)
+    return false;
+  const leaving_view* leaving = state.peers.leaving.Find(worker);
+  if (leaving != nullptr && environment.behaviour.is_leaving(*leaving))
+    return false;
+  return load.ejected_until <= state.now;
+}
+
+// Replaces an endpoint's load, keeping the index of callable endpoints in step.
+step PutLoad(const environment& environment,
+             step step,
+             const model::worker_id& worker,
+             const endpoint_load& load) {
+  requests_state& requests = step.state.requests;
+  const endpoint_load* present = requests.endpoints.Find(worker);
+  if (present != nullptr)
+    requests.callable.erase(RankOf(worker, *present));
+  requests.endpoints.Put(worker, load);
+  const bool has_slot = load.in_flight < ShareOf(step.state, worker);
+  if (has_slot && IsOpen(environment, step.state, worker, load))
+    requests.callable.insert(RankOf(worker, load));
+  return step;
+}
+
+std::uint32_t SlotsForNotUrgent(const environment& environment, const entry_state& state) {
+  const std::uint32_t total = state.requests.total_slots;
+  const std::uint32_t kept = total * environment.limits.urgent_slots_permille / kPermille;
+  return std::max(1U, total - std::min(total, kept));
+}
+
+// A retry goes to another endpoint where there is one.
+model::worker_id ChooseEndpoint(const entry_state& state, const model::worker_id& last) {
+  const auto& callable = state.requests.callable;
+  const auto first = callable.begin();
+  if (first->worker != last || callable.size() == 1)
+    return first->worker;
+  return std::next(first)->worker;
+}
+
+// Each first attempt earns a part of a retry.
+std::uint32_t EarnRetry(const environment& environment, std::uint32_t budget) {
+  const std::uint32_t cap = environment.limits.retry_budget_cap * kRetryTokenHundredths;
+  return std::min(cap, budget + environment.limits.retry_budget_percent);
+}
+
+step CallEndpoint(const environment& environment,
+                  step step,
+                  model::call_number call,
+                  const model::worker_id& worker) {
+  const open_request request = *step.state.requests.open.Find(call);
+  const request_progress progress = *step.state.requests.progress.Find(call);
+  const endpoint_load load = *step.state.requests.endpoints.Find(worker);
+  const bool urgent = request.rank == model::importance::kUrgent;
+  const std::uint32_t attempt = progress.attempt + 1;
+  if (attempt == 1) {
+    step.state.requests.retry_budget =
+        EarnRetry(environment, step.state.requests.retry_budget);
+  }
+  step.state.requests.in_flight += 1;
+  step.state.requests.in_flight_not_urgent += urgent ? 0 : 1;
+  step.state.requests.calls.Put(call, {.worker = worker,
+                                       .attempt = attempt,
+                                       .sent_at = step.state.now,
+                                       .urgent = urgent});
+  step = PutLoad(environment, std::move(step), worker,
+                 {.in_flight = load.in_flight + 1,
+                  .failures = load.failures,
+                  .ejected_until = load.ejected_until,
+                  .turn = step.state.requests.next_turn++});
+  step = SetProgress(std::move(step), call,
+                     {.phase = request_phase::kCalling,
+                      .attempt = attempt,
+                      .ambiguous_attempts = progress.ambiguous_attempts,
+                      .worker = worker,
+                      .claimed = progress.claimed});
+  const std::string address = step.state.ledger.workers.Find(worker)->spec.address;
+  return Emit(std::move(step),
+              model::call_endpoint{.address = address,
+                                   .call = call,
+                                   .attempt = attempt,
+                                   .target = request.target,
+                                   .key = request.key,
+                                   .body = request.body,
+                                   .timeout = request.deadline - step.state.now});
+}
+
+// Failures in a row hold an endpoint back, for longer each time.
+endpoint_load AfterCall(const environment& environment,
+                        const entry_state& state,
+                        const endpoint_load& load,
+                        bool succeeded) {
+  constexpr std::uint32_t kMaxDoublings = 16;
+  const std::uint32_t failures = succeeded ? 0 : load.failures + 1;
+  model::timestamp until = load.ejected_until;
+  if (failures >= environment.limits.endpoint_failures_to_eject) {
+    const std::uint32_t beyond = failures - environment.limits.endpoint_failures_to_eject;
+    const model::duration hold =
+        environment.limits.eject_base * (1U << std::min(beyond, kMaxDoublings));
+    until = state.now + std::min(hold, environment.limits.eject_max);
+  }
+  return {.in_flight = load.in_flight - 1,
+          .failures = failures,
+          .ejected_until = until,
+          .turn = load.turn};
+}
+
+}  // namespace
+
+step Enqueue(step step, model::call_number call) {
+  const open_request& request = *step.state.requests.open.Find(call);
+  const request_progress old = *step.state.requests.progress.Find(call);
+  step.state.requests.queue.insert(PositionOf(call, request));
+  ++step.state.requests.queued.at(static_cast<std::size_t>(request.rank));
+  return SetProgress(std::move(step), call,
+                     {.phase = request_phase::kQueued,
+                      .attempt = old.attempt,
+                      .ambiguous_attempts = old.ambiguous_attempts,
+                      .worker = old.worker,
+                      .claimed = old.claimed});
+}
+
+step Dequeue(step step, model::call_number call) {
+  const open_request& request = *step.state.requests.open.Find(call);
+  const std::size_t removed =
+      step.state.requests.queue.erase(PositionOf(call, request));
+  if (removed > 0)
+    --step.state.requests.queued.at(static_cast<std::size_t>(request.rank));
+  return step;
+}
+
+step DispatchRequests(const environment& environment, step step) {
+  while (!step.state.requests.queue.empty() && !step.state.requests.callable.empty()) {
+    const request_position next = *step.state.requests.queue.begin();
+    const bool urgent = next.rank == model::importance::kUrgent;
+    if (!urgent && step.state.requests.in_flight_not_urgent >=
+                       SlotsForNotUrgent(environment, step.state)) {
+      break;
+    }
+    const model::worker_id last =
+        step.state.requests.progress.Find(next.call)->worker;
+    const model::worker_id worker = ChooseEndpoint(step.state, last);
+    step = Dequeue(std::move(step), next.call);
+    step = CallEndpoint(environment, std::move(step), next.call, worker);
+  }
+  return step;
+}
+
+step EndEndpointCall(const environment& environment,
+                     step step,
+                     model::call_number call,
+                     bool succeeded) {
+  const endpoint_call* present = step.state.requests.calls.Find(call);
+  if (present == nullptr)
+    return step;
+  const endpoint_call ended = *present;
+  step.state.requests.calls.Erase(call);
+  step.state.requests.in_flight -= 1;
+  step.state.requests.in_flight_not_urgent -= ended.urgent ? 0 : 1;
+  if (succeeded) {
+    const model::duration took = step.state.now - ended.sent_at;
+    step.state.requests.mean_call += (took - step.state.requests.mean_call) / kMeanWindow;
+  }
+  const endpoint_load* load = step.state.requests.endpoints.Find(ended.worker);
+  if (load == nullptr)
+    return step;
+  const endpoint_load after = AfterCall(environment, step.state, *load, succeeded);
+  step = PutLoad(environment, std::move(step), ended.worker, after);
+  if (after.ejected_until <= step.state.now)
+    return step;
+  step = Count(std::move(step), "endpoints_ejected_total");
+  return SetAlarm(std::move(step), {.at = after.ejected_until,
+                                    .kind = alarm_kind::kReadmitEndpoint,
+                                    .worker = ended.worker});
+}
+
+step ReadmitEndpoint(const environment& environment,
+                     step step,
+                     const model::worker_id& worker) {
+  return RefreshEndpoint(environment, std::move(step), worker);
+}
+
+step RefreshEndpoint(const environment& environment,
+                     step step,
+                     const model::worker_id& worker) {
+  const endpoint_load* present = step.state.requests.endpoints.Find(worker);
+  const endpoint_load load = present == nullptr ? endpoint_load{} : *present;
+  step = PutLoad(environment, std::move(step), worker, load);
+  if (!step.state.ledger.workers.Contains(worker)) {
+    step.state.requests.callable.erase(RankOf(worker, load));
+    step.state.requests.endpoints.Erase(worker);
+  }
+  return step;
+}
+
+}  // namespace parsleyhitch::scheduler::detail
--- /dev/null
+++ b/source/settings/manifest_file.cc
@@ -0,0 +1,26 @@
+// Manifests in YAML.
+
+#include "settings/manifest_file.h"
+
+#include <utility>
+
+#include "scheduler/manifest_rules.h"
+#include "settings/yaml_source.h"
+#include "wire/json_codec.h"
+
+namespace parsleyhitch::settings {
+
+wire::result<model::manifest> ParseManifest(const std::string& text) {
+  const yaml_source source = ReadYaml(text);
+  model::findings faults = source.faults;
+  if (!faults.empty())
+    return boost::leaf::new_error(std::move(faults));
+  auto manifest = wire::detail::DecodeJson<model::manifest>(source.content, "", faults);
+  for (const model::finding& each : scheduler::CheckManifest(manifest))
+    faults.push_back(each);
+  if (!faults.empty())
+    return boost::leaf::new_error(Locate(source, faults));
+  return manifest;
+}
+
+}  // namespace parsleyhitch::settings
--- /dev/null
+++ b/source/wire/api.cc
@@ -0,0 +1,245 @@
+// Routes of the HTTP interface and the form of its answers.
+
+#include "wire/api.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "wire/json_codec.h"
+
+namespace parsleyhitch::wire {
+
+namespace {
+
+constexpr char kJsonType[] = "application/json";
+constexpr model::duration kDefaultCallDeadline{10000};
+constexpr model::duration kMaxCallDeadline{3600000};
+
+// One call while it is parsed.
+struct call_context {
+  const http_call& call;
+  const model::timestamp at;
+  const model::call_number number;
+};
+
+std::vector<std::string> SplitPath(const std::string& path) {
+  std::vector<std::string> parts;
+  std::size_t start = 1;
+  while (start < path.size()) {
+    const std::size_t end = std::min(path.find('/', start), path.size());
+    parts.push_back(path.substr(start, end - start));
+    start = end + 1;
+  }
+  return parts;
+}
+
+std::string Header(const http_call& call, const std::string& name) {
+  const auto found = call.headers.find(name);
+  return found == call.headers.end() ? std::string() : found->second;
+}
+
+// The header's time from now, if it has one.
+std::optional<model::duration> DeadlineHeader(const http_call& call,
+                                              model::findings& faults) {
+  constexpr char kName[] = "parsleyhitch-deadline-ms";
+  const std::string text = Header(call, kName);
+  if (text.empty())
+    return {};
+  std::int64_t value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  const bool whole = error == std::errc() && end == text.data() + text.size();
+  if (!whole || value <= 0 || value > kMaxCallDeadline.count()) {
+    faults.push_back({.place = std::string("header ") + kName,
+                      .message = "must be an integer from 1 to 3600000"});
+    return {};
+  }
+  return model::duration(value);
+}
+
+model::timestamp DeadlineOf(const call_context& context, model::findings& faults) {
+  return context.at + DeadlineHeader(context.call, faults).value_or(kDefaultCallDeadline);
+}
+
+result<api_request> Finish(model::findings faults, model::event event) {
+  if (!faults.empty())
+    return boost::leaf::new_error(std::move(faults));
+  return api_request(std::move(event));
+}
+
+result<api_request> ParseSubmit(const call_context& context) {
+  model::findings faults;
+  const model::timestamp deadline = DeadlineOf(context, faults);
+  BOOST_LEAF_AUTO(spec, FromJson<model::job_spec>(context.call.body));
+  return Finish(std::move(faults), model::job_requested{.at = context.at,
+                                                        .call = context.number,
+                                                        .spec = std::move(spec),
+                                                        .deadline = deadline});
+}
+
+result<api_request> ParsePublish(const call_context& context) {
+  model::findings faults;
+  const model::timestamp deadline = DeadlineOf(context, faults);
+  BOOST_LEAF_AUTO(proposed, FromJson<model::manifest>(context.call.body));
+  return Finish(std::move(faults), model::manifest_offered{.at = context.at,
+                                                           .call = context.number,
+                                                           .proposed = std::move(proposed),
+                                                           .deadline = deadline});
+}
+
+bool ParseIdempotent(const http_call& call, model::findings& faults) {
+  constexpr char kName[] = "parsleyhitch-idempotent";
+  const std::string text = Header(call, kName);
+  if (!text.empty() && text != "true" && text != "false") {
+    faults.push_back({.place = std::string("header ") + kName,
+                      .message = "must be true or false"});
+  }
+  return text != "false";
+}
+
+result<api_request> ParseRequest(const call_context& context, const std::string& service) {
+  model::findings faults;
+  const std::optional<model::duration> within = DeadlineHeader(context.call, faults);
+  const bool idempotent = ParseIdempotent(context.call, faults);
+  return Finish(
+      std::move(faults),
+      model::request_received{
+          .at = context.at,
+          .call = context.number,
+          .target = model::service_id(service),
+          .owner = model::workspace_id(Header(context.call, "parsleyhitch-workspace")),
+          .idempotent = idempotent,
+          .key = model::idempotency_key(Header(context.call, "idempotency-key")),
+          .deadline = within ? context.at + *within : model::timestamp(),
+          .body = context.call.body});
+}
+
+result<api_request> ParseCancel(const call_context& context, const std::string& job) {
+  model::findings faults;
+  const model::timestamp deadline = DeadlineOf(context, faults);
+  return Finish(std::move(faults), model::job_cancel_requested{.at = context.at,
+                                                               .call = context.number,
+                                                               .job = model::job_id(job),
+                                                               .deadline = deadline});
+}
+
+json FaultsJson(const model::findings& faults) {
+  json list = json::array();
+  for (const model::finding& each : faults)
+    list.push_back({{"place", each.place}, {"message", each.message}});
+  return list;
+}
+
+std::uint32_t StatusOf(const model::answer& answer) {
+  switch (answer.kind) {
+    case model::answer_kind::kAnswered:
+      return answer.endpoint_status;
+    case model::answer_kind::kAccepted:
+      return 202;
+    case model::answer_kind::kFound:
+      return 200;
+    case model::answer_kind::kInvalid:
+      return 400;
+    case model::answer_kind::kConflict:
+      return 409;
+    case model::answer_kind::kNotFound:
+      return 404;
+    case model::answer_kind::kOverloaded:
+      return 429;
+    case model::answer_kind::kUnavailable:
+      return 503;
+    case model::answer_kind::kDeadline:
+      return 504;
+  }
+  return 500;
+}
+
+std::map<std::string, std::string> HeadersOf(const model::answer& answer) {
+  std::map<std::string, std::string> headers;
+  if (answer.retry_after > model::duration::zero()) {
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(answer.retry_after);
+    headers["Retry-After"] = std::to_string(seconds.count());
+  }
+  if (answer.ran != model::run_state::kNotApplicable)
+    headers["Parsleyhitch-Run"] = detail::EncodeJson(answer.ran).get<std::string>();
+  return headers;
+}
+
+json BodyOf(const model::answer& answer) {
+  json body = json::object();
+  const bool refused = answer.kind != model::answer_kind::kAccepted &&
+                       answer.kind != model::answer_kind::kFound;
+  if (refused)
+    body["error"] = detail::EncodeJson(answer.kind);
+  if (answer.ran != model::run_state::kNotApplicable)
+    body["run"] = detail::EncodeJson(answer.ran);
+  if (!answer.faults.empty())
+    body["findings"] = FaultsJson(answer.faults);
+  if (answer.job)
+    body["job"] = detail::EncodeJson(*answer.job);
+  if (answer.status)
+    body["status"] = detail::EncodeJson(*answer.status);
+  if (answer.version)
+    body["version"] = *answer.version;
+  return body;
+}
+
+}  // namespace
+
+result<api_request> ParseCall(const http_call& call,
+                              model::timestamp at,
+                              model::call_number number) {
+  const call_context context{.call = call, .at = at, .number = number};
+  const std::vector<std::string> path = SplitPath(call.path);
+  const bool get = call.method == "GET";
+  const bool post = call.method == "POST";
+  if (get && call.path == "/metrics")
+    return api_request(page::kMetrics);
+  if (get && call.path == "/healthz")
+    return api_request(page::kHealth);
+  if (get && call.path == "/v1/status")
+    return api_request(model::event(model::status_requested{.at = at, .call = number}));
+  if (post && call.path == "/v1/drain")
+    return api_request(model::event(model::drain_requested{.at = at, .call = number}));
+  if (post && call.path == "/v1/jobs")
+    return ParseSubmit(context);
+  if (post && call.path == "/v1/manifest")
+    return ParsePublish(context);
+  const bool job = path.size() == 3 && path[0] == "v1" && path[1] == "jobs";
+  if (get && job) {
+    return api_request(model::event(model::job_read_requested{
+        .at = at, .call = number, .job = model::job_id(path[2])}));
+  }
+  if (call.method == "DELETE" && job)
+    return ParseCancel(context, path[2]);
+  const bool service = path.size() == 4 && path[0] == "v1" && path[1] == "services" &&
+                       path[3] == "requests";
+  if (post && service)
+    return ParseRequest(context, path[2]);
+  model::findings faults;
+  faults.push_back({.place = call.path, .message = "no such call"});
+  return boost::leaf::new_error(std::move(faults));
+}
+
+http_reply ReplyToFaults(const model::findings& faults) {
+  return ReplyTo({.kind = model::answer_kind::kInvalid,
+                  .ran = model::run_state::kNotRun,
+                  .faults = faults});
+}
+
+http_reply ReplyTo(const model::answer& answer) {
+  if (answer.kind == model::answer_kind::kAnswered) {
+    return {.status = StatusOf(answer),
+            .content_type = "application/octet-stream",
+            .headers = HeadersOf(answer),
+            .body = answer.body};
+  }
+  return {.status = StatusOf(answer),
+          .content_type = kJsonType,
+          .headers = HeadersOf(answer),
+          .body = BodyOf(answer).dump() + "\n"};
+}
+
+}  // namespace parsleyhitch::wire
--- /dev/null
+++ b/source/wire/traits.h
@@ -0,0 +1,80 @@
+// Kinds of values that the generic codecs tell apart.
+
+#ifndef PARSLEYHITCH_WIRE_TRAITS_H_
+#define PARSLEYHITCH_WIRE_TRAITS_H_
+
+#include <boost/describe.hpp>
+#include <boost/mp11.hpp>
+#include <cctype>
+#include <optional>
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "model/identifier.h"
+#include "model/time.h"
+
+namespace parsleyhitch::wire::detail {
+
+template <typename T>
+struct is_identifier : std::false_type {};
+template <typename Tag>
+struct is_identifier<model::identifier<Tag>> : std::true_type {};
+
+template <typename T>
+struct is_vector : std::false_type {};
+template <typename T>
+struct is_vector<std::vector<T>> : std::true_type {};
+
+template <typename T>
+struct is_optional : std::false_type {};
+template <typename T>
+struct is_optional<std::optional<T>> : std::true_type {};
+
+template <typename T>
+struct is_variant : std::false_type {};
+template <typename... Ts>
+struct is_variant<std::variant<Ts...>> : std::true_type {};
+
+template <typename T>
+inline constexpr bool is_time_v =
+    std::is_same_v<T, model::duration> || std::is_same_v<T, model::timestamp>;
+
+template <typename T>
+using members_of = boost::describe::describe_members<T, boost::describe::mod_public>;
+
+template <typename T>
+inline constexpr std::size_t member_count_v = boost::mp11::mp_size<members_of<T>>::value;
+
+template <typename T, std::size_t I>
+inline constexpr auto descriptor_v = boost::mp11::mp_at_c<members_of<T>, I>();
+
+template <typename T, std::size_t I>
+using member_type =
+    std::remove_cvref_t<decltype(std::declval<const T&>().*descriptor_v<T, I>.pointer)>;
+
+// The milliseconds of a duration, or of a timestamp since the epoch.
+inline std::int64_t Milliseconds(model::duration value) {
+  return value.count();
+}
+inline std::int64_t Milliseconds(model::timestamp value) {
+  return value.time_since_epoch().count();
+}
+
+// "kFailureDomain" as "failure_domain".
+inline std::string SnakeCase(std::string_view enumerator) {
+  std::string text;
+  for (const char letter : enumerator.substr(1)) {
+    const bool upper = std::isupper(static_cast<unsigned char>(letter)) != 0;
+    if (upper && !text.empty())
+      text += '_';
+    text += static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+  }
+  return text;
+}
+
+}  // namespace parsleyhitch::wire::detail
+
+#endif  // PARSLEYHITCH_WIRE_TRAITS_H_
