--- /dev/null
+++ b/source/parsleyhitch/commands.cc
@@ -0,0 +1,139 @@
+// The table of commands, and those that are one call to an entry.
+
+#include "parsleyhitch/commands.h"
+
+#include <iostream>
+#include <optional>
+
+#include "parsleyhitch/calls.h"
+#include "parsleyhitch/check.h"
+#include "parsleyhitch/exit_codes.h"
+#include "parsleyhitch/output.h"
+#include "report/burn.h"
+#include "settings/manifest_file.h"
+#include "settings/yaml_source.h"
+#include "wire/json_codec.h"
+#include "wire/proto_schema.h"
+
+namespace parsleyhitch {
+
+namespace {
+
+int NeedArgument(const std::string& what) {
+  std::cerr << "needs " << what << "\n";
+  return kExitUsage;
+}
+
+int RunPublish(const command_input& input) {
+  if (input.arguments.size() != 1)
+    return NeedArgument("a manifest file");
+  const std::optional<std::string> text = ReadFile(input.arguments.front());
+  if (!text)
+    return kExitUsage;
+  return wire::Handle(
+      [&] { return settings::ParseManifest(*text); },
+      [&](const model::manifest& manifest) {
+        return CallAndPrint(input, {.method = "POST",
+                                    .path = "/v1/manifest",
+                                    .body = wire::ToJson(manifest)});
+      },
+      [&](const model::findings& faults) {
+        PrintFindings(input.arguments.front(), faults, input.json);
+        return kExitFindings;
+      });
+}
+
+int RunSubmit(const command_input& input) {
+  if (input.arguments.size() != 1)
+    return NeedArgument("a job file");
+  const std::optional<std::string> text = ReadFile(input.arguments.front());
+  if (!text)
+    return kExitUsage;
+  const settings::yaml_source source = settings::ReadYaml(*text);
+  if (!source.faults.empty()) {
+    PrintFindings(input.arguments.front(), source.faults, input.json);
+    return kExitFindings;
+  }
+  return CallAndPrint(
+      input, {.method = "POST", .path = "/v1/jobs", .body = source.content.dump()});
+}
+
+int RunStatus(const command_input& input) {
+  const bool job = !input.arguments.empty();
+  return CallAndPrint(
+      input, {.method = "GET",
+              .path = job ? "/v1/jobs/" + input.arguments.front() : "/v1/status"});
+}
+
+int RunCancel(const command_input& input) {
+  if (input.arguments.size() != 1)
+    return NeedArgument("a job's name");
+  return CallAndPrint(input,
+                      {.method = "DELETE", .path = "/v1/jobs/" + input.arguments.front()});
+}
+
+int RunDrain(const command_input& input) {
+  if (input.entries.size() != 1)
+    return NeedArgument("exactly one --entry");
+  return CallAndPrint(input, {.method = "POST", .path = "/v1/drain"});
+}
+
+// request SERVICE WORKSPACE BODY [KEY]: with a key it is not idempotent.
+int RunRequest(const command_input& input) {
+  constexpr std::size_t kWithoutKey = 3;
+  const auto& arguments = input.arguments;
+  if (arguments.size() != kWithoutKey && arguments.size() != kWithoutKey + 1)
+    return NeedArgument("SERVICE WORKSPACE BODY [KEY]");
+  std::vector<std::string> headers{"Parsleyhitch-Workspace: " + arguments[1]};
+  if (arguments.size() > kWithoutKey) {
+    headers.push_back("Parsleyhitch-Idempotent: false");
+    headers.push_back("Idempotency-Key: " + arguments[kWithoutKey]);
+  }
+  return CallAndPrint(input, {.method = "POST",
+                              .path = "/v1/services/" + arguments[0] + "/requests",
+                              .headers = std::move(headers),
+                              .body = arguments[2]});
+}
+
+int RunBurn(const command_input& input) {
+  std::vector<std::vector<report::burn_line>> reports;
+  for (const std::string& address : input.entries) {
+    const runtime::http_outcome outcome =
+        CallEntry(address, {.method = "GET", .path = "/v1/burn"});
+    if (const auto* response = std::get_if<runtime::http_response>(&outcome))
+      reports.push_back(report::DecodeBurn(response->body));
+  }
+  if (reports.empty()) {
+    std::cerr << "no entry can be reached\n";
+    return kExitUnreachable;
+  }
+  const std::vector<report::burn_line> sum = report::SumBurn(reports);
+  std::cout << (input.json ? report::EncodeBurn(sum) + "\n" : report::BurnTable(sum));
+  return kExitOk;
+}
+
+int RunSchema(const command_input&) {
+  std::cout << wire::ProtoSchema();
+  return kExitOk;
+}
+
+}  // namespace
+
+const std::vector<command>& Commands() {
+  static const std::vector<command> commands{
+      {"check", "check FILE...", "Checks settings or manifest files and prints every finding.",
+       RunCheck},
+      {"publish", "publish MANIFEST", "Publishes a manifest (YAML).", RunPublish},
+      {"submit", "submit JOB", "Submits a job (YAML).", RunSubmit},
+      {"request", "request SERVICE WORKSPACE BODY [KEY]",
+       "Sends a request to a service; with a key it is non-idempotent.", RunRequest},
+      {"status", "status [JOB]", "Shows an entry's status, or a job.", RunStatus},
+      {"cancel", "cancel JOB", "Cancels a job.", RunCancel},
+      {"drain", "drain --entry ADDRESS", "Shuts one entry down gracefully.", RunDrain},
+      {"burn", "burn", "Reports service-level burn over all entries given.", RunBurn},
+      {"schema", "schema", "Prints the protobuf schema.", RunSchema},
+  };
+  return commands;
+}
+
+}  // namespace parsleyhitch
--- /dev/null
+++ b/source/parsleyhitch/main.cc
@@ -0,0 +1,72 @@
+// The operators' command: a thin front end over the library.
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <iostream>
+#include <sstream>
+
+#include "parsleyhitch/commands.h"
+#include "parsleyhitch/exit_codes.h"
+
+DEFINE_string(entry, "127.0.0.1:7400", "entries, with commas between them");
+DEFINE_string(format, "table", "table or json");
+DECLARE_bool(help);
+DECLARE_bool(helpshort);
+
+namespace parsleyhitch {
+
+namespace {
+
+void PrintHelp(const command& command) {
+  std::cout << "usage: parsleyhitch " << command.usage << "\n\n" << command.help << "\n";
+}
+
+int PrintUsage() {
+  std::cout << "usage: parsleyhitch COMMAND [--entry IP:PORT,...] [--format=table|json]\n\n";
+  for (const command& each : Commands())
+    std::cout << "  " << each.usage << "\n      " << each.help << "\n";
+  std::cout << "\nexit codes: 0 done, 1 findings, 2 usage, 3 no entry reached, "
+               "4 refused and not run, 5 outcome unknown\n";
+  return kExitOk;
+}
+
+std::vector<std::string> SplitByComma(const std::string& text) {
+  std::vector<std::string> parts;
+  std::stringstream stream(text);
+  std::string part;
+  while (std::getline(stream, part, ','))
+    parts.push_back(part);
+  return parts;
+}
+
+int Main(const std::vector<std::string>& arguments) {
+  if (arguments.empty())
+    return FLAGS_help ? PrintUsage() : (PrintUsage(), kExitUsage);
+  const auto& commands = Commands();
+  const auto found = std::ranges::find(commands, arguments.front(), &command::name);
+  if (found == commands.end()) {
+    std::cerr << "unknown command '" << arguments.front() << "'\n";
+    return kExitUsage;
+  }
+  if (FLAGS_help || FLAGS_helpshort) {
+    PrintHelp(*found);
+    return kExitOk;
+  }
+  if (FLAGS_format != "table" && FLAGS_format != "json") {
+    std::cerr << "--format must be table or json\n";
+    return kExitUsage;
+  }
+  return found->run({.arguments = {arguments.begin() + 1, arguments.end()},
+                     .entries = SplitByComma(FLAGS_entry),
+                     .json = FLAGS_format == "json"});
+}
+
+}  // namespace
+
+}  // namespace parsleyhitch
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+  return parsleyhitch::Main({argv + 1, argv + argc});
+}
--- /dev/null
+++ b/source/report/metrics.h
@@ -0,0 +1,29 @@
+// Counters and latency histograms of one entry, in the text format that scrapers
+// read.
+
+#ifndef PARSLEYHITCH_REPORT_METRICS_H_
+#define PARSLEYHITCH_REPORT_METRICS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "model/effect.h"
+#include "report/latency.h"
+
+namespace parsleyhitch::report {
+
+struct metrics {
+  std::map<std::string, std::uint64_t> counters;
+  std::map<model::service_id, latency_histogram> latencies;
+};
+
+metrics Add(metrics metrics, const model::count_metric& counted);
+metrics Add(metrics metrics, const model::observe_request& observed);
+
+// The Prometheus text exposition format, version 0.0.4.
+std::string Exposition(const metrics& metrics);
+
+}  // namespace parsleyhitch::report
+
+#endif  // PARSLEYHITCH_REPORT_METRICS_H_
--- a/source/wire/api.cc
+++ b/source/wire/api.cc
@@ -199,6 +199,8 @@
     return api_request(page::kMetrics);
   if (get && call.path == "/healthz")
     return api_request(page::kHealth);
+  if (get && call.path == "/v1/burn")
+    return api_request(page::kBurn);
   if (get && call.path == "/v1/status")
     return api_request(model::event(model::status_requested{.at = at, .call = number}));
   if (post && call.path == "/v1/drain")
--- a/source/wire/api.h
+++ b/source/wire/api.h
@@ -19,6 +19,8 @@
 struct http_call {
   const std::string method;
   const std::string path;
+  // What follows "?", if anything.
+  const std::string query;
   const std::map<std::string, std::string> headers;
   const std::string body;
   bool operator==(const http_call&) const = default;
@@ -33,7 +35,7 @@
 };
 
 // Pages that the runtime answers itself.
-enum class page { kMetrics, kHealth };
+enum class page { kMetrics, kHealth, kBurn };
 
 // What a call asks for.
 using api_request = std::variant<model::event, page>;
--- /dev/null
+++ b/tests/stand_ins/log_stand_in.cc
@@ -0,0 +1,177 @@
+// The platform's log over HTTP: POST /append, GET /read, POST /control.
+
+#include <asio/steady_timer.hpp>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+
+#include "replay/fake_log.h"
+#include "stand_ins/stand_in.h"
+#include "wire/json_codec.h"
+#include "wire/log_codec.h"
+
+namespace parsleyhitch::stand_ins {
+
+struct log_control {
+  // Refuses every call.
+  const bool down = false;
+  // Delays every answer.
+  const std::int64_t slow_ms = 0;
+  // So many appends take effect and are then answered with an error.
+  const std::uint32_t lose_answers = 0;
+  // Addresses cut off.
+  const std::vector<std::string> cut;
+  // Records to keep, once; 0 for all.
+  const std::uint32_t keep = 0;
+};
+
+PARSLEYHITCH_DESCRIBE(log_control, down, slow_ms, lose_answers, cut, keep)
+
+namespace {
+
+constexpr std::size_t kPageRecords = 256;
+
+std::uint64_t QueryNumber(const std::string& query, const std::string& name) {
+  const std::size_t at = query.find(name + "=");
+  return at == std::string::npos ? 0 : std::stoull(query.substr(at + name.size() + 1));
+}
+
+class log_stand_in {
+ public:
+  log_stand_in(asio::io_context& io, const std::vector<std::string>& addresses) : io_(io) {
+    for (const std::string& address : addresses) {
+      servers_.push_back(std::make_unique<runtime::http_server>(
+          io, address, kMaxBodyBytes,
+          runtime::http_handlers{
+              .call = [this, address](const wire::http_call& call,
+                                      std::uint64_t,
+                                      runtime::http_responder respond) {
+                Take(address, call, std::move(respond));
+              },
+              .closed = [](std::uint64_t) {}}));
+    }
+  }
+
+ private:
+  struct parked_read {
+    std::uint64_t from = 0;
+    runtime::http_responder respond;
+    asio::steady_timer timer;
+    bool answered = false;
+  };
+
+  void Take(const std::string& address,
+            const wire::http_call& call,
+            runtime::http_responder respond) {
+    if (call.path == "/control") {
+      Control(call.body);
+      respond(JsonReply(200, "{}"));
+      return;
+    }
+    if (down_ || cut_.contains(address)) {
+      respond(JsonReply(503, "{}"));
+      return;
+    }
+    if (slow_ms_ == 0) {
+      Serve(call, respond);
+      return;
+    }
+    auto timer =
+        std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(slow_ms_));
+    timer->async_wait([this, timer, call, respond](const auto&) { Serve(call, respond); });
+  }
+
+  void Control(const std::string& body) {
+    const auto control = wire::ValueOf([&] { return wire::FromJson<log_control>(body); });
+    if (!control)
+      return;
+    down_ = control->down;
+    slow_ms_ = control->slow_ms;
+    lose_answers_ = control->lose_answers;
+    cut_ = std::set<std::string>(control->cut.begin(), control->cut.end());
+    if (control->keep != 0)
+      log_.Trim(control->keep);
+    if (down_ || !cut_.empty())
+      RefuseParked();
+  }
+
+  void RefuseParked() {
+    for (const auto& parked : std::exchange(parked_, {})) {
+      parked->answered = true;
+      parked->timer.cancel();
+      parked->respond(JsonReply(503, "{}"));
+    }
+  }
+
+  void Serve(const wire::http_call& call, const runtime::http_responder& respond) {
+    if (call.path == "/append") {
+      Append(call.body, respond);
+      return;
+    }
+    const std::uint64_t from = QueryNumber(call.query, "from");
+    const std::uint64_t wait_ms = QueryNumber(call.query, "wait_ms");
+    if (from < log_.EndOffset() || wait_ms == 0) {
+      Page(from, respond);
+      return;
+    }
+    Park(from, std::chrono::milliseconds(wait_ms), respond);
+  }
+
+  void Append(const std::string& bytes, const runtime::http_responder& respond) {
+    const std::uint64_t offset = log_.Append(bytes);
+    for (const auto& parked : std::exchange(parked_, {})) {
+      parked->answered = true;
+      parked->timer.cancel();
+      Page(parked->from, parked->respond);
+    }
+    if (lose_answers_ > 0) {
+      --lose_answers_;
+      respond(JsonReply(500, "{}"));
+      return;
+    }
+    respond(JsonReply(200, wire::EncodeLogPosition({.offset = offset})));
+  }
+
+  void Park(std::uint64_t from,
+            std::chrono::milliseconds wait,
+            const runtime::http_responder& respond) {
+    auto parked = std::make_shared<parked_read>(
+        parked_read{.from = from, .respond = respond, .timer = asio::steady_timer(io_, wait)});
+    parked_.push_back(parked);
+    parked->timer.async_wait([this, parked](const auto&) {
+      if (parked->answered)
+        return;
+      parked->answered = true;
+      parked_.remove(parked);
+      Page(parked->from, parked->respond);
+    });
+  }
+
+  void Page(std::uint64_t from, const runtime::http_responder& respond) {
+    const std::uint64_t start = std::max(from, log_.first_offset);
+    respond(JsonReply(200, wire::EncodeLogPage({.first_offset = log_.first_offset,
+                                                .end_offset = log_.EndOffset(),
+                                                .from = start,
+                                                .records = log_.Read(start, kPageRecords)})));
+  }
+
+  asio::io_context& io_;
+  replay::fake_log<std::string> log_;
+  bool down_ = false;
+  std::int64_t slow_ms_ = 0;
+  std::uint32_t lose_answers_ = 0;
+  std::set<std::string> cut_;
+  std::list<std::shared_ptr<parked_read>> parked_;
+  std::vector<std::unique_ptr<runtime::http_server>> servers_;
+};
+
+}  // namespace
+
+void RunLog(asio::io_context& io, const std::vector<std::string>& addresses) {
+  const log_stand_in log(io, addresses);
+  io.run();
+}
+
+}  // namespace parsleyhitch::stand_ins
--- /dev/null
+++ b/tests/stand_ins/main.cc
@@ -0,0 +1,47 @@
+// stand_ins --role log|vms|worker --listen ip:port[,ip:port...]
+
+#include <gflags/gflags.h>
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+#include <sstream>
+
+#include "stand_ins/stand_in.h"
+
+DEFINE_string(role, "", "log, vms or worker");
+DEFINE_string(listen, "", "addresses to listen at, with commas between them");
+DEFINE_uint32(accelerators, 8, "accelerators of a worker");
+DEFINE_int64(task_ms, 1000, "run time of a worker's tasks");
+
+namespace {
+
+std::vector<std::string> SplitByComma(const std::string& text) {
+  std::vector<std::string> parts;
+  std::stringstream stream(text);
+  std::string part;
+  while (std::getline(stream, part, ','))
+    parts.push_back(part);
+  return parts;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  asio::io_context io(1);
+  asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](const auto&, int) { io.stop(); });
+  if (FLAGS_role == "log") {
+    parsleyhitch::stand_ins::RunLog(io, SplitByComma(FLAGS_listen));
+  } else if (FLAGS_role == "vms") {
+    parsleyhitch::stand_ins::RunVmList(io, FLAGS_listen);
+  } else if (FLAGS_role == "worker") {
+    parsleyhitch::stand_ins::RunWorker(io, FLAGS_listen, FLAGS_accelerators, FLAGS_task_ms);
+  } else {
+    std::cerr << "unknown --role\n";
+    return 2;
+  }
+  return 0;
+}
