Prove the invariants by traces: reducers against small fakes under a manual clock

Cause: invariants were only argued for. A trace names the set-up, arrivals, faults and the outcomes that must hold; replay runs several entries' reducers against an in-memory log, workers and callers.

Found by the traces and mended here: - a planner that was not the submitter never planned: a submission emitted no change. Ruled out: routing (the home was right). - an entry with an empty log counted as caught up only after a held-back read. - a gang went back five times to the worker that failed it, and failed; a job now avoids the worker it failed on last, and every failure counts there. - firm work that can't fit beside the guaranteed shapes waited for ever; it is refused at admission now. - the share of slots for urgent work was counted from a sum that nobody kept.

--- a/source/model/ledger_values.h
+++ b/source/model/ledger_values.h
@@ -23,7 +23,7 @@
   const std::vector<entry_id> suspected_by;
   // Members failed on this worker since the last that did not.
   const std::uint32_t failures = 0;
-  // Several failures of one job count once: the job may be at fault.
+  // The job that failed here last; it is not placed here again meanwhile.
   const job_id last_failed;
   // No placement before this time; the first after it is a trial.
   const timestamp ejected_until;
--- a/source/parsleyhitch/commands.cc
+++ b/source/parsleyhitch/commands.cc
@@ -9,6 +9,7 @@
 #include "parsleyhitch/check.h"
 #include "parsleyhitch/exit_codes.h"
 #include "parsleyhitch/output.h"
+#include "parsleyhitch/replay_command.h"
 #include "report/burn.h"
 #include "settings/manifest_file.h"
 #include "settings/yaml_source.h"
@@ -131,6 +132,9 @@
       {"cancel", "cancel JOB", "Cancels a job.", RunCancel},
       {"drain", "drain --entry ADDRESS", "Shuts one entry down gracefully.", RunDrain},
       {"burn", "burn", "Reports service-level burn over all entries given.", RunBurn},
+      {"replay", "replay TRACE...",
+       "Runs traces or recordings through the reducer and checks their stated outcomes.",
+       RunReplay},
       {"schema", "schema", "Prints the protobuf schema.", RunSchema},
   };
   return commands;
--- a/source/replay/fake_worker.cc
+++ b/source/replay/fake_worker.cc
@@ -25,7 +25,10 @@
 }
 
 // The task is gone, whatever it did.
-fake_worker Drop(fake_worker worker, const model::job_id& job, model::timestamp now) {
+fake_worker Drop(fake_worker worker,
+                 const model::job_id& job,
+                 model::timestamp now,
+                 bool checkpointed = false) {
   const fake_task* task = worker.tasks.Find(job);
   if (task == nullptr)
     return worker;
@@ -35,7 +38,8 @@
     worker.journal.push_back({.job = job,
                               .token = task->token,
                               .state = model::task_state::kStopped,
-                              .at = now});
+                              .at = now,
+                              .checkpointed = checkpointed});
   }
   worker.tasks.Erase(job);
   return worker;
@@ -100,7 +104,7 @@
   const model::task_state state = worker.tasks.Find(order.job)->state;
   if (worker.ignores_checkpoints || state == model::task_state::kFinished)
     return {.worker = std::move(worker), .state = state};
-  return {.worker = Drop(std::move(worker), order.job, now),
+  return {.worker = Drop(std::move(worker), order.job, now, true),
           .state = model::task_state::kStopped};
 }
 
--- a/source/replay/fake_worker.h
+++ b/source/replay/fake_worker.h
@@ -32,6 +32,8 @@
   const model::fence token = 0;
   const model::task_state state = model::task_state::kHeld;
   const model::timestamp at;
+  // The task was stopped with its work saved.
+  const bool checkpointed = false;
   bool operator==(const task_entry&) const = default;
 };
 
--- a/source/scheduler/entry_state.h
+++ b/source/scheduler/entry_state.h
@@ -164,6 +164,7 @@
   const model::timestamp received;
   const model::timestamp deadline;
   const std::uint64_t digest = 0;
+  const request_order order;
   const std::string body;
   bool operator==(const open_request&) const = default;
 };
@@ -187,20 +188,12 @@
   bool operator==(const request_progress&) const = default;
 };
 
-// Place in the queue of requests: important first, then by deadline.
+// Place in the line of requests.
 struct request_position {
-  const model::importance rank = model::importance::kBatch;
-  const model::timestamp deadline;
+  const request_order order;
   const model::call_number call = 0;
 
-  bool operator==(const request_position&) const = default;
-  bool operator<(const request_position& other) const {
-    if (rank != other.rank)
-      return rank > other.rank;
-    if (deadline != other.deadline)
-      return deadline < other.deadline;
-    return call < other.call;
-  }
+  auto operator<=>(const request_position&) const = default;
 };
 
 struct endpoint_load {
@@ -209,6 +202,8 @@
   const model::timestamp ejected_until;
   // Position among equals, so that equals take turns.
   const std::uint64_t turn = 0;
+  // This entry's share of the endpoint's slots; 0 while it may not be called.
+  const std::uint32_t slots = 0;
   bool operator==(const endpoint_load&) const = default;
 };
 
@@ -243,6 +238,7 @@
   std::uint64_t next_turn = 1;
   std::uint32_t in_flight = 0;
   std::uint32_t in_flight_not_urgent = 0;
+  // Sum of the endpoints' slots.
   std::uint32_t total_slots = 0;
 
   // Calls to endpoints by the call they serve. Each counts as load until it ends,
--- a/source/scheduler/fold_jobs.cc
+++ b/source/scheduler/fold_jobs.cc
@@ -292,8 +292,6 @@
                           const model::job_id& job) {
   constexpr std::uint32_t kMaxDoublings = 16;
   const model::worker_status old = *ledger.workers.Find(worker);
-  if (old.last_failed == job)
-    return ledger;
   const std::uint32_t failures = old.failures + 1;
   model::timestamp until = old.ejected_until;
   if (failures >= rules.limits.worker_failures_to_eject) {
@@ -360,6 +358,7 @@
   if (!record.spec.key.empty())
     step.ledger.job_keys.Put(key, {.job = record.job});
   step.ledger.waiting.insert(PositionOf(record.job, job));
+  step.changes.push_back(job_changed{.job = record.job, .workers = {}});
   return Accept(std::move(step));
 }
 
--- a/source/scheduler/guarantees.cc
+++ b/source/scheduler/guarantees.cc
@@ -202,6 +202,13 @@
   return best;
 }
 
+bool MayEverClaim(const model::ledger& ledger, const model::job_spec& spec) {
+  const model::workspace* owner = FindWorkspace(*ledger.in_force.Get(), spec.owner);
+  return std::ranges::any_of(owner->guarantees, [&](const model::guarantee& each) {
+    return Fits(spec.capacity, each.capacity);
+  });
+}
+
 model::ledger Claim(model::ledger ledger,
                     const model::guarantee_id& id,
                     const model::job_id& job,
--- a/source/scheduler/guarantees.h
+++ b/source/scheduler/guarantees.h
@@ -33,6 +33,9 @@
     const model::job_spec& spec,
     const std::set<model::guarantee_id>& excluded);
 
+// True when a guarantee of the job's owner fits the job, claimed or not.
+bool MayEverClaim(const model::ledger& ledger, const model::job_spec& spec);
+
 // Marks the guarantee claimed by the job that is placed on its workers. What the
 // members don't use stays reserved.
 model::ledger Claim(model::ledger ledger,
--- a/source/scheduler/hooks.cc
+++ b/source/scheduler/hooks.cc
@@ -18,6 +18,21 @@
   return XXH64(text.data(), text.size(), 0);
 }
 
+// The most important first, then by deadline.
+request_order ImportantFirst(const request_view& view) {
+  return {.major = -static_cast<std::int64_t>(view.rank),
+          .minor = view.deadline.time_since_epoch().count()};
+}
+
+request_order FirstComeFirstServed(const request_view& view) {
+  return {.minor = view.received.time_since_epoch().count()};
+}
+
+std::uint32_t ShareOfSlots(const model::limits& limits, std::uint32_t slots) {
+  constexpr std::uint32_t kPermille = 1000;
+  return slots * limits.urgent_slots_permille / kPermille;
+}
+
 // Full jitter: a random wait below a bound that doubles with each attempt.
 model::duration JitteredBackoff(const model::limits& limits,
                                 std::uint32_t attempt,
@@ -80,6 +95,9 @@
   return hooks{
       .hash = HashText,
       .plan = PlanPlacements,
+      .order_request = ImportantFirst,
+      .urgent_slots = ShareOfSlots,
+      .may_shed = [](const request_view&) { return true; },
       .backoff = JitteredBackoff,
       .leaves_guarantees = LeavesGuarantees,
       .may_start = WholeGangIsHeld,
@@ -95,6 +113,9 @@
 hooks BaselineHooks() {
   hooks baseline = DefaultHooks();
   baseline.plan = PlanFirstFit;
+  baseline.order_request = FirstComeFirstServed;
+  baseline.urgent_slots = [](const model::limits&, std::uint32_t) { return 0U; };
+  baseline.may_shed = [](const request_view&) { return false; };
   return baseline;
 }
 
--- a/source/scheduler/hooks.h
+++ b/source/scheduler/hooks.h
@@ -48,24 +48,53 @@
   bool operator==(const drain_view&) const = default;
 };
 
+using guarantee_rule = std::function<
+    bool(const model::capacity&, std::uint32_t total, std::uint32_t accelerators)>;
+
+// What a plan is bound by besides the ledger.
+struct plan_rules {
+  const model::limits& limits;
+  const guarantee_rule& leaves_guarantees;
+};
+
+// What the order of requests goes by.
+struct request_view {
+  const model::importance rank = model::importance::kBatch;
+  const model::timestamp received;
+  const model::timestamp deadline;
+  bool operator==(const request_view&) const = default;
+};
+
+struct request_order {
+  const std::int64_t major = 0;
+  const std::int64_t minor = 0;
+  auto operator<=>(const request_order&) const = default;
+};
+
 struct hooks {
   // Stable across processes and machines.
   std::function<std::uint64_t(std::string_view)> hash;
 
   // Which jobs to place and preempt next: job_placed and job_preempted records.
   std::function<std::vector<
-      model::record>(const model::ledger&, model::timestamp, const model::limits&)>
+      model::record>(const model::ledger&, model::timestamp, const plan_rules&)>
       plan;
 
+  // Place of a request in line: the lowest goes first, then the earlier call.
+  std::function<request_order(const request_view&)> order_request;
+  // Of an entry's slots, how many only urgent requests may use.
+  std::function<std::uint32_t(const model::limits&, std::uint32_t slots)> urgent_slots;
+  // May a request be refused early because its wait would outlast its deadline, or
+  // shed for a more important one?
+  std::function<bool(const request_view&)> may_shed;
+
   // Wait before retry `attempt` (from 1), given a random number.
   std::function<
       model::duration(const model::limits&, std::uint32_t attempt, std::uint64_t random)>
       backoff;
 
   // Invariant 1: may firm work take `accelerators` more of a worker with `total`?
-  std::function<
-      bool(const model::capacity&, std::uint32_t total, std::uint32_t accelerators)>
-      leaves_guarantees;
+  guarantee_rule leaves_guarantees;
   // Invariant 2: may this member be started?
   std::function<bool(const model::placement&, const model::member&)> may_start;
   // Invariant 3: does the answer belong to the request that waits?
@@ -88,8 +117,8 @@
 // The hooks of the product.
 hooks DefaultHooks();
 
-// The same, with first-come first-served and first-fit placement and no
-// reservations: the baseline that the policy is measured against.
+// The baseline that the policy is measured against: first come first served for jobs
+// and requests, first fit, no reserved starts, no shares, no shedding.
 hooks BaselineHooks();
 
 }  // namespace parsleyhitch::scheduler
--- a/source/scheduler/manifest_rules.cc
+++ b/source/scheduler/manifest_rules.cc
@@ -108,6 +108,20 @@
   return empty;
 }
 
+// True when firm work of this shape has room on a fleet that runs nothing, beside
+// every guaranteed shape that it does not claim itself.
+bool FitsBesideGuarantees(const model::job_spec& spec, const model::ledger& ledger) {
+  if (spec.preemptible || MayEverClaim(ledger, spec))
+    return true;
+  // The reservations as they are usually answer the question.
+  if (!FindBesideReservations(ledger, spec.capacity).empty())
+    return true;
+  fold_step trial{.ledger = EmptyFleetOf(ledger), .changes = {}};
+  trial.ledger.in_force.Put(*ledger.in_force.Get());
+  trial = ApplyGuarantees(std::move(trial));
+  return !FindReservable(trial.ledger, spec.capacity).empty();
+}
+
 }  // namespace
 
 const model::workspace* FindWorkspace(const model::manifest& manifest,
@@ -169,8 +183,12 @@
       std::uint64_t{spec.capacity.gang_size} * spec.capacity.accelerators;
   if (owner->quota_accelerators != 0 && wanted > owner->quota_accelerators)
     Note(found, "/capacity", "is above the workspace's quota");
-  if (found.empty() && !ledger.workers.empty() && !FleetCouldHold(ledger, spec.capacity))
+  if (!found.empty() || ledger.workers.empty())
+    return found;
+  if (!FleetCouldHold(ledger, spec.capacity))
     Note(found, "/capacity", "no part of the fleet could ever hold this shape");
+  else if (!FitsBesideGuarantees(spec, ledger))
+    Note(found, "/capacity", "the guaranteed shapes never leave room for this shape");
   return found;
 }
 
--- a/source/scheduler/plan.cc
+++ b/source/scheduler/plan.cc
@@ -49,56 +49,58 @@
 }
 
 std::vector<model::worker_id> FindNow(const plan_board& board,
-                                      const model::job_spec& spec) {
+                                      const sought_job& job) {
+  const model::shape& shape = job.spec.capacity;
   const headroom room = [&](const model::worker_id& worker) {
-    return RoomNow(board, spec, worker);
+    return RoomNow(board, job, worker);
   };
-  return FindWorkers(*board.ledger, spec.capacity, room, spec.capacity.accelerators,
-                     fit::kBest);
+  return FindWorkers(*board.ledger, shape, room, shape.accelerators, fit::kBest);
 }
 
 bool MayPreempt(const plan_board& board, const model::job_status& job) {
   if (job.spec.preemptible)
     return false;
-  if (job.spec.priority >= board.limits->urgent_priority)
+  if (job.spec.priority >= board.rules->limits.urgent_priority)
     return true;
-  return board.now - job.submitted_at >= board.limits->defragment_after;
+  return board.now - job.submitted_at >= board.rules->limits.defragment_after;
 }
 
 std::vector<model::worker_id> FindAfterPreemption(const plan_board& board,
-                                                  const model::job_spec& spec) {
+                                                  const sought_job& job) {
   const headroom room = [&](const model::worker_id& worker) {
-    return RoomAfterPreemption(board, spec, worker);
+    return RoomAfterPreemption(board, job, worker);
   };
-  return FindWorkers(*board.ledger, spec.capacity, room, 0, fit::kBest);
+  return FindWorkers(*board.ledger, job.spec.capacity, room, 0, fit::kBest);
 }
 
 // What a job gets that has no room now: preemption, or a reserved start.
 plan_board MakeRoomLater(plan_board board,
-                         const model::job_status& job,
+                         const model::job_id& id,
+                         const model::job_status& status,
                          std::uint32_t& reserved_starts) {
-  if (MayPreempt(board, job)) {
-    const std::vector<model::worker_id> workers = FindAfterPreemption(board, job.spec);
+  const sought_job job{.id = id, .spec = status.spec};
+  if (MayPreempt(board, status)) {
+    const std::vector<model::worker_id> workers = FindAfterPreemption(board, job);
     if (!workers.empty())
       return PreemptFor(std::move(board), job.spec, workers);
   }
   if (reserved_starts == 0)
     return board;
   --reserved_starts;
-  return ReserveStart(std::move(board), job.spec);
+  return ReserveStart(std::move(board), job);
 }
 
 // Guaranteed claims go first: what they reclaim must not be given away again.
 plan_board PlanGuarantees(plan_board board, std::set<model::job_id>& handled) {
   std::uint32_t scanned = 0;
   for (const model::queue_position& position : board.ledger->waiting) {
-    if (++scanned > board.limits->plan_scan)
+    if (++scanned > board.rules->limits.plan_scan)
       break;
     const model::job_spec& spec = board.ledger->jobs.Find(position.job)->spec;
     const std::optional<model::guarantee_id> id = GuaranteeFor(board, spec);
     if (!id || !QuotaAllows(board, spec))
       continue;
-    board = ClaimGuarantee(std::move(board), position.job, spec, *id);
+    board = ClaimGuarantee(std::move(board), {.id = position.job, .spec = spec}, *id);
     handled.insert(position.job);
   }
   return board;
@@ -108,15 +110,15 @@
 
 std::vector<model::record> PlanPlacements(const model::ledger& ledger,
                                           model::timestamp now,
-                                          const model::limits& limits) {
+                                          const plan_rules& rules) {
   std::set<model::job_id> handled;
-  plan_board board{.ledger = &ledger, .limits = &limits, .now = now};
+  plan_board board{.ledger = &ledger, .rules = &rules, .now = now};
   board = PlanGuarantees(std::move(board), handled);
   failed_shapes failed;
-  std::uint32_t reserved_starts = limits.reserved_starts;
+  std::uint32_t reserved_starts = rules.limits.reserved_starts;
   std::uint32_t scanned = 0;
   for (const model::queue_position& position : ledger.waiting) {
-    if (++scanned > limits.plan_scan)
+    if (++scanned > rules.limits.plan_scan)
       break;
     const model::job_status& job = *ledger.jobs.Find(position.job);
     if (handled.contains(position.job) || !QuotaAllows(board, job.spec))
@@ -124,13 +126,14 @@
     const model::duration run_time = ExpectedRunTime(ledger, job.spec);
     const bool hopeless = IsKnownToFail(failed, job.spec, run_time);
     const std::vector<model::worker_id> workers =
-        hopeless ? std::vector<model::worker_id>() : FindNow(board, job.spec);
+        hopeless ? std::vector<model::worker_id>()
+                 : FindNow(board, {.id = position.job, .spec = job.spec});
     if (!workers.empty()) {
-      board = PlaceOn(std::move(board), position.job, job.spec, workers);
+      board = PlaceOn(std::move(board), {.id = position.job, .spec = job.spec}, workers);
       continue;
     }
     NoteFailed(failed, job.spec, run_time);
-    board = MakeRoomLater(std::move(board), job, reserved_starts);
+    board = MakeRoomLater(std::move(board), position.job, job, reserved_starts);
   }
   return std::move(board.records);
 }
--- a/source/scheduler/plan.h
+++ b/source/scheduler/plan.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "model/ledger.h"
-#include "model/limits.h"
 #include "model/record.h"
+#include "scheduler/hooks.h"
 
 namespace parsleyhitch::scheduler {
 
@@ -18,13 +18,13 @@
 // preemption of borrowed capacity for guarantees and urgent work.
 std::vector<model::record> PlanPlacements(const model::ledger& ledger,
                                           model::timestamp now,
-                                          const model::limits& limits);
+                                          const plan_rules& rules);
 
 // First come first served, first fit, no reserved starts. Guaranteed claims are
 // honoured all the same.
 std::vector<model::record> PlanFirstFit(const model::ledger& ledger,
                                         model::timestamp now,
-                                        const model::limits& limits);
+                                        const plan_rules& rules);
 
 }  // namespace parsleyhitch::scheduler
 
--- a/source/scheduler/plan_board.cc
+++ b/source/scheduler/plan_board.cc
@@ -23,15 +23,17 @@
 }
 
 // A worker under an ejection hold gets nothing; after the hold, one single-member
-// job on trial.
+// job on trial. A job does not go back to where it has just failed.
 bool IsOpenTo(const plan_board& board,
-              const model::job_spec& spec,
+              const sought_job& job,
               const model::worker_status& status) {
   if (status.ejected_until > board.now)
     return false;
-  if (status.failures < board.limits->worker_failures_to_eject)
+  if (status.last_failed == job.id)
+    return false;
+  if (status.failures < board.rules->limits.worker_failures_to_eject)
     return true;
-  return spec.capacity.gang_size == 1 &&
+  return job.spec.capacity.gang_size == 1 &&
          !board.ledger->tasks_on.Contains(status.spec.worker);
 }
 
@@ -44,10 +46,23 @@
   return board.now + ExpectedRunTime(*board.ledger, spec) <= *kept;
 }
 
-std::uint32_t FirmRoom(const plan_board& board, const model::worker_status& status) {
+// What firm work may take of a worker, were its preemptible work gone; 0 when that
+// is less than the job wants.
+std::uint32_t FirmRoom(const plan_board& board,
+                       const model::job_spec& spec,
+                       const model::worker_status& status) {
   const model::capacity use = UseOf(*board.ledger, status.spec.worker);
   const planned_use planned = PlannedOn(board, status.spec.worker);
-  return Minus(status.spec.accelerators, use.firm + use.reserved + planned.firm);
+  const model::capacity after{.firm = use.firm + planned.firm,
+                              .soft = use.soft + planned.soft,
+                              .reserved = use.reserved};
+  const std::uint32_t total = status.spec.accelerators;
+  const std::uint32_t wanted = spec.capacity.accelerators;
+  if (after.firm + wanted > total)
+    return 0;
+  if (!board.rules->leaves_guarantees(after, total, wanted))
+    return 0;
+  return std::max(wanted, Minus(total, after.firm + after.reserved));
 }
 
 std::uint32_t UnplannedFree(const plan_board& board, const model::worker_id& worker) {
@@ -99,24 +114,24 @@
 }  // namespace
 
 std::uint32_t RoomNow(const plan_board& board,
-                      const model::job_spec& spec,
+                      const sought_job& job,
                       const model::worker_id& worker) {
   const model::worker_status& status = *board.ledger->workers.Find(worker);
-  if (!IsOpenTo(board, spec, status) || !EndsBeforeKept(board, spec, worker))
+  if (!IsOpenTo(board, job, status) || !EndsBeforeKept(board, job.spec, worker))
     return 0;
   const std::uint32_t free = UnplannedFree(board, worker);
-  if (spec.preemptible)
+  if (job.spec.preemptible)
     return free;
-  return std::min(free, FirmRoom(board, status));
+  return std::min(free, FirmRoom(board, job.spec, status));
 }
 
 std::uint32_t RoomAfterPreemption(const plan_board& board,
-                                  const model::job_spec& spec,
+                                  const sought_job& job,
                                   const model::worker_id& worker) {
   const model::worker_status& status = *board.ledger->workers.Find(worker);
-  if (!IsOpenTo(board, spec, status))
+  if (!IsOpenTo(board, job, status))
     return 0;
-  return FirmRoom(board, status);
+  return FirmRoom(board, job.spec, status);
 }
 
 bool QuotaAllows(const plan_board& board, const model::job_spec& spec) {
@@ -135,9 +150,9 @@
 }
 
 plan_board PlaceOn(plan_board board,
-                   const model::job_id& job,
-                   const model::job_spec& spec,
+                   const sought_job& job,
                    const std::vector<model::worker_id>& workers) {
+  const model::job_spec& spec = job.spec;
   for (const model::worker_id& worker : workers) {
     board =
         Use(std::move(board), worker, !spec.preemptible, spec.capacity.accelerators);
@@ -147,7 +162,7 @@
   board.planned_by_workspace.Put(
       spec.owner,
       before + std::uint64_t{spec.capacity.gang_size} * spec.capacity.accelerators);
-  board.records.emplace_back(model::job_placed{.job = job, .workers = workers});
+  board.records.emplace_back(model::job_placed{.job = job.id, .workers = workers});
   return board;
 }
 
@@ -169,18 +184,18 @@
 }
 
 plan_board ClaimGuarantee(plan_board board,
-                          const model::job_id& job,
-                          const model::job_spec& spec,
+                          const sought_job& job,
                           const model::guarantee_id& id) {
+  const model::shape& capacity = job.spec.capacity;
   board.claimed.insert(id);
   const std::vector<model::worker_id>& reserved =
       board.ledger->guarantees.Find(id)->workers;
   const std::vector<model::worker_id> workers(
       reserved.begin(),
-      reserved.begin() + static_cast<std::ptrdiff_t>(spec.capacity.gang_size));
-  if (AllHaveFree(board, workers, spec.capacity.accelerators))
-    return PlaceOn(std::move(board), job, spec, workers);
-  return PreemptFor(std::move(board), spec, workers);
+      reserved.begin() + static_cast<std::ptrdiff_t>(capacity.gang_size));
+  if (AllHaveFree(board, workers, capacity.accelerators))
+    return PlaceOn(std::move(board), job, workers);
+  return PreemptFor(std::move(board), job.spec, workers);
 }
 
 }  // namespace parsleyhitch::scheduler
--- a/source/scheduler/plan_board.h
+++ b/source/scheduler/plan_board.h
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "model/ledger.h"
-#include "model/limits.h"
 #include "model/record.h"
 #include "model/value_table.h"
+#include "scheduler/hooks.h"
 #include "scheduler/plan_search.h"
 
 namespace parsleyhitch::scheduler {
@@ -27,7 +27,7 @@
 struct plan_board {
   // Never null.
   const model::ledger* ledger = nullptr;
-  const model::limits* limits = nullptr;
+  const plan_rules* rules = nullptr;
   model::timestamp now;
 
   model::value_table<model::worker_id, planned_use> planned;
@@ -39,14 +39,20 @@
   std::vector<model::record> records;
 };
 
+// The job that a search is for.
+struct sought_job {
+  const model::job_id& id;
+  const model::job_spec& spec;
+};
+
 // How much of a worker the job may take now; the basis of every search.
 std::uint32_t RoomNow(const plan_board& board,
-                      const model::job_spec& spec,
+                      const sought_job& job,
                       const model::worker_id& worker);
 
 // The same, were all preemptible work moved off the worker.
 std::uint32_t RoomAfterPreemption(const plan_board& board,
-                                  const model::job_spec& spec,
+                                  const sought_job& job,
                                   const model::worker_id& worker);
 
 // True when the quota still allows the job beside what this plan places.
@@ -54,8 +60,7 @@
 
 // Adds the placement to the plan.
 plan_board PlaceOn(plan_board board,
-                   const model::job_id& job,
-                   const model::job_spec& spec,
+                   const sought_job& job,
                    const std::vector<model::worker_id>& workers);
 
 // Adds the preemption of whatever preemptible work leaves too little room for a
@@ -71,8 +76,7 @@
 // Places the job on its workspace's guaranteed shape; while borrowed work stands
 // there, reclaims it first.
 plan_board ClaimGuarantee(plan_board board,
-                          const model::job_id& job,
-                          const model::job_spec& spec,
+                          const sought_job& job,
                           const model::guarantee_id& id);
 
 }  // namespace parsleyhitch::scheduler
--- a/source/scheduler/plan_reserve.cc
+++ b/source/scheduler/plan_reserve.cc
@@ -38,12 +38,13 @@
 
 // When the worker is expected to have room for a member; nothing when never.
 std::optional<model::timestamp> FreeFrom(const plan_board& board,
-                                         const model::job_spec& spec,
+                                         const sought_job& job,
                                          const model::worker_id& worker) {
+  const model::job_spec& spec = job.spec;
   if (board.kept_from.Contains(worker))
     return {};
   const std::uint32_t wanted = spec.capacity.accelerators;
-  if (!spec.preemptible && RoomAfterPreemption(board, spec, worker) < wanted) {
+  if (!spec.preemptible && RoomAfterPreemption(board, job, worker) < wanted) {
     const model::capacity use = UseOf(*board.ledger, worker);
     const std::uint32_t total = board.ledger->workers.Find(worker)->spec.accelerators;
     if (use.reserved + wanted > total)
@@ -63,11 +64,11 @@
   return {};
 }
 
-free_times FreeTimes(const plan_board& board, const model::job_spec& spec) {
+free_times FreeTimes(const plan_board& board, const sought_job& job) {
   free_times times;
   for (const auto& [rack, slots] : board.ledger->racks) {
     for (const model::free_slot& slot : slots) {
-      const std::optional<model::timestamp> from = FreeFrom(board, spec, slot.worker);
+      const std::optional<model::timestamp> from = FreeFrom(board, job, slot.worker);
       if (from)
         times.emplace(slot.worker, *from);
     }
@@ -89,8 +90,9 @@
 
 }  // namespace
 
-plan_board ReserveStart(plan_board board, const model::job_spec& spec) {
-  const free_times times = FreeTimes(board, spec);
+plan_board ReserveStart(plan_board board, const sought_job& job) {
+  const model::job_spec& spec = job.spec;
+  const free_times times = FreeTimes(board, job);
   std::vector<model::timestamp> instants;
   for (const auto& [worker, at] : times)
     instants.push_back(at);
--- a/source/scheduler/plan_reserve.h
+++ b/source/scheduler/plan_reserve.h
@@ -10,7 +10,7 @@
 
 // Keeps the workers on which the job is expected to start soonest. The board is
 // unchanged when no set of workers is expected to come free.
-plan_board ReserveStart(plan_board board, const model::job_spec& spec);
+plan_board ReserveStart(plan_board board, const sought_job& job);
 
 }  // namespace parsleyhitch::scheduler
 
--- a/source/scheduler/plan_search.cc
+++ b/source/scheduler/plan_search.cc
@@ -172,6 +172,16 @@
   return FindWorkers(ledger, shape, room, 0, fit::kBest);
 }
 
+std::vector<model::worker_id> FindBesideReservations(const model::ledger& ledger,
+                                                     const model::shape& shape) {
+  const headroom room = [&](const model::worker_id& worker) -> std::uint32_t {
+    const std::uint32_t total = ledger.workers.Find(worker)->spec.accelerators;
+    const std::uint32_t reserved = UseOf(ledger, worker).reserved;
+    return reserved >= total ? 0 : total - reserved;
+  };
+  return FindWorkers(ledger, shape, room, 0, fit::kFirst);
+}
+
 bool FleetCouldHold(const model::ledger& ledger, const model::shape& shape) {
   const headroom whole = [&](const model::worker_id& worker) {
     return ledger.workers.Find(worker)->spec.accelerators;
--- a/source/scheduler/reduce_jobs.cc
+++ b/source/scheduler/reduce_jobs.cc
@@ -227,8 +227,6 @@
   const open_call* opened = step.state.calls.open.Find(waits.call);
   if (opened == nullptr)
     return step;
-  if (waits.kind == waiter_kind::kJob && verdict.accepted)
-    step.state.calls.plan_due = true;
   const model::job_spec* spec = SubmittedSpec(step.state, verdict.index);
   std::optional<model::answer> raced = AnswerToRace(step.state, verdict, spec);
   model::answer answer =
@@ -265,8 +263,10 @@
   step.state.calls.next_plan = step.state.now + environment.limits.plan_pause;
   if (step.state.ledger.waiting.empty())
     return step;
-  std::vector<model::record> records = environment.behaviour.plan(
-      step.state.ledger, step.state.now, environment.limits);
+  const plan_rules rules{.limits = environment.limits,
+                         .leaves_guarantees = environment.behaviour.leaves_guarantees};
+  std::vector<model::record> records =
+      environment.behaviour.plan(step.state.ledger, step.state.now, rules);
   step.state.calls.planned_records = static_cast<std::uint32_t>(records.size());
   for (model::record& record : records)
     step = Append(std::move(step), std::move(record), {.kind = waiter_kind::kPlan});
--- a/source/scheduler/reduce_log.cc
+++ b/source/scheduler/reduce_log.cc
@@ -14,16 +14,17 @@
 
 constexpr char kCheckpointSubject[] = "checkpoint";
 
-step ReadFrom(const environment& environment, step step, std::uint64_t from) {
-  return Emit(std::move(step), model::read_log{.from = from,
-                                               .wait = environment.limits.read_wait,
-                                               .timeout = environment.limits.read_timeout});
-}
-
+// Until it has caught up the entry wants to know where the log ends, so the log must
+// not hold an empty answer back.
 step ReadOn(const environment& environment, step step) {
   const log_state& log = step.state.log;
+  const bool catching_up = !log.caught_up && !log.recovering;
   const std::uint64_t from = log.recovering ? log.recover_from : step.state.ledger.next_offset;
-  return ReadFrom(environment, std::move(step), from);
+  const model::duration wait =
+      catching_up ? model::duration::zero() : environment.limits.read_wait;
+  return Emit(std::move(step),
+              model::read_log{
+                  .from = from, .wait = wait, .timeout = environment.limits.read_timeout});
 }
 
 // Remembers the batch for peers that can't read the log themselves.
--- a/source/scheduler/reduce_requests.cc
+++ b/source/scheduler/reduce_requests.cc
@@ -63,6 +63,12 @@
   return ahead;
 }
 
+request_view ViewOf(const open_request& request) {
+  return {.rank = request.rank,
+          .received = request.received,
+          .deadline = request.deadline};
+}
+
 // True when the line is so long that the deadline can't be met: better refused early
 // than late.
 bool WouldBeLate(const entry_state& state,
@@ -89,7 +95,8 @@
     return Refuse(environment, model::answer_kind::kOverloaded,
                   "the workspace has too many requests open");
   }
-  if (WouldBeLate(state, request.rank, request.deadline)) {
+  if (environment.behaviour.may_shed(ViewOf(request)) &&
+      WouldBeLate(state, request.rank, request.deadline)) {
     return Refuse(environment, model::answer_kind::kOverloaded,
                   "the queue is too long for the deadline");
   }
@@ -101,7 +108,8 @@
   if (step.state.requests.queue.empty())
     return step;
   const request_position last = *step.state.requests.queue.rbegin();
-  if (last.rank >= rank)
+  const open_request& victim = *step.state.requests.open.Find(last.call);
+  if (victim.rank >= rank || !environment.behaviour.may_shed(ViewOf(victim)))
     return step;
   step = Count(std::move(step), "requests_shed_total");
   return CloseRequest(environment, std::move(step), last.call,
@@ -115,14 +123,19 @@
   const model::service& service =
       *FindService(*state.ledger.in_force.Get(), event.target);
   const bool named = event.deadline != model::timestamp();
+  const model::timestamp deadline =
+      named ? event.deadline : event.at + service.default_deadline;
+  const request_view view{
+      .rank = service.rank, .received = event.at, .deadline = deadline};
   return {.target = event.target,
           .owner = event.owner,
           .rank = service.rank,
           .idempotent = event.idempotent,
           .key = event.key,
           .received = event.at,
-          .deadline = named ? event.deadline : event.at + service.default_deadline,
+          .deadline = deadline,
           .digest = environment.behaviour.hash(event.target.value() + "\n" + event.body),
+          .order = environment.behaviour.order_request(view),
           .body = event.body};
 }
 
--- a/source/scheduler/reduce_workers.cc
+++ b/source/scheduler/reduce_workers.cc
@@ -250,8 +250,10 @@
   std::vector<model::worker_id> workers;
   for (const auto& [worker, status] : step.state.ledger.workers)
     workers.push_back(worker);
-  for (const model::worker_id& worker : workers)
+  for (const model::worker_id& worker : workers) {
     step = RefreshHome(environment, std::move(step), worker);
+    step = RefreshEndpoint(environment, std::move(step), worker);
+  }
   return step;
 }
 
--- a/source/scheduler/request_queue.cc
+++ b/source/scheduler/request_queue.cc
@@ -11,11 +11,10 @@
 
 namespace {
 
-constexpr std::uint32_t kPermille = 1000;
 constexpr std::int64_t kMeanWindow = 8;
 
 request_position PositionOf(model::call_number call, const open_request& request) {
-  return {.rank = request.rank, .deadline = request.deadline, .call = call};
+  return {.order = request.order, .call = call};
 }
 
 // Slots of the worker that are this entry's: entries share each without talking.
@@ -46,25 +45,34 @@
   return load.ejected_until <= state.now;
 }
 
-// Replaces an endpoint's load, keeping the index of callable endpoints in step.
+// Replaces an endpoint's load, keeping the index of callable endpoints and the sum of
+// slots in step.
 step PutLoad(const environment& environment,
              step step,
              const model::worker_id& worker,
              const endpoint_load& load) {
+  const bool open = IsOpen(environment, step.state, worker, load);
+  const std::uint32_t slots = open ? ShareOf(step.state, worker) : 0;
   requests_state& requests = step.state.requests;
   const endpoint_load* present = requests.endpoints.Find(worker);
-  if (present != nullptr)
+  if (present != nullptr) {
     requests.callable.erase(RankOf(worker, *present));
-  requests.endpoints.Put(worker, load);
-  const bool has_slot = load.in_flight < ShareOf(step.state, worker);
-  if (has_slot && IsOpen(environment, step.state, worker, load))
+    requests.total_slots -= present->slots;
+  }
+  requests.total_slots += slots;
+  requests.endpoints.Put(worker, {.in_flight = load.in_flight,
+                                  .failures = load.failures,
+                                  .ejected_until = load.ejected_until,
+                                  .turn = load.turn,
+                                  .slots = slots});
+  if (load.in_flight < slots)
     requests.callable.insert(RankOf(worker, load));
   return step;
 }
 
 std::uint32_t SlotsForNotUrgent(const environment& environment, const entry_state& state) {
   const std::uint32_t total = state.requests.total_slots;
-  const std::uint32_t kept = total * environment.limits.urgent_slots_permille / kPermille;
+  const std::uint32_t kept = environment.behaviour.urgent_slots(environment.limits, total);
   return std::max(1U, total - std::min(total, kept));
 }
 
@@ -171,7 +179,8 @@
 step DispatchRequests(const environment& environment, step step) {
   while (!step.state.requests.queue.empty() && !step.state.requests.callable.empty()) {
     const request_position next = *step.state.requests.queue.begin();
-    const bool urgent = next.rank == model::importance::kUrgent;
+    const bool urgent = step.state.requests.open.Find(next.call)->rank ==
+                        model::importance::kUrgent;
     if (!urgent && step.state.requests.in_flight_not_urgent >=
                        SlotsForNotUrgent(environment, step.state)) {
       break;
@@ -225,10 +234,8 @@
   const endpoint_load* present = step.state.requests.endpoints.Find(worker);
   const endpoint_load load = present == nullptr ? endpoint_load{} : *present;
   step = PutLoad(environment, std::move(step), worker, load);
-  if (!step.state.ledger.workers.Contains(worker)) {
-    step.state.requests.callable.erase(RankOf(worker, load));
+  if (!step.state.ledger.workers.Contains(worker))
     step.state.requests.endpoints.Erase(worker);
-  }
   return step;
 }
 
