--- /dev/null
+++ b/tests/scheduler/rendezvous_test.cc
@@ -0,0 +1,54 @@
+// Tests of homes.
+
+#include "scheduler/rendezvous.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <string>
+
+namespace model = parsleyhitch::model;
+namespace scheduler = parsleyhitch::scheduler;
+
+namespace {
+
+constexpr int kSubjects = 4000;
+
+struct homes_fixture {
+  scheduler::hooks hooks = scheduler::DefaultHooks();
+  std::vector<model::entry_id> entries{model::entry_id("a"), model::entry_id("b"),
+                                       model::entry_id("c"), model::entry_id("d")};
+
+  model::entry_id Home(int subject) const {
+    return scheduler::HomeOf(hooks, "worker-" + std::to_string(subject), entries);
+  }
+};
+
+}  // namespace
+
+Test(rendezvous, subjects_with_four_entries_spread_evenly) {
+  const homes_fixture fixture;
+  std::map<model::entry_id, int> counts;
+  for (int i = 0; i < kSubjects; ++i)
+    ++counts[fixture.Home(i)];
+  for (const auto& [entry, count] : counts) {
+    cr_assert_gt(count, kSubjects / 4 * 85 / 100);
+    cr_assert_lt(count, kSubjects / 4 * 115 / 100);
+  }
+}
+
+Test(rendezvous, entry_removed_moves_only_its_own_subjects) {
+  const homes_fixture before;
+  homes_fixture after;
+  after.entries.pop_back();
+  for (int i = 0; i < kSubjects; ++i) {
+    if (before.Home(i) != model::entry_id("d"))
+      cr_assert(before.Home(i) == after.Home(i));
+  }
+}
+
+Test(rendezvous, no_entries_gives_no_home) {
+  homes_fixture fixture;
+  fixture.entries.clear();
+  cr_assert(fixture.Home(1).empty());
+}
--- /dev/null
+++ b/tests/settings/settings_file_test.cc
@@ -0,0 +1,102 @@
+// Tests of settings and manifest files.
+
+#include "settings/settings_file.h"
+
+#include <criterion/criterion.h>
+
+#include "settings/manifest_file.h"
+
+namespace model = parsleyhitch::model;
+namespace settings = parsleyhitch::settings;
+namespace wire = parsleyhitch::wire;
+
+namespace {
+
+constexpr char kGood[] = R"(entry: entry-1
+failure_domain: bajio-1
+http_listen: 127.0.0.1:7401
+peer_listen: 127.0.0.1:7411
+log_address: 127.0.0.1:7450
+vm_list_address: 127.0.0.1:7451
+peers:
+  - entry: entry-2
+    address: 127.0.0.1:7412
+limits:
+  lease_ms: 5000
+)";
+
+constexpr char kFiveFaults[] = R"(entry: entry-1
+failure_domain: ""
+http_listen: localhost:7401
+peer_listen: 127.0.0.1:7411
+log_address: 127.0.0.1:7450
+vm_list_address: 127.0.0.1:7451
+peers:
+  - entry: entry-1
+    address: 127.0.0.1:99999
+limits:
+  leese_ms: 5000
+)";
+
+struct files_fixture {
+  static model::findings SettingsFaults(const std::string& text) {
+    return wire::Handle([&] { return settings::ParseSettings(text); },
+                        [](const settings::settings&) { return model::findings(); },
+                        [](const model::findings& faults) { return faults; });
+  }
+
+  static model::findings ManifestFaults(const std::string& text) {
+    return wire::Handle([&] { return settings::ParseManifest(text); },
+                        [](const model::manifest&) { return model::findings(); },
+                        [](const model::findings& faults) { return faults; });
+  }
+};
+
+}  // namespace
+
+Test(settings_file, good_settings_have_no_findings) {
+  cr_assert(files_fixture::SettingsFaults(kGood).empty());
+}
+
+Test(settings_file, five_faults_are_found_together_with_line_and_column) {
+  const model::findings faults = files_fixture::SettingsFaults(kFiveFaults);
+  cr_assert_eq(faults.size(), 5);
+  const std::uint32_t lines[] = {2, 3, 8, 9, 11};
+  for (std::size_t i = 0; i < faults.size(); ++i) {
+    cr_assert_eq(faults[i].line, lines[i], "%s", faults[i].place.c_str());
+    cr_assert_gt(faults[i].column, 0);
+  }
+}
+
+Test(settings_file, key_given_twice_is_found) {
+  const auto faults = files_fixture::SettingsFaults(std::string(kGood) + "entry: again\n");
+  cr_assert_eq(faults.size(), 1);
+  cr_assert_eq(faults.front().line, 12);
+}
+
+Test(settings_file, broken_yaml_is_found) {
+  cr_assert_eq(files_fixture::SettingsFaults("entry: [").size(), 1);
+}
+
+Test(manifest_file, cycle_of_parents_and_unknown_owner_are_found_together) {
+  const auto faults = files_fixture::ManifestFaults(R"(version: 1
+base: 0
+workspaces:
+  - {id: a, parent: b}
+  - {id: b, parent: a}
+services:
+  - {id: s, owner: c, default_deadline_ms: 10}
+)");
+  cr_assert_eq(faults.size(), 3);
+  cr_assert_eq(faults.back().line, 7);
+}
+
+Test(manifest_file, zero_shape_is_found) {
+  const auto faults = files_fixture::ManifestFaults(R"(version: 1
+workspaces:
+  - id: a
+    guarantees:
+      - {name: g, capacity: {gang_size: 0, accelerators: 0}}
+)");
+  cr_assert_eq(faults.size(), 2);
+}
