Keep an unready entry out of routing and recover only from usable checkpoints

Ruled out: a spin within one instant (the guard for it stayed silent).

Change: chunks older than the oldest record kept are ignored; a checkpoint is due as soon as a restart would lack records; heartbeats say whether the sender is ready, and only ready entries are homes.

--- a/source/model/message.h
+++ b/source/model/message.h
@@ -28,6 +28,8 @@
   const bool draining = false;
   // Workers that the sender sees leaving; told at once, before the log tells it.
   const std::vector<worker_id> leaving;
+  // Has folded the log to its end; one that has not takes no part in routing.
+  const bool ready = false;
   bool operator==(const heartbeat&) const = default;
 };
 
--- a/source/replay/monitor.cc
+++ b/source/replay/monitor.cc
@@ -102,6 +102,10 @@
   }
 }
 
+void monitor::SeeSpin(model::timestamp at) {
+  Breach(kRuleNoSpin, "events follow one another without end", at);
+}
+
 void monitor::SeeDisagreement(const std::string& what, model::timestamp at) {
   Breach(kRuleAgree, what, at);
 }
--- a/source/replay/monitor.h
+++ b/source/replay/monitor.h
@@ -25,6 +25,7 @@
 inline constexpr char kRuleNoCut[] = "planned_stop_cuts_nothing";
 inline constexpr char kRuleNoRevert[] = "never_reverts";
 inline constexpr char kRuleAgree[] = "entries_agree";
+inline constexpr char kRuleNoSpin[] = "nothing_spins";
 inline constexpr char kRuleGuarantee[] = "guarantee_is_kept";
 
 struct breach {
@@ -50,6 +51,7 @@
   void SeeVersion(const std::string& entry, std::uint64_t version, model::timestamp at);
   // Firm work and reservations must fit together on every live worker.
   void SeeLedger(const std::string& entry, const model::ledger& ledger, model::timestamp at);
+  void SeeSpin(model::timestamp at);
   void SeeDisagreement(const std::string& what, model::timestamp at);
 
   // Closes the books: what is still partial, and what ran after it was refused.
--- a/source/replay/scenario.h
+++ b/source/replay/scenario.h
@@ -33,6 +33,8 @@
   const std::uint64_t seed = 1;
   // One way, between any two processes.
   const model::duration latency{1};
+  // Up to so much is added to each message, at random: messages overtake one another.
+  const model::duration jitter{0};
   const model::duration vm_list_lag{0};
   // The run ends here.
   const model::duration until{0};
--- a/source/replay/stage.cc
+++ b/source/replay/stage.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr model::duration kSampleInterval{1000};
+// More actions than this within one millisecond mean that something spins.
+constexpr std::uint64_t kMostAtOnce = 200000;
 
 model::entry_id EntryName(std::uint32_t number) {
   return model::entry_id("entry-" + std::to_string(number));
@@ -65,7 +67,7 @@
 }  // namespace
 
 stage::stage(const scenario& traced, const run_options& chosen)
-    : trace(traced), options(chosen), watch(traced.setup.limits) {
+    : trace(traced), options(chosen), watch(traced.setup.limits), random(traced.setup.seed) {
   entries.resize(trace.setup.entries);
   for (std::uint32_t number = 0; number < trace.setup.entries; ++number)
     entries[number].environment = MakeEnvironment(trace.setup, number, options);
@@ -94,10 +96,23 @@
   At(now + wait, std::move(action));
 }
 
+model::duration stage::Latency() {
+  if (trace.setup.jitter == model::duration::zero())
+    return trace.setup.latency;
+  const auto bound = static_cast<std::uint64_t>(trace.setup.jitter.count()) + 1;
+  return trace.setup.latency + model::duration(static_cast<std::int64_t>(random() % bound));
+}
+
 void stage::RunUntil(model::timestamp end) {
+  std::uint64_t at_once = 0;
   while (!actions.empty() && actions.begin()->first.first <= end) {
     const auto next = actions.begin();
+    at_once = next->first.first == now ? at_once + 1 : 0;
     now = next->first.first;
+    if (at_once > kMostAtOnce) {
+      watch.SeeSpin(now);
+      return;
+    }
     const std::function<void()> action = std::move(next->second);
     actions.erase(next);
     action();
--- a/source/replay/stage_platform.cc
+++ b/source/replay/stage_platform.cc
@@ -20,7 +20,7 @@
 void stage::Perform(std::uint32_t entry, const model::append_batch& effect) {
   const std::uint64_t incarnation = entries[entry].incarnation;
   const std::uint64_t sequence = effect.content.sequence;
-  const model::duration latency = trace.setup.latency;
+  const model::duration latency = Latency();
   const event_maker lost = [sequence](model::timestamp at) -> model::event {
     return model::append_unanswered{.at = at, .sequence = sequence};
   };
@@ -60,7 +60,7 @@
   }
   const std::uint64_t first = log.first_offset;
   const std::uint64_t end = log.EndOffset();
-  After(trace.setup.latency + log_delay, [=, this] {
+  After(Latency() + log_delay, [=, this] {
     Post(read->entry, read->incarnation, [=](model::timestamp at) -> model::event {
       if (cut)
         return model::log_unread{.at = at};
@@ -76,7 +76,7 @@
                   .incarnation = entries[entry].incarnation,
                   .from = effect.from});
   const model::duration wait = effect.wait;
-  After(trace.setup.latency, [=, this] {
+  After(Latency(), [=, this] {
     const bool has_records = read->from < log.EndOffset();
     if (IsCutFromLog(*this, entry) || has_records || wait == model::duration::zero()) {
       AnswerRead(read);
@@ -99,7 +99,7 @@
   }
   const bool down = vm_list_down;
   // The list lags: it tells how things stood when the answer set out.
-  After(2 * trace.setup.latency + trace.setup.vm_list_lag, [=, this] {
+  After(2 * Latency() + trace.setup.vm_list_lag, [=, this] {
     Post(entry, incarnation, [=](model::timestamp at) -> model::event {
       if (down)
         return model::vm_list_unread{.at = at};
@@ -116,7 +116,7 @@
   if (entries[entry].cut_from_peers || entries[peer].cut_from_peers)
     return;
   const std::uint64_t incarnation = entries[peer].incarnation;
-  After(trace.setup.latency, [=, this, message = effect.message] {
+  After(Latency(), [=, this, message = effect.message] {
     Post(peer, incarnation, [message](model::timestamp at) -> model::event {
       return model::peer_heard{.at = at, .message = message};
     });
@@ -176,7 +176,7 @@
   }
   if (!answers)
     return;
-  After(trace.setup.latency, [=, this, report = done.report] {
+  After(Latency(), [=, this, report = done.report] {
     Post(entry, incarnation, [=](model::timestamp at) -> model::event {
       return model::worker_answered{
           .at = at, .worker = effect.worker, .call = effect.call, .report = report};
@@ -186,7 +186,7 @@
 
 void stage::Perform(std::uint32_t entry, const model::call_worker& effect) {
   const std::uint64_t incarnation = entries[entry].incarnation;
-  After(trace.setup.latency, [=, this] {
+  After(Latency(), [=, this] {
     worker_slot& slot = workers.at(effect.worker);
     if (slot.alive && !slot.frozen) {
       SyncWorker(entry, effect, true);
@@ -249,7 +249,7 @@
                          .incarnation = entries[entry].incarnation,
                          .call = effect.call,
                          .attempt = effect.attempt};
-  const model::duration latency = trace.setup.latency;
+  const model::duration latency = Latency();
   const auto traced = entries[entry].open_calls.find(effect.call);
   if (traced == entries[entry].open_calls.end())
     return;
--- a/source/replay/stage_state.h
+++ b/source/replay/stage_state.h
@@ -9,7 +9,7 @@
 #include <list>
 #include <map>
 #include <memory>
-#include <queue>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -74,6 +74,8 @@
   void At(model::timestamp when, std::function<void()> action);
   void After(model::duration wait, std::function<void()> action);
   void RunUntil(model::timestamp end);
+  // The time that a message takes.
+  model::duration Latency();
 
   // Entries (stage.cc).
   void StartEntry(std::uint32_t entry);
@@ -117,6 +119,7 @@
 
   model::timestamp now = kRunStart;
   std::uint64_t next_action = 0;
+  std::mt19937_64 random;
   std::map<std::pair<model::timestamp, std::uint64_t>, std::function<void()>> actions;
 
   std::vector<entry_slot> entries;
--- a/source/scheduler/entry_state.h
+++ b/source/scheduler/entry_state.h
@@ -67,6 +67,8 @@
   // for a complete checkpoint from `recover_from` on.
   bool recovering = false;
   std::uint64_t recover_from = 0;
+  // The oldest offset that the log still had at the last read.
+  std::uint64_t first_offset = 0;
   checkpoint_collector collector;
 
   // Records not yet in a batch.
@@ -82,6 +84,8 @@
   // For peers that can't read the log.
   std::deque<model::logged_batch> recent;
   std::uint64_t batches_since_checkpoint = 0;
+  // A restart from the last checkpoint needs the records from here on.
+  std::uint64_t checkpoint_upto = 0;
   model::timestamp last_checkpoint;
 };
 
@@ -90,12 +94,13 @@
   const model::timestamp last_heard;
   const std::uint64_t next_offset = 0;
   const bool draining = false;
+  const bool ready = false;
   bool operator==(const peer_status&) const = default;
 };
 
 struct peers_state {
   model::value_table<model::entry_id, peer_status> peers;
-  // Entries that take part, this one included; sorted.
+  // Entries that are ready and not draining, sorted; this one may be among them.
   std::vector<model::entry_id> alive;
   model::value_table<model::worker_id, leaving_view> leaving;
   // VM lists in a row that lack a worker.
--- a/source/scheduler/reduce_log.cc
+++ b/source/scheduler/reduce_log.cc
@@ -119,10 +119,14 @@
   return KeepRecent(environment, std::move(step), batch);
 }
 
-bool HasCheckpoint(const model::batch& batch) {
-  return std::ranges::any_of(batch.records, [](const model::record& record) {
-    return std::holds_alternative<model::checkpoint_chunk>(record);
-  });
+// The last chunk of a checkpoint in the batch; null when there is none.
+const model::checkpoint_chunk* LastChunkIn(const model::batch& batch) {
+  for (const model::record& record : batch.records) {
+    const auto* chunk = std::get_if<model::checkpoint_chunk>(&record);
+    if (chunk != nullptr && chunk->index + 1 == chunk->count)
+      return chunk;
+  }
+  return nullptr;
 }
 
 // Starts over at the oldest record kept: the ones this entry needs are gone.
@@ -140,6 +144,7 @@
 step AdoptLedger(const environment& environment, step step, model::ledger restored) {
   step.state.log.recovering = false;
   step.state.log.collector = {};
+  step.state.log.checkpoint_upto = restored.next_offset;
   step.state.ledger = std::move(restored);
   step.state.calls.planned_records = 0;
   step = Log(std::move(step), model::severity::kInfo, "restored from a checkpoint",
@@ -156,7 +161,8 @@
   step.state.log.recover_from = batch.offset + 1;
   for (const model::record& record : batch.content.records) {
     const auto* chunk = std::get_if<model::checkpoint_chunk>(&record);
-    if (chunk == nullptr)
+    // The records after the checkpoint must be there as well.
+    if (chunk == nullptr || chunk->upto < step.state.log.first_offset)
       continue;
     collected next = Collect(std::move(step.state.log.collector), *chunk);
     step.state.log.collector = std::move(next.collector);
@@ -180,7 +186,7 @@
   step.state.calls.plan_due = true;
   step = Log(std::move(step), model::severity::kInfo, "caught up with the log",
              std::to_string(event.end_offset));
-  return RefreshHomes(environment, std::move(step));
+  return RefreshMembership(environment, std::move(step));
 }
 
 bool CheckpointIsDue(const environment& environment, const entry_state& state) {
@@ -188,9 +194,13 @@
     return false;
   const bool many =
       state.log.batches_since_checkpoint >= environment.limits.checkpoint_every_batches;
+  // Records that a restart would need are gone.
+  const bool trimmed =
+      state.log.first_offset > state.log.checkpoint_upto &&
+      state.now - state.log.last_checkpoint >= environment.limits.append_timeout;
   const bool old =
       state.now - state.log.last_checkpoint >= environment.limits.checkpoint_interval;
-  return (many || old) && IsHomeOf(environment, state, kCheckpointSubject);
+  return (many || old || trimmed) && IsHomeOf(environment, state, kCheckpointSubject);
 }
 
 step CheckpointIfDue(const environment& environment, step step) {
@@ -256,19 +266,24 @@
   if (step.state.log.recovering || batch.offset != step.state.ledger.next_offset)
     return step;
   step = Fold(environment, std::move(step), batch);
-  if (!HasCheckpoint(batch.content))
+  const model::checkpoint_chunk* chunk = LastChunkIn(batch.content);
+  if (chunk == nullptr)
     return step;
   step.state.log.last_checkpoint = step.state.now;
   step.state.log.batches_since_checkpoint = 0;
+  step.state.log.checkpoint_upto = chunk->upto;
   return step;
 }
 
 step On(const environment& environment, step step, const model::log_read& event) {
+  step.state.log.first_offset = event.first_offset;
   const bool trimmed = event.first_offset > step.state.ledger.next_offset;
-  if (trimmed && !step.state.log.recovering)
-    step = StartRecovery(std::move(step), event.first_offset);
-  else if (step.state.log.recovering && event.first_offset > step.state.log.recover_from)
+  const bool again =
+      step.state.log.recovering && event.first_offset > step.state.log.recover_from;
+  if ((trimmed && !step.state.log.recovering) || again) {
     step = StartRecovery(std::move(step), event.first_offset);
+    step = RefreshMembership(environment, std::move(step));
+  }
   for (const model::logged_batch& batch : event.batches) {
     if (step.state.log.recovering && batch.offset == step.state.log.recover_from)
       step = RecoverFrom(environment, std::move(step), batch);
--- a/source/scheduler/reduce_parts.h
+++ b/source/scheduler/reduce_parts.h
@@ -41,6 +41,7 @@
 step On(const environment&, step, const model::vm_list_unread&);
 step On(const environment&, step, const model::drain_requested&);
 step SendHeartbeats(const environment&, step);
+step RefreshMembership(const environment&, step);
 step ReadVmList(const environment&, step);
 step StopIfDrained(const environment&, step);
 step NoteLeaving(const environment&, step, const model::worker_id&, const leaving_view&);
--- a/source/scheduler/reduce_peers.cc
+++ b/source/scheduler/reduce_peers.cc
@@ -23,7 +23,7 @@
              const entry_state& state,
              const model::entry_id& entry) {
   const peer_status* peer = state.peers.peers.Find(entry);
-  return peer != nullptr && !peer->draining &&
+  return peer != nullptr && peer->ready && !peer->draining &&
          state.now - peer->last_heard <= environment.limits.peer_timeout;
 }
 
@@ -35,23 +35,13 @@
       alive.push_back(peer);
   }
   // A draining entry stays in charge while there is nobody to hand over to.
-  if (!state.drain.draining || alive.empty())
+  const bool takes_part = !state.drain.draining || alive.empty();
+  if (IsReady(state) && takes_part)
     alive.push_back(environment.me);
   std::ranges::sort(alive);
   return alive;
 }
 
-step RefreshMembership(const environment& environment, step step) {
-  std::vector<model::entry_id> alive = AliveEntries(environment, step.state);
-  if (alive == step.state.peers.alive)
-    return step;
-  step.state.peers.alive = std::move(alive);
-  step.state.calls.plan_due = true;
-  step = Log(std::move(step), model::severity::kInfo, "members changed",
-             std::to_string(step.state.peers.alive.size()));
-  return RefreshHomes(environment, std::move(step));
-}
-
 model::heartbeat MakeHeartbeat(const environment& environment, const entry_state& state) {
   std::vector<model::worker_id> leaving;
   for (const auto& [worker, view] : state.peers.leaving) {
@@ -63,7 +53,8 @@
           .next_offset = state.ledger.next_offset,
           .log_readable = state.log.readable,
           .draining = state.drain.draining,
-          .leaving = std::move(leaving)};
+          .leaving = std::move(leaving),
+          .ready = IsReady(state)};
 }
 
 step TellPeers(const environment& environment, step step) {
@@ -99,7 +90,8 @@
   step.state.peers.peers.Put(beat.from, {.incarnation = beat.incarnation,
                                          .last_heard = step.state.now,
                                          .next_offset = beat.next_offset,
-                                         .draining = beat.draining});
+                                         .draining = beat.draining,
+                                         .ready = beat.ready});
   for (const model::worker_id& worker : beat.leaving) {
     step = NoteLeaving(environment, std::move(step), worker, {.told_by_peer = true});
   }
@@ -178,6 +170,17 @@
          state.now - state.drain.since >= environment.limits.drain_grace;
 }
 
+step RefreshMembership(const environment& environment, step step) {
+  std::vector<model::entry_id> alive = AliveEntries(environment, step.state);
+  if (alive == step.state.peers.alive)
+    return step;
+  step.state.peers.alive = std::move(alive);
+  step.state.calls.plan_due = true;
+  step = Log(std::move(step), model::severity::kInfo, "members changed",
+             std::to_string(step.state.peers.alive.size()));
+  return RefreshHomes(environment, std::move(step));
+}
+
 step On(const environment& environment, step step, const model::entry_started& event) {
   step.state.incarnation = event.incarnation;
   step.state.seed = event.seed;
--- a/source/wire/describe.h
+++ b/source/wire/describe.h
@@ -150,7 +150,8 @@
                       next_offset,
                       log_readable,
                       draining,
-                      leaving)
+                      leaving,
+                      ready)
 PARSLEYHITCH_DESCRIBE(batches_relayed, from, batches)
 PARSLEYHITCH_DESCRIBE(task_instruction, job, token, accelerators, order)
 PARSLEYHITCH_DESCRIBE(worker_sync, as_of, lease, tasks)
