--- a/source/model/effect.h
+++ b/source/model/effect.h
@@ -1,5 +1,5 @@
-// Everything an entry can do to the world, as data. The runtime performs effects
-// in order and decides nothing.
+// Everything an entry can do to the world, as data. The runtime performs
+// effects in order and decides nothing.
 
 #ifndef PARSLEYHITCH_MODEL_EFFECT_H_
 #define PARSLEYHITCH_MODEL_EFFECT_H_
@@ -23,8 +23,8 @@
   bool operator==(const append_batch&) const = default;
 };
 
-// Asks for batches from `from` on; the log holds the answer back for up to `wait`
-// while there is none.
+// Asks for batches from `from` on; the log holds the answer back for up to
+// `wait` while there is none.
 struct read_log {
   const std::uint64_t from = 0;
   const duration wait{0};
--- a/source/model/event.h
+++ b/source/model/event.h
@@ -169,8 +169,8 @@
   bool operator==(const endpoint_answered&) const = default;
 };
 
-// No whole answer came. `sent` is false only when no byte of the request can have
-// reached the endpoint.
+// No whole answer came. `sent` is false only when no byte of the request can
+// have reached the endpoint.
 struct endpoint_unanswered {
   const timestamp at;
   const call_number call = 0;
--- a/source/model/fleet.h
+++ b/source/model/fleet.h
@@ -13,8 +13,8 @@
 // How near to one another the members of a gang must be.
 enum class adjacency { kAny, kFailureDomain, kRack };
 
-// Capacity for a gang: `gang_size` members on `gang_size` distinct workers, each
-// with `accelerators` accelerators.
+// Capacity for a gang: `gang_size` members on `gang_size` distinct workers,
+// each with `accelerators` accelerators.
 struct shape {
   const std::uint32_t gang_size = 0;
   const std::uint32_t accelerators = 0;
--- a/source/model/job.h
+++ b/source/model/job.h
@@ -1,4 +1,5 @@
-// Jobs: what a caller asks for, where it stands, and on which workers it is placed.
+// Jobs: what a caller asks for, where it stands, and on which workers it is
+// placed.
 
 #ifndef PARSLEYHITCH_MODEL_JOB_H_
 #define PARSLEYHITCH_MODEL_JOB_H_
@@ -14,9 +15,9 @@
 
 namespace parsleyhitch::model {
 
-// The position of a record in the platform's log: the batch's offset in the high
-// bits, the record's index in its batch in the low ones. It only grows, so the
-// fence of an accepted placement is its fencing token.
+// The position of a record in the platform's log: the batch's offset in the
+// high bits, the record's index in its batch in the low ones. It only grows, so
+// the fence of an accepted placement is its fencing token.
 using fence = std::uint64_t;
 
 struct job_spec {
@@ -35,17 +36,23 @@
 
 enum class job_phase {
   kWaiting,
-  kHolding,    // placed; members are being held
-  kStarting,   // every member is held; members are being started
-  kRunning,    // every member runs
-  kStopping,   // members are being checkpointed or stopped
+  kHolding,   // placed; members are being held
+  kStarting,  // every member is held; members are being started
+  kRunning,   // every member runs
+  kStopping,  // members are being checkpointed or stopped
   kFinished,
   kFailed,
   kCancelled,
 };
 
 // Why a gang was stopped, which decides what becomes of the job.
-enum class stop_reason { kNone, kPreempted, kMemberLost, kMemberFailed, kCancelled };
+enum class stop_reason {
+  kNone,
+  kPreempted,
+  kMemberLost,
+  kMemberFailed,
+  kCancelled
+};
 
 struct job_status {
   const job_spec spec;
@@ -62,7 +69,15 @@
   bool operator==(const job_status&) const = default;
 };
 
-enum class task_state { kPending, kHeld, kRunning, kFinished, kFailed, kRefused, kStopped };
+enum class task_state {
+  kPending,
+  kHeld,
+  kRunning,
+  kFinished,
+  kFailed,
+  kRefused,
+  kStopped
+};
 
 // One member of a gang on its worker.
 struct member {
--- a/source/model/ledger_values.h
+++ b/source/model/ledger_values.h
@@ -32,8 +32,8 @@
 };
 
 // A worker's accelerators by use.
-// Invariant: firm + soft <= accelerators. firm + reserved <= accelerators unless
-// a guarantee is reported short.
+// Invariant: firm + soft <= accelerators. firm + reserved <= accelerators
+// unless a guarantee is reported short.
 struct capacity {
   const std::uint32_t firm = 0;
   const std::uint32_t soft = 0;
@@ -42,8 +42,8 @@
   bool operator==(const capacity&) const = default;
 };
 
-// A guaranteed shape: reserved on `workers` while unclaimed, held by `claimed_by`
-// while claimed, short when neither.
+// A guaranteed shape: reserved on `workers` while unclaimed, held by
+// `claimed_by` while claimed, short when neither.
 struct guarantee_status {
   const shape capacity;
   const std::vector<worker_id> workers;
--- a/source/model/limits.h
+++ b/source/model/limits.h
@@ -33,8 +33,8 @@
   const duration vm_list_interval{1000};
   const duration vm_list_timeout{1000};
 
-  // Graceful shutdown: new calls are taken until the grace ends; the process stops
-  // by the timeout at the latest.
+  // Graceful shutdown: new calls are taken until the grace ends; the process
+  // stops by the timeout at the latest.
   const duration drain_grace{1000};
   const duration drain_timeout{15000};
 
@@ -54,8 +54,8 @@
   const duration plan_pause{20};
   const duration plan_interval{1000};
   const std::uint32_t reserved_starts = 4;
-  // Firm jobs of at least this priority preempt borrowed capacity at once; others
-  // after they have waited for `defragment_after`.
+  // Firm jobs of at least this priority preempt borrowed capacity at once;
+  // others after they have waited for `defragment_after`.
   const std::int32_t urgent_priority = 100;
   const duration defragment_after{10000};
   const std::uint32_t finished_jobs_kept = 20000;
--- a/source/model/manifest.h
+++ b/source/model/manifest.h
@@ -1,5 +1,5 @@
-// The operators' configuration: workspaces with their guaranteed shapes, and the
-// services that run on the capacity.
+// The operators' configuration: workspaces with their guaranteed shapes, and
+// the services that run on the capacity.
 
 #ifndef PARSLEYHITCH_MODEL_MANIFEST_H_
 #define PARSLEYHITCH_MODEL_MANIFEST_H_
--- a/source/model/message.h
+++ b/source/model/message.h
@@ -26,7 +26,8 @@
   // False while the sender can't read the log: peers then send it batches.
   const bool log_readable = false;
   const bool draining = false;
-  // Workers that the sender sees leaving; told at once, before the log tells it.
+  // Workers that the sender sees leaving; told at once, before the log tells
+  // it.
   const std::vector<worker_id> leaving;
   // Has folded the log to its end; one that has not takes no part in routing.
   const bool ready = false;
@@ -52,9 +53,9 @@
   bool operator==(const task_instruction&) const = default;
 };
 
-// The whole of what a worker is to hold and run. It renews the lease of each task
-// it names; a task it does not name is stopped. A worker refuses a sync whose
-// `as_of` is below the highest it has seen.
+// The whole of what a worker is to hold and run. It renews the lease of each
+// task it names; a task it does not name is stopped. A worker refuses a sync
+// whose `as_of` is below the highest it has seen.
 struct worker_sync {
   const std::uint64_t as_of = 0;
   const duration lease{0};
@@ -75,15 +76,15 @@
 enum class run_state { kNotApplicable, kNotRun, kOutcomeUnknown };
 
 enum class answer_kind {
-  kAnswered,      // an endpoint's whole answer
-  kAccepted,      // a job or manifest is in the log
-  kFound,         // a read of a job or of the status
-  kInvalid,       // findings say why
-  kConflict,      // a key reused with another body, or a stale base
+  kAnswered,  // an endpoint's whole answer
+  kAccepted,  // a job or manifest is in the log
+  kFound,     // a read of a job or of the status
+  kInvalid,   // findings say why
+  kConflict,  // a key reused with another body, or a stale base
   kNotFound,
-  kOverloaded,    // shed or over a limit; retry later
-  kUnavailable,   // draining, or the log is away
-  kDeadline,      // the deadline passed
+  kOverloaded,   // shed or over a limit; retry later
+  kUnavailable,  // draining, or the log is away
+  kDeadline,     // the deadline passed
 };
 
 // A job as a caller reads it.
--- a/source/model/record.h
+++ b/source/model/record.h
@@ -19,7 +19,8 @@
 
 namespace parsleyhitch::model {
 
-// Accepted when `proposed.base` is the version in force and the version is higher.
+// Accepted when `proposed.base` is the version in force and the version is
+// higher.
 struct manifest_published {
   const manifest proposed;
   bool operator==(const manifest_published&) const = default;
@@ -115,8 +116,8 @@
   bool operator==(const request_finished&) const = default;
 };
 
-// The parts of a checkpoint: the ledger's primary tables, an entry each. Indexes
-// are rebuilt from them.
+// The parts of a checkpoint: the ledger's primary tables, an entry each.
+// Indexes are rebuilt from them.
 struct saved_head {
   const timestamp clock;
   const std::optional<manifest> in_force;
@@ -201,8 +202,8 @@
                             checkpoint_chunk>;
 
 // What one append carries. An entry appends one batch at a time and repeats it
-// until it reads it, so a batch whose `sequence` is not above the last one folded
-// for (`by`, `incarnation`) is a repeat.
+// until it reads it, so a batch whose `sequence` is not above the last one
+// folded for (`by`, `incarnation`) is a repeat.
 struct batch {
   const entry_id by;
   const std::uint64_t incarnation = 0;
--- a/source/model/time.h
+++ b/source/model/time.h
@@ -1,4 +1,5 @@
-// Time as the reducer sees it: values carried by events, never read from a clock.
+// Time as the reducer sees it: values carried by events, never read from a
+// clock.
 
 #ifndef PARSLEYHITCH_MODEL_TIME_H_
 #define PARSLEYHITCH_MODEL_TIME_H_
--- a/source/model/value_cell.h
+++ b/source/model/value_cell.h
@@ -16,7 +16,7 @@
   value_cell() = default;
   explicit value_cell(Value value) : value_(std::move(value)) {}
   value_cell(const value_cell&) = default;
-  value_cell(value_cell&&) = default;
+  value_cell(value_cell&&) noexcept = default;
   ~value_cell() = default;
 
   value_cell& operator=(const value_cell& other) {
--- a/source/parsleyhitch/calls.cc
+++ b/source/parsleyhitch/calls.cc
@@ -27,7 +27,8 @@
 
 }  // namespace
 
-runtime::http_outcome CallEntry(const std::string& address, const entry_call& call) {
+runtime::http_outcome CallEntry(const std::string& address,
+                                const entry_call& call) {
   asio::io_context io(1);
   runtime::http_client client(io);
   std::optional<runtime::http_outcome> outcome;
@@ -53,7 +54,8 @@
       return ExitCodeOf(*response);
     }
     if (std::get<runtime::http_failure>(outcome).sent) {
-      std::cerr << address << ": no answer; whether the call took effect is not known\n";
+      std::cerr << address
+                << ": no answer; whether the call took effect is not known\n";
       return kExitOutcomeUnknown;
     }
   }
--- a/source/parsleyhitch/calls.h
+++ b/source/parsleyhitch/calls.h
@@ -19,10 +19,12 @@
 };
 
 // Calls one entry and waits for the outcome.
-runtime::http_outcome CallEntry(const std::string& address, const entry_call& call);
+runtime::http_outcome CallEntry(const std::string& address,
+                                const entry_call& call);
 
-// Calls the entries in order until one can be connected to, prints the reply, and
-// gives the exit code. A call that was sent and got no answer is not sent again.
+// Calls the entries in order until one can be connected to, prints the reply,
+// and gives the exit code. A call that was sent and got no answer is not sent
+// again.
 int CallAndPrint(const command_input& input, const entry_call& call);
 
 }  // namespace parsleyhitch
--- a/source/parsleyhitch/check.cc
+++ b/source/parsleyhitch/check.cc
@@ -27,9 +27,11 @@
     return kExitFindings;
   };
   if (settings::LooksLikeSettings(*text)) {
-    return wire::Handle([&] { return settings::ParseSettings(*text); }, on_good, on_faults);
+    return wire::Handle([&] { return settings::ParseSettings(*text); }, on_good,
+                        on_faults);
   }
-  return wire::Handle([&] { return settings::ParseManifest(*text); }, on_good, on_faults);
+  return wire::Handle([&] { return settings::ParseManifest(*text); }, on_good,
+                      on_faults);
 }
 
 }  // namespace
--- a/source/parsleyhitch/commands.cc
+++ b/source/parsleyhitch/commands.cc
@@ -56,21 +56,23 @@
     return kExitFindings;
   }
   return CallAndPrint(
-      input, {.method = "POST", .path = "/v1/jobs", .body = source.content.dump()});
+      input,
+      {.method = "POST", .path = "/v1/jobs", .body = source.content.dump()});
 }
 
 int RunStatus(const command_input& input) {
   const bool job = !input.arguments.empty();
   return CallAndPrint(
-      input, {.method = "GET",
-              .path = job ? "/v1/jobs/" + input.arguments.front() : "/v1/status"});
+      input,
+      {.method = "GET",
+       .path = job ? "/v1/jobs/" + input.arguments.front() : "/v1/status"});
 }
 
 int RunCancel(const command_input& input) {
   if (input.arguments.size() != 1)
     return NeedArgument("a job's name");
-  return CallAndPrint(input,
-                      {.method = "DELETE", .path = "/v1/jobs/" + input.arguments.front()});
+  return CallAndPrint(input, {.method = "DELETE",
+                              .path = "/v1/jobs/" + input.arguments.front()});
 }
 
 int RunDrain(const command_input& input) {
@@ -90,10 +92,11 @@
     headers.push_back("Parsleyhitch-Idempotent: false");
     headers.push_back("Idempotency-Key: " + arguments[kWithoutKey]);
   }
-  return CallAndPrint(input, {.method = "POST",
-                              .path = "/v1/services/" + arguments[0] + "/requests",
-                              .headers = std::move(headers),
-                              .body = arguments[2]});
+  return CallAndPrint(input,
+                      {.method = "POST",
+                       .path = "/v1/services/" + arguments[0] + "/requests",
+                       .headers = std::move(headers),
+                       .body = arguments[2]});
 }
 
 int RunBurn(const command_input& input) {
@@ -109,7 +112,8 @@
     return kExitUnreachable;
   }
   const std::vector<report::burn_line> sum = report::SumBurn(reports);
-  std::cout << (input.json ? report::EncodeBurn(sum) + "\n" : report::BurnTable(sum));
+  std::cout << (input.json ? report::EncodeBurn(sum) + "\n"
+                           : report::BurnTable(sum));
   return kExitOk;
 }
 
@@ -122,18 +126,24 @@
 
 const std::vector<command>& Commands() {
   static const std::vector<command> commands{
-      {"check", "check FILE...", "Checks settings or manifest files and prints every finding.",
-       RunCheck},
-      {"publish", "publish MANIFEST", "Publishes a manifest (YAML).", RunPublish},
+      {"check", "check FILE...",
+       "Checks settings or manifest files and prints every finding.", RunCheck},
+      {"publish", "publish MANIFEST", "Publishes a manifest (YAML).",
+       RunPublish},
       {"submit", "submit JOB", "Submits a job (YAML).", RunSubmit},
       {"request", "request SERVICE WORKSPACE BODY [KEY]",
-       "Sends a request to a service; with a key it is non-idempotent.", RunRequest},
-      {"status", "status [JOB]", "Shows an entry's status, or a job.", RunStatus},
+       "Sends a request to a service; with a key it is non-idempotent.",
+       RunRequest},
+      {"status", "status [JOB]", "Shows an entry's status, or a job.",
+       RunStatus},
       {"cancel", "cancel JOB", "Cancels a job.", RunCancel},
-      {"drain", "drain --entry ADDRESS", "Shuts one entry down gracefully.", RunDrain},
-      {"burn", "burn", "Reports service-level burn over all entries given.", RunBurn},
+      {"drain", "drain --entry ADDRESS", "Shuts one entry down gracefully.",
+       RunDrain},
+      {"burn", "burn", "Reports service-level burn over all entries given.",
+       RunBurn},
       {"replay", "replay TRACE...",
-       "Runs traces or recordings through the reducer and checks their stated outcomes.",
+       "Runs traces or recordings through the reducer and checks their stated "
+       "outcomes.",
        RunReplay},
       {"schema", "schema", "Prints the protobuf schema.", RunSchema},
   };
--- a/source/parsleyhitch/main.cc
+++ b/source/parsleyhitch/main.cc
@@ -20,11 +20,13 @@
 namespace {
 
 void PrintHelp(const command& command) {
-  std::cout << "usage: parsleyhitch " << command.usage << "\n\n" << command.help << "\n";
+  std::cout << "usage: parsleyhitch " << command.usage << "\n\n"
+            << command.help << "\n";
 }
 
 int PrintUsage() {
-  std::cout << "usage: parsleyhitch COMMAND [--entry IP:PORT,...] [--format=table|json]\n\n";
+  std::cout << "usage: parsleyhitch COMMAND [--entry IP:PORT,...] "
+               "[--format=table|json]\n\n";
   for (const command& each : Commands())
     std::cout << "  " << each.usage << "\n      " << each.help << "\n";
   std::cout << "\nexit codes: 0 done, 1 findings, 2 usage, 3 no entry reached, "
@@ -45,7 +47,8 @@
   if (arguments.empty())
     return FLAGS_help ? PrintUsage() : (PrintUsage(), kExitUsage);
   const auto& commands = Commands();
-  const auto found = std::ranges::find(commands, arguments.front(), &command::name);
+  const auto found =
+      std::ranges::find(commands, arguments.front(), &command::name);
   if (found == commands.end()) {
     std::cerr << "unknown command '" << arguments.front() << "'\n";
     return kExitUsage;
--- a/source/parsleyhitch/output.cc
+++ b/source/parsleyhitch/output.cc
@@ -25,9 +25,11 @@
     return;
   }
   constexpr std::size_t kColumn = 40;
-  const std::string padding(path.size() < kColumn ? kColumn - path.size() : 1, ' ');
+  const std::string padding(path.size() < kColumn ? kColumn - path.size() : 1,
+                            ' ');
   std::cout << path << padding
-            << (value.is_string() ? value.get<std::string>() : value.dump()) << "\n";
+            << (value.is_string() ? value.get<std::string>() : value.dump())
+            << "\n";
 }
 
 }  // namespace
@@ -43,14 +45,16 @@
   return text.str();
 }
 
-void PrintFindings(const std::string& file, const model::findings& faults, bool json) {
+void PrintFindings(const std::string& file,
+                   const model::findings& faults,
+                   bool json) {
   if (json) {
     std::cout << wire::ToJson(faults) << "\n";
     return;
   }
   for (const model::finding& each : faults) {
-    std::cout << file << ":" << each.line << ":" << each.column << ": " << each.place << " "
-              << each.message << "\n";
+    std::cout << file << ":" << each.line << ":" << each.column << ": "
+              << each.place << " " << each.message << "\n";
   }
 }
 
--- a/source/parsleyhitch/output.h
+++ b/source/parsleyhitch/output.h
@@ -14,7 +14,9 @@
 std::optional<std::string> ReadFile(const std::string& path);
 
 // A line for each finding: "file:line:column: place message".
-void PrintFindings(const std::string& file, const model::findings& faults, bool json);
+void PrintFindings(const std::string& file,
+                   const model::findings& faults,
+                   bool json);
 
 // An entry's JSON reply, as a table of its fields or as it is.
 void PrintReply(const std::string& body, bool json);
--- a/source/parsleyhitch/replay_command.cc
+++ b/source/parsleyhitch/replay_command.cc
@@ -17,7 +17,9 @@
 
 namespace {
 
-void PrintRow(const std::string& file, const replay::judged_outcome& row, bool json) {
+void PrintRow(const std::string& file,
+              const replay::judged_outcome& row,
+              bool json) {
   if (json) {
     const wire::json line{{"file", file},
                           {"expected", row.expected},
@@ -26,8 +28,8 @@
     std::cout << line.dump() << "\n";
     return;
   }
-  std::cout << (row.held ? "held    " : "MISSED  ") << file << "  " << row.expected << "  ("
-            << row.seen << ")\n";
+  std::cout << (row.held ? "held    " : "MISSED  ") << file << "  "
+            << row.expected << "  (" << row.seen << ")\n";
 }
 
 int ReplayTrace(const std::string& file,
@@ -52,7 +54,8 @@
            {.expected = "the same effects, byte for byte",
             .held = same,
             .seen = same ? std::to_string(result.steps) + " steps"
-                         : "line " + std::to_string(result.first_difference) + " differs"},
+                         : "line " + std::to_string(result.first_difference) +
+                               " differs"},
            json);
   return same ? kExitOk : kExitFindings;
 }
@@ -67,17 +70,17 @@
     return kExitFindings;
   };
   if (replay::LooksLikeRecording(*text)) {
-    return wire::Handle(
-        [&] { return replay::RunRecording(*text); },
-        [&](const replay::recording_result& result) {
-          return ReplayRecording(path, result, json);
-        },
-        on_faults);
+    return wire::Handle([&] { return replay::RunRecording(*text); },
+                        [&](const replay::recording_result& result) {
+                          return ReplayRecording(path, result, json);
+                        },
+                        on_faults);
   }
-  return wire::Handle(
-      [&] { return replay::ParseScenario(*text); },
-      [&](const replay::scenario& scenario) { return ReplayTrace(path, scenario, input); },
-      on_faults);
+  return wire::Handle([&] { return replay::ParseScenario(*text); },
+                      [&](const replay::scenario& scenario) {
+                        return ReplayTrace(path, scenario, input);
+                      },
+                      on_faults);
 }
 
 }  // namespace
--- a/source/parsleyhitchd/main.cc
+++ b/source/parsleyhitchd/main.cc
@@ -26,8 +26,8 @@
 
 void PrintFindings(const std::string& file, const model::findings& faults) {
   for (const model::finding& each : faults) {
-    std::cerr << file << ":" << each.line << ":" << each.column << ": " << each.place << " "
-              << each.message << "\n";
+    std::cerr << file << ":" << each.line << ":" << each.column << ": "
+              << each.place << " " << each.message << "\n";
   }
 }
 
--- a/source/replay/expectations.h
+++ b/source/replay/expectations.h
@@ -18,7 +18,8 @@
 };
 
 // One line for each stated outcome, and one for the invariants.
-std::vector<judged_outcome> Judge(const scenario& scenario, const run_result& result);
+std::vector<judged_outcome> Judge(const scenario& scenario,
+                                  const run_result& result);
 
 }  // namespace parsleyhitch::replay
 
--- a/source/replay/fake_log.h
+++ b/source/replay/fake_log.h
@@ -1,5 +1,5 @@
-// The platform's log in memory: records of any kind at growing offsets, with limited
-// retention.
+// The platform's log in memory: records of any kind at growing offsets, with
+// limited retention.
 
 #ifndef PARSLEYHITCH_REPLAY_FAKE_LOG_H_
 #define PARSLEYHITCH_REPLAY_FAKE_LOG_H_
@@ -28,7 +28,8 @@
   std::vector<Record> Read(std::uint64_t from, std::size_t most) const {
     std::vector<Record> found;
     const std::uint64_t start = from < first_offset ? first_offset : from;
-    for (std::uint64_t at = start; at < EndOffset() && found.size() < most; ++at)
+    for (std::uint64_t at = start; at < EndOffset() && found.size() < most;
+         ++at)
       found.push_back(records[at - first_offset]);
     return found;
   }
--- a/source/replay/fake_worker.cc
+++ b/source/replay/fake_worker.cc
@@ -55,7 +55,9 @@
   return worker.accelerators - used;
 }
 
-fake_task With(const fake_task& task, model::task_state state, model::timestamp ends) {
+fake_task With(const fake_task& task,
+               model::task_state state,
+               model::timestamp ends) {
   return {.token = task.token,
           .accelerators = task.accelerators,
           .state = state,
@@ -91,8 +93,9 @@
   const fake_task task = *worker.tasks.Find(order.job);
   if (task.state != model::task_state::kHeld)
     return {.worker = std::move(worker), .state = task.state};
-  const model::task_state state =
-      worker.fails_tasks ? model::task_state::kFailed : model::task_state::kRunning;
+  const model::task_state state = worker.fails_tasks
+                                      ? model::task_state::kFailed
+                                      : model::task_state::kRunning;
   worker = SetTask(std::move(worker), order.job,
                    With(task, state, now + run_time(order.job)), now);
   return {.worker = std::move(worker), .state = state};
@@ -166,7 +169,8 @@
   std::vector<model::job_id> finished;
   for (const auto& [job, task] : worker.tasks) {
     const bool running = task.state == model::task_state::kRunning;
-    const bool ended = running && task.ends <= now && task.ends <= task.lease_until;
+    const bool ended =
+        running && task.ends <= now && task.ends <= task.lease_until;
     if (ended)
       finished.push_back(job);
     else if (task.lease_until <= now)
@@ -174,8 +178,9 @@
   }
   for (const model::job_id& job : finished) {
     const fake_task task = *worker.tasks.Find(job);
-    worker = SetTask(std::move(worker), job,
-                     With(task, model::task_state::kFinished, task.ends), task.ends);
+    worker =
+        SetTask(std::move(worker), job,
+                With(task, model::task_state::kFinished, task.ends), task.ends);
   }
   for (const model::job_id& job : lapsed) {
     const model::timestamp at = worker.tasks.Find(job)->lease_until;
@@ -198,12 +203,16 @@
   worker = DropUnnamed(std::move(worker), sync, now);
   std::vector<model::task_report> reports;
   for (const model::task_instruction& order : sync.tasks) {
-    obeyed done = Obey(std::move(worker), order, now + sync.lease, now, run_time);
+    obeyed done =
+        Obey(std::move(worker), order, now + sync.lease, now, run_time);
     worker = std::move(done.worker);
-    reports.push_back({.job = order.job, .token = order.token, .state = done.state});
+    reports.push_back(
+        {.job = order.job, .token = order.token, .state = done.state});
   }
-  return {.worker = std::move(worker),
-          .report = {.accepted = true, .leaving = leaving, .tasks = std::move(reports)}};
+  return {
+      .worker = std::move(worker),
+      .report = {
+          .accepted = true, .leaving = leaving, .tasks = std::move(reports)}};
 }
 
 }  // namespace parsleyhitch::replay
--- a/source/replay/fake_worker.h
+++ b/source/replay/fake_worker.h
@@ -1,6 +1,6 @@
 // A worker as the platform gives it, in memory: it holds, runs, checkpoints and
-// stops tasks under leases, refuses syncs that are fenced off, and can be told to
-// misbehave. Replays and the stand-in processes of the tests share it.
+// stops tasks under leases, refuses syncs that are fenced off, and can be told
+// to misbehave. Replays and the stand-in processes of the tests share it.
 
 #ifndef PARSLEYHITCH_REPLAY_FAKE_WORKER_H_
 #define PARSLEYHITCH_REPLAY_FAKE_WORKER_H_
--- a/source/replay/monitor.cc
+++ b/source/replay/monitor.cc
@@ -8,33 +8,41 @@
 
 namespace {
 
-// A member that lost its fellows runs until its lease lapses or it is told: the loss
-// shows after a lease and a sync interval, and the stop goes out with the next sync.
+// A member that lost its fellows runs until its lease lapses or it is told: the
+// loss shows after a lease and a sync interval, and the stop goes out with the
+// next sync.
 model::duration LongestPartial(const model::limits& limits) {
   constexpr int kSyncs = 4;
-  return 2 * limits.lease + kSyncs * limits.sync_interval + limits.append_timeout;
+  return 2 * limits.lease + kSyncs * limits.sync_interval +
+         limits.append_timeout;
 }
 
 }  // namespace
 
-monitor::monitor(const model::limits& limits) : longest_partial_(LongestPartial(limits)) {}
+monitor::monitor(const model::limits& limits)
+    : longest_partial_(LongestPartial(limits)) {}
 
 void monitor::Breach(const char* rule, std::string what, model::timestamp at) {
   breaches_.push_back({.rule = rule, .what = std::move(what), .at = at});
 }
 
-void monitor::SeeGang(const model::job_id& job, model::fence token, std::size_t members) {
+void monitor::SeeGang(const model::job_id& job,
+                      model::fence token,
+                      std::size_t members) {
   gangs_[{.job = job, .token = token}].members = members;
 }
 
 // Some members run while others neither run nor have finished.
-void monitor::WatchPartial(const gang_name& name, gang_watch& gang, model::timestamp at) {
+void monitor::WatchPartial(const gang_name& name,
+                           gang_watch& gang,
+                           model::timestamp at) {
   const std::size_t active = gang.running.size() + gang.finished.size();
   const bool partial = !gang.running.empty() && active < gang.members;
   if (partial && !gang.partial)
     gang.partial_since = at;
   if (gang.partial && at - gang.partial_since > longest_partial_) {
-    Breach(kRulePartialGang, name.job.value() + " ran in part for too long", at);
+    Breach(kRulePartialGang, name.job.value() + " ran in part for too long",
+           at);
     gang.partial_since = at;
   }
   gang.partial = partial;
@@ -51,14 +59,16 @@
   if (entry.state == model::task_state::kRunning) {
     gang.running.insert(worker);
     if (gang.held.size() < gang.members) {
-      Breach(kRulePartialGang, entry.job.value() + " started before all were held",
-             entry.at);
+      Breach(kRulePartialGang,
+             entry.job.value() + " started before all were held", entry.at);
     }
   }
   WatchPartial(name, gang, entry.at);
 }
 
-void monitor::SeeRun(const std::string& name, const std::string& key, model::timestamp at) {
+void monitor::SeeRun(const std::string& name,
+                     const std::string& key,
+                     model::timestamp at) {
   ++runs_by_name_[name];
   if (key.empty())
     return;
@@ -70,7 +80,8 @@
                         const std::string& body,
                         const model::answer& answer,
                         model::timestamp at) {
-  if (answer.kind == model::answer_kind::kAnswered && answer.body != "served " + body)
+  if (answer.kind == model::answer_kind::kAnswered &&
+      answer.body != "served " + body)
     Breach(kRuleWholeAnswer, name + " was answered '" + answer.body + "'", at);
   if (answer.ran == model::run_state::kNotRun)
     refused_not_run_.insert(name);
@@ -85,7 +96,8 @@
                          model::timestamp at) {
   std::uint64_t& highest = versions_[entry];
   if (version < highest)
-    Breach(kRuleNoRevert, entry + " went back to version " + std::to_string(version), at);
+    Breach(kRuleNoRevert,
+           entry + " went back to version " + std::to_string(version), at);
   highest = std::max(highest, version);
 }
 
@@ -94,10 +106,12 @@
                         model::timestamp at) {
   for (const auto& [worker, use] : ledger.use) {
     const model::worker_status* status = ledger.workers.Find(worker);
-    const bool live = status != nullptr && status->phase == model::worker_phase::kLive;
+    const bool live =
+        status != nullptr && status->phase == model::worker_phase::kLive;
     if (!live || use.firm + use.reserved <= status->spec.accelerators)
       continue;
-    Breach(kRuleGuarantee, entry + " gave away what is reserved on " + worker.value(), at);
+    Breach(kRuleGuarantee,
+           entry + " gave away what is reserved on " + worker.value(), at);
     return;
   }
 }
@@ -112,7 +126,8 @@
 
 void monitor::Finish(model::timestamp at) {
   for (auto& [name, gang] : gangs_) {
-    const bool too_long = gang.partial && at - gang.partial_since > longest_partial_;
+    const bool too_long =
+        gang.partial && at - gang.partial_since > longest_partial_;
     if (too_long)
       Breach(kRulePartialGang, name.job.value() + " still runs in part", at);
   }
--- a/source/replay/monitor.h
+++ b/source/replay/monitor.h
@@ -39,18 +39,26 @@
  public:
   explicit monitor(const model::limits& limits);
 
-  void SeeGang(const model::job_id& job, model::fence token, std::size_t members);
+  void SeeGang(const model::job_id& job,
+               model::fence token,
+               std::size_t members);
   void SeeTask(const model::worker_id& worker, const task_entry& entry);
   // An endpoint ran the request of this name and key.
-  void SeeRun(const std::string& name, const std::string& key, model::timestamp at);
+  void SeeRun(const std::string& name,
+              const std::string& key,
+              model::timestamp at);
   void SeeAnswer(const std::string& name,
                  const std::string& body,
                  const model::answer& answer,
                  model::timestamp at);
   void SeeCut(const std::string& what, model::timestamp at);
-  void SeeVersion(const std::string& entry, std::uint64_t version, model::timestamp at);
+  void SeeVersion(const std::string& entry,
+                  std::uint64_t version,
+                  model::timestamp at);
   // Firm work and reservations must fit together on every live worker.
-  void SeeLedger(const std::string& entry, const model::ledger& ledger, model::timestamp at);
+  void SeeLedger(const std::string& entry,
+                 const model::ledger& ledger,
+                 model::timestamp at);
   void SeeSpin(model::timestamp at);
   void SeeDisagreement(const std::string& what, model::timestamp at);
 
@@ -76,7 +84,9 @@
   };
 
   void Breach(const char* rule, std::string what, model::timestamp at);
-  void WatchPartial(const gang_name& name, gang_watch& gang, model::timestamp at);
+  void WatchPartial(const gang_name& name,
+                    gang_watch& gang,
+                    model::timestamp at);
 
   const model::duration longest_partial_;
   std::map<gang_name, gang_watch> gangs_;
--- a/source/replay/naive.cc
+++ b/source/replay/naive.cc
@@ -22,7 +22,8 @@
       // 2: each member starts as soon as it is held itself.
       {"may_start",
        [](scheduler::hooks& hooks) {
-         hooks.may_start = [](const model::placement&, const model::member& member) {
+         hooks.may_start = [](const model::placement&,
+                              const model::member& member) {
            return member.state != model::task_state::kPending;
          };
        }},
@@ -34,7 +35,9 @@
       // 4: no answer is taken to mean that nothing ran.
       {"refusal_state",
        [](scheduler::hooks& hooks) {
-         hooks.refusal_state = [](const auto&) { return model::run_state::kNotRun; };
+         hooks.refusal_state = [](const auto&) {
+           return model::run_state::kNotRun;
+         };
        }},
       // 5: whoever is asked runs.
       {"may_run_once",
@@ -64,7 +67,8 @@
 
 }  // namespace
 
-scheduler::hooks WithNaive(scheduler::hooks hooks, const std::vector<std::string>& names) {
+scheduler::hooks WithNaive(scheduler::hooks hooks,
+                           const std::vector<std::string>& names) {
   for (const std::string& name : names) {
     const auto found = Replacements().find(name);
     if (found != Replacements().end())
--- a/source/replay/naive.h
+++ b/source/replay/naive.h
@@ -1,5 +1,5 @@
-// Naive hooks in place of the mechanisms that keep the invariants. With one of them
-// a trace must fail; with the product's it must pass.
+// Naive hooks in place of the mechanisms that keep the invariants. With one of
+// them a trace must fail; with the product's it must pass.
 
 #ifndef PARSLEYHITCH_REPLAY_NAIVE_H_
 #define PARSLEYHITCH_REPLAY_NAIVE_H_
@@ -12,7 +12,8 @@
 namespace parsleyhitch::replay {
 
 // Replaces the hooks named; unknown names are ignored.
-scheduler::hooks WithNaive(scheduler::hooks hooks, const std::vector<std::string>& names);
+scheduler::hooks WithNaive(scheduler::hooks hooks,
+                           const std::vector<std::string>& names);
 
 }  // namespace parsleyhitch::replay
 
--- a/source/replay/recording.cc
+++ b/source/replay/recording.cc
@@ -16,8 +16,8 @@
   return {.me = head.entry,
           .peers = head.peers,
           .limits = head.limits,
-          .behaviour =
-              head.baseline ? scheduler::BaselineHooks() : scheduler::DefaultHooks()};
+          .behaviour = head.baseline ? scheduler::BaselineHooks()
+                                     : scheduler::DefaultHooks()};
 }
 
 }  // namespace
--- a/source/replay/recording.h
+++ b/source/replay/recording.h
@@ -1,5 +1,5 @@
-// Runs a daemon's recording again: the same events must lead to the same effects,
-// byte for byte.
+// Runs a daemon's recording again: the same events must lead to the same
+// effects, byte for byte.
 
 #ifndef PARSLEYHITCH_REPLAY_RECORDING_H_
 #define PARSLEYHITCH_REPLAY_RECORDING_H_
--- a/source/replay/scenario.h
+++ b/source/replay/scenario.h
@@ -1,5 +1,5 @@
-// A trace as written down: the set-up, what arrives, what fails, and the outcomes
-// that must hold.
+// A trace as written down: the set-up, what arrives, what fails, and the
+// outcomes that must hold.
 
 #ifndef PARSLEYHITCH_REPLAY_SCENARIO_H_
 #define PARSLEYHITCH_REPLAY_SCENARIO_H_
@@ -33,7 +33,8 @@
   const std::uint64_t seed = 1;
   // One way, between any two processes.
   const model::duration latency{1};
-  // Up to so much is added to each message, at random: messages overtake one another.
+  // Up to so much is added to each message, at random: messages overtake one
+  // another.
   const model::duration jitter{0};
   const model::duration vm_list_lag{0};
   // The run ends here.
@@ -99,9 +100,9 @@
   kJoinEntryToPeers,
   kLogDown,
   kLogUp,
-  kLogSlow,          // number: milliseconds added to each answer
+  kLogSlow,            // number: milliseconds added to each answer
   kLoseAppendAnswers,  // number: how many
-  kTrimLog,          // number: batches to keep
+  kTrimLog,            // number: batches to keep
   kVmListDown,
   kVmListUp,
   kKillWorker,
@@ -131,15 +132,16 @@
 };
 
 enum class expected_kind {
-  kJobPhase,    // `subject` reaches `value` (a phase) within `within` of its arrival
-  kAnswer,      // `subject` is answered `value`: an answer's kind, or its run state
-  kRuns,        // requests with key `subject` ran exactly `number` times
+  kJobPhase,  // `subject` reaches `value` (a phase) within `within` of its
+              // arrival
+  kAnswer,  // `subject` is answered `value`: an answer's kind, or its run state
+  kRuns,    // requests with key `subject` ran exactly `number` times
   kRunsAtMost,
-  kVersion,     // `number` is in force at all live entries by `by`
-  kQuiet,       // worker `subject` gets no new work after `by`
-  kStopped,     // entry `number` has stopped by `by`
-  kCount,       // counter `subject`, over all entries, is at least `number`
-  kNoneLate,    // every request of service `subject` is answered whole
+  kVersion,   // `number` is in force at all live entries by `by`
+  kQuiet,     // worker `subject` gets no new work after `by`
+  kStopped,   // entry `number` has stopped by `by`
+  kCount,     // counter `subject`, over all entries, is at least `number`
+  kNoneLate,  // every request of service `subject` is answered whole
 };
 
 // One stated outcome. That no invariant is broken must hold for every trace.
--- a/source/replay/scenario_file.cc
+++ b/source/replay/scenario_file.cc
@@ -119,10 +119,14 @@
   lines.expectations.push_back(line);
 }
 
-void NoteFaults(model::findings& all, const model::findings& faults, std::uint32_t line) {
+void NoteFaults(model::findings& all,
+                const model::findings& faults,
+                std::uint32_t line) {
   for (const model::finding& each : faults) {
-    all.push_back(
-        {.place = each.place, .message = each.message, .line = line, .column = 1});
+    all.push_back({.place = each.place,
+                   .message = each.message,
+                   .line = line,
+                   .column = 1});
   }
 }
 
@@ -138,19 +142,20 @@
     ++number;
     if (line.empty() || line.starts_with("//"))
       continue;
-    wire::Handle(
-        [&] { return wire::FromJson<scenario_line>(line); },
-        [&](const scenario_line& parsed) {
-          std::visit([&](const auto& each) { Collect(lines, each); }, parsed);
-          return true;
-        },
-        [&](const model::findings& faults) {
-          NoteFaults(all, faults, number);
-          return false;
-        });
+    wire::Handle([&] { return wire::FromJson<scenario_line>(line); },
+                 [&](const scenario_line& parsed) {
+                   std::visit([&](const auto& each) { Collect(lines, each); },
+                              parsed);
+                   return true;
+                 },
+                 [&](const model::findings& faults) {
+                   NoteFaults(all, faults, number);
+                   return false;
+                 });
   }
   if (lines.setups.size() != 1)
-    all.push_back({.message = "needs exactly one setup line", .line = 1, .column = 1});
+    all.push_back(
+        {.message = "needs exactly one setup line", .line = 1, .column = 1});
   if (!all.empty())
     return boost::leaf::new_error(std::move(all));
   return scenario{.setup = lines.setups.front(),
--- a/source/replay/scenario_file.h
+++ b/source/replay/scenario_file.h
@@ -1,4 +1,5 @@
-// Traces as files: a JSON object a line; lines that begin with "//" are comments.
+// Traces as files: a JSON object a line; lines that begin with "//" are
+// comments.
 
 #ifndef PARSLEYHITCH_REPLAY_SCENARIO_FILE_H_
 #define PARSLEYHITCH_REPLAY_SCENARIO_FILE_H_
--- a/source/replay/stage.cc
+++ b/source/replay/stage.cc
@@ -22,9 +22,10 @@
   return model::entry_id("entry-" + std::to_string(number));
 }
 
-std::unique_ptr<scheduler::environment> MakeEnvironment(const setup& setup,
-                                                        std::uint32_t number,
-                                                        const run_options& options) {
+std::unique_ptr<scheduler::environment> MakeEnvironment(
+    const setup& setup,
+    std::uint32_t number,
+    const run_options& options) {
   std::vector<model::entry_id> peers;
   for (std::uint32_t each = 0; each < setup.entries; ++each) {
     if (each != number)
@@ -54,7 +55,8 @@
   return largest;
 }
 
-// Phases are read off one entry's ledger: the first that is alive and caught up.
+// Phases are read off one entry's ledger: the first that is alive and caught
+// up.
 std::uint32_t Witness(const std::vector<entry_slot>& entries) {
   for (std::uint32_t number = 0; number < entries.size(); ++number) {
     const entry_slot& slot = entries[number];
@@ -67,7 +69,10 @@
 }  // namespace
 
 stage::stage(const scenario& traced, const run_options& chosen)
-    : trace(traced), options(chosen), watch(traced.setup.limits), random(traced.setup.seed) {
+    : trace(traced),
+      options(chosen),
+      watch(traced.setup.limits),
+      random(traced.setup.seed) {
   entries.resize(trace.setup.entries);
   for (std::uint32_t number = 0; number < trace.setup.entries; ++number)
     entries[number].environment = MakeEnvironment(trace.setup, number, options);
@@ -89,7 +94,8 @@
 }
 
 void stage::At(model::timestamp when, std::function<void()> action) {
-  actions.emplace(std::pair(std::max(when, now), next_action++), std::move(action));
+  actions.emplace(std::pair(std::max(when, now), next_action++),
+                  std::move(action));
 }
 
 void stage::After(model::duration wait, std::function<void()> action) {
@@ -100,7 +106,8 @@
   if (trace.setup.jitter == model::duration::zero())
     return trace.setup.latency;
   const auto bound = static_cast<std::uint64_t>(trace.setup.jitter.count()) + 1;
-  return trace.setup.latency + model::duration(static_cast<std::int64_t>(random() % bound));
+  return trace.setup.latency +
+         model::duration(static_cast<std::int64_t>(random() % bound));
 }
 
 void stage::RunUntil(model::timestamp end) {
@@ -129,12 +136,16 @@
   ++slot.incarnation;
   const std::uint64_t incarnation = slot.incarnation;
   const std::uint64_t seed = trace.setup.seed * trace.setup.entries + entry;
-  Post(entry, incarnation, [incarnation, seed](model::timestamp at) -> model::event {
-    return model::entry_started{.at = at, .incarnation = incarnation, .seed = seed};
-  });
+  Post(entry, incarnation,
+       [incarnation, seed](model::timestamp at) -> model::event {
+         return model::entry_started{
+             .at = at, .incarnation = incarnation, .seed = seed};
+       });
 }
 
-void stage::Post(std::uint32_t entry, std::uint64_t incarnation, const event_maker& make) {
+void stage::Post(std::uint32_t entry,
+                 std::uint64_t incarnation,
+                 const event_maker& make) {
   entry_slot& slot = entries.at(entry);
   if (!slot.alive || slot.incarnation != incarnation)
     return;
@@ -160,7 +171,8 @@
   const auto name = names_by_job.find(job);
   if (status == nullptr || name == names_by_job.end())
     return;
-  const bool first = result.phases[name->second].emplace(status->phase, now).second;
+  const bool first =
+      result.phases[name->second].emplace(status->phase, now).second;
   if (first && status->phase == model::job_phase::kStopping &&
       status->reason == model::stop_reason::kPreempted) {
     ++result.preemptions;
@@ -173,7 +185,8 @@
     const std::uint64_t offset = phases_upto++;
     if (offset < log.first_offset)
       continue;
-    for (const model::record& record : log.records[offset - log.first_offset].records) {
+    for (const model::record& record :
+         log.records[offset - log.first_offset].records) {
       if (const auto* placed = std::get_if<model::job_placed>(&record))
         NotePhase(ledger, placed->job);
       if (const auto* preempted = std::get_if<model::job_preempted>(&record))
@@ -196,11 +209,12 @@
   const model::manifest* in_force = ledger.in_force.Get();
   if (in_force != nullptr && slot.state.log.caught_up) {
     watch.SeeVersion(name, in_force->version, now);
-    const bool everywhere = std::ranges::all_of(entries, [&](const entry_slot& each) {
-      const model::manifest* other = each.state.ledger.in_force.Get();
-      return !each.alive || each.frozen ||
-             (other != nullptr && other->version >= in_force->version);
-    });
+    const bool everywhere =
+        std::ranges::all_of(entries, [&](const entry_slot& each) {
+          const model::manifest* other = each.state.ledger.in_force.Get();
+          return !each.alive || each.frozen ||
+                 (other != nullptr && other->version >= in_force->version);
+        });
     if (everywhere)
       result.everywhere.emplace(in_force->version, now);
   }
@@ -215,7 +229,8 @@
   const model::ledger& ledger = entries[witness].state.ledger;
   const auto passed = static_cast<std::uint64_t>((now - last_sample).count());
   last_sample = now;
-  const std::uint64_t used = ledger.accelerators_firm + ledger.accelerators_soft;
+  const std::uint64_t used =
+      ledger.accelerators_firm + ledger.accelerators_soft;
   if (!ledger.waiting.empty() && ledger.accelerators_total > used)
     result.idle_while_waiting += (ledger.accelerators_total - used) * passed;
   result.largest_rack_sum += LargestRack(ledger);
@@ -267,7 +282,8 @@
     // Operators publish once the fleet is registered.
     constexpr model::duration kFleetIsUp{2000};
     stage.At(kRunStart + kFleetIsUp, [&stage, &scenario] {
-      stage.Arrive(manifest_arrival{.name = "setup", .proposed = scenario.setup.manifest});
+      stage.Arrive(manifest_arrival{.name = "setup",
+                                    .proposed = scenario.setup.manifest});
     });
   }
   stage.RunUntil(kRunStart + scenario.setup.until);
--- a/source/replay/stage.h
+++ b/source/replay/stage.h
@@ -1,6 +1,6 @@
-// Runs a trace: several entries' reducers against small fakes of the log, the VM
-// list, workers and callers, under a manual clock. One event at a time, in the order
-// of time, so a trace gives the same run every time.
+// Runs a trace: several entries' reducers against small fakes of the log, the
+// VM list, workers and callers, under a manual clock. One event at a time, in
+// the order of time, so a trace gives the same run every time.
 
 #ifndef PARSLEYHITCH_REPLAY_STAGE_H_
 #define PARSLEYHITCH_REPLAY_STAGE_H_
--- a/source/replay/stage_clients.cc
+++ b/source/replay/stage_clients.cc
@@ -16,10 +16,12 @@
 
 bool IsInRotation(const stage& stage, const entry_slot& slot) {
   const scheduler::drain_state& drain = slot.state.drain;
-  return slot.alive && !(drain.draining && stage.now - drain.since >= kHealthCheck);
+  return slot.alive &&
+         !(drain.draining && stage.now - drain.since >= kHealthCheck);
 }
 
-// The entry that the balancer sends a call to: the one named, or the next in rotation.
+// The entry that the balancer sends a call to: the one named, or the next in
+// rotation.
 std::uint32_t Reach(const stage& stage, std::uint32_t entry) {
   const auto count = static_cast<std::uint32_t>(stage.entries.size());
   for (std::uint32_t i = 0; i < count; ++i) {
@@ -31,7 +33,9 @@
 }
 
 // Opens a call; nothing is alive to take it when the result is the last index.
-model::call_number OpenCall(stage& stage, std::uint32_t entry, traced_call call) {
+model::call_number OpenCall(stage& stage,
+                            std::uint32_t entry,
+                            traced_call call) {
   entry_slot& slot = stage.entries[entry];
   stage.calls.push_back(std::move(call));
   slot.open_calls[++slot.last_call] = stage.calls.size() - 1;
@@ -94,12 +98,15 @@
   run_times[arrival.name] = arrival.runs;
   sizes[arrival.name] = std::uint64_t{arrival.spec.capacity.gang_size} *
                         arrival.spec.capacity.accelerators;
-  const model::call_number call =
-      OpenCall(*this, entry, {.name = arrival.name, .arrived = now, .is_job = true});
-  Post(entry, entries[entry].incarnation, [=](model::timestamp at) -> model::event {
-    return model::job_requested{
-        .at = at, .call = call, .spec = arrival.spec, .deadline = at + kCallDeadline};
-  });
+  const model::call_number call = OpenCall(
+      *this, entry, {.name = arrival.name, .arrived = now, .is_job = true});
+  Post(entry, entries[entry].incarnation,
+       [=](model::timestamp at) -> model::event {
+         return model::job_requested{.at = at,
+                                     .call = call,
+                                     .spec = arrival.spec,
+                                     .deadline = at + kCallDeadline};
+       });
 }
 
 void stage::Arrive(const job_cancel& arrival) {
@@ -107,13 +114,14 @@
   const auto job = jobs_by_name.find(arrival.name);
   if (entry == entries.size() || job == jobs_by_name.end())
     return;
-  const model::call_number call =
-      OpenCall(*this, entry, {.name = "cancel " + arrival.name, .arrived = now});
+  const model::call_number call = OpenCall(
+      *this, entry, {.name = "cancel " + arrival.name, .arrived = now});
   const model::job_id id = job->second;
-  Post(entry, entries[entry].incarnation, [=](model::timestamp at) -> model::event {
-    return model::job_cancel_requested{
-        .at = at, .call = call, .job = id, .deadline = at + kCallDeadline};
-  });
+  Post(entry, entries[entry].incarnation,
+       [=](model::timestamp at) -> model::event {
+         return model::job_cancel_requested{
+             .at = at, .call = call, .job = id, .deadline = at + kCallDeadline};
+       });
 }
 
 void stage::Arrive(const request_arrival& arrival) {
@@ -130,16 +138,17 @@
   const model::timestamp deadline = arrival.within == model::duration::zero()
                                         ? model::timestamp()
                                         : now + arrival.within;
-  Post(entry, entries[entry].incarnation, [=](model::timestamp at) -> model::event {
-    return model::request_received{.at = at,
-                                   .call = call,
-                                   .target = arrival.target,
-                                   .owner = arrival.owner,
-                                   .idempotent = arrival.idempotent,
-                                   .key = arrival.key,
-                                   .deadline = deadline,
-                                   .body = arrival.body};
-  });
+  Post(entry, entries[entry].incarnation,
+       [=](model::timestamp at) -> model::event {
+         return model::request_received{.at = at,
+                                        .call = call,
+                                        .target = arrival.target,
+                                        .owner = arrival.owner,
+                                        .idempotent = arrival.idempotent,
+                                        .key = arrival.key,
+                                        .deadline = deadline,
+                                        .body = arrival.body};
+       });
 }
 
 void stage::Arrive(const manifest_arrival& arrival) {
@@ -148,12 +157,13 @@
     return;
   const model::call_number call =
       OpenCall(*this, entry, {.name = arrival.name, .arrived = now});
-  Post(entry, entries[entry].incarnation, [=](model::timestamp at) -> model::event {
-    return model::manifest_offered{.at = at,
-                                   .call = call,
-                                   .proposed = arrival.proposed,
-                                   .deadline = at + kCallDeadline};
-  });
+  Post(entry, entries[entry].incarnation,
+       [=](model::timestamp at) -> model::event {
+         return model::manifest_offered{.at = at,
+                                        .call = call,
+                                        .proposed = arrival.proposed,
+                                        .deadline = at + kCallDeadline};
+       });
 }
 
 void stage::InflictOnWorker(const fault& fault, worker_slot& worker) {
@@ -162,8 +172,8 @@
       worker.worker = Advance(std::move(worker.worker), now);
       // Its tasks die with it.
       worker.worker =
-          Sync(std::move(worker.worker), {.as_of = worker.worker.highest_as_of}, now,
-               [](const auto&) { return model::duration(0); })
+          Sync(std::move(worker.worker), {.as_of = worker.worker.highest_as_of},
+               now, [](const auto&) { return model::duration(0); })
               .worker;
       SeeWorker(worker);
       worker.alive = false;
@@ -250,9 +260,10 @@
       return;
     }
     case fault_kind::kDrainEntry:
-      Post(fault.entry, slot.incarnation, [](model::timestamp at) -> model::event {
-        return model::drain_requested{.at = at};
-      });
+      Post(fault.entry, slot.incarnation,
+           [](model::timestamp at) -> model::event {
+             return model::drain_requested{.at = at};
+           });
       return;
     case fault_kind::kCutEntryFromLog:
     case fault_kind::kJoinEntryToLog: {
--- a/source/replay/stage_platform.cc
+++ b/source/replay/stage_platform.cc
@@ -1,4 +1,5 @@
-// The platform's side of a run: log, VM list, peers' network, workers, endpoints.
+// The platform's side of a run: log, VM list, peers' network, workers,
+// endpoints.
 
 #include <algorithm>
 #include <utility>
@@ -40,7 +41,8 @@
     }
     After(latency, [=, this] {
       Post(entry, incarnation, [=](model::timestamp at) -> model::event {
-        return model::append_answered{.at = at, .sequence = sequence, .offset = offset};
+        return model::append_answered{
+            .at = at, .sequence = sequence, .offset = offset};
       });
     });
   });
@@ -61,12 +63,15 @@
   const std::uint64_t first = log.first_offset;
   const std::uint64_t end = log.EndOffset();
   After(Latency() + log_delay, [=, this] {
-    Post(read->entry, read->incarnation, [=](model::timestamp at) -> model::event {
-      if (cut)
-        return model::log_unread{.at = at};
-      return model::log_read{
-          .at = at, .first_offset = first, .end_offset = end, .batches = batches};
-    });
+    Post(read->entry, read->incarnation,
+         [=](model::timestamp at) -> model::event {
+           if (cut)
+             return model::log_unread{.at = at};
+           return model::log_read{.at = at,
+                                  .first_offset = first,
+                                  .end_offset = end,
+                                  .batches = batches};
+         });
   });
 }
 
@@ -78,7 +83,8 @@
   const model::duration wait = effect.wait;
   After(Latency(), [=, this] {
     const bool has_records = read->from < log.EndOffset();
-    if (IsCutFromLog(*this, entry) || has_records || wait == model::duration::zero()) {
+    if (IsCutFromLog(*this, entry) || has_records ||
+        wait == model::duration::zero()) {
       AnswerRead(read);
       return;
     }
@@ -129,8 +135,9 @@
     return model::duration(1);
   const model::duration whole = run_times.at(name->second);
   const auto saved = work_saved.find(job);
-  return saved == work_saved.end() ? whole : std::max(whole - saved->second,
-                                                      model::duration(1));
+  return saved == work_saved.end()
+             ? whole
+             : std::max(whole - saved->second, model::duration(1));
 }
 
 // Takes note of what a worker's tasks did since the last look.
@@ -144,7 +151,8 @@
     const auto since = running_since.find(entry.job);
     if (entry.state == model::task_state::kRunning) {
       running_since[entry.job] = entry.at;
-    } else if (entry.state == model::task_state::kStopped && since != running_since.end()) {
+    } else if (entry.state == model::task_state::kStopped &&
+               since != running_since.end()) {
       const model::duration ran = entry.at - since->second;
       if (entry.checkpointed)
         work_saved[entry.job] += ran;
@@ -156,7 +164,9 @@
   }
 }
 
-void stage::SyncWorker(std::uint32_t entry, const model::call_worker& effect, bool answers) {
+void stage::SyncWorker(std::uint32_t entry,
+                       const model::call_worker& effect,
+                       bool answers) {
   worker_slot& slot = workers.at(effect.worker);
   const std::uint64_t incarnation = entries[entry].incarnation;
   for (const model::task_instruction& order : effect.sync.tasks) {
@@ -178,8 +188,10 @@
     return;
   After(Latency(), [=, this, report = done.report] {
     Post(entry, incarnation, [=](model::timestamp at) -> model::event {
-      return model::worker_answered{
-          .at = at, .worker = effect.worker, .call = effect.call, .report = report};
+      return model::worker_answered{.at = at,
+                                    .worker = effect.worker,
+                                    .call = effect.call,
+                                    .report = report};
     });
   });
 }
@@ -213,12 +225,16 @@
   std::uint32_t attempt = 0;
 };
 
-void Unanswered(stage& stage, const endpoint_run& run, model::duration wait, bool sent) {
+void Unanswered(stage& stage,
+                const endpoint_run& run,
+                model::duration wait,
+                bool sent) {
   stage.After(wait, [&stage, run, sent] {
-    stage.Post(run.entry, run.incarnation, [=](model::timestamp at) -> model::event {
-      return model::endpoint_unanswered{
-          .at = at, .call = run.call, .attempt = run.attempt, .sent = sent};
-    });
+    stage.Post(
+        run.entry, run.incarnation, [=](model::timestamp at) -> model::event {
+          return model::endpoint_unanswered{
+              .at = at, .call = run.call, .attempt = run.attempt, .sent = sent};
+        });
   });
 }
 
@@ -231,14 +247,16 @@
   constexpr std::uint32_t kOk = 200;
   constexpr std::uint32_t kUnavailable = 503;
   stage.After(wait, [&stage, run, attempt, body, leaving] {
-    stage.Post(run.entry, run.incarnation, [=](model::timestamp at) -> model::event {
-      return model::endpoint_answered{.at = at,
-                                      .call = run.call,
-                                      .attempt = attempt,
-                                      .status = leaving ? kUnavailable : kOk,
-                                      .leaving = leaving,
-                                      .body = body};
-    });
+    stage.Post(run.entry, run.incarnation,
+               [=](model::timestamp at) -> model::event {
+                 return model::endpoint_answered{
+                     .at = at,
+                     .call = run.call,
+                     .attempt = attempt,
+                     .status = leaving ? kUnavailable : kOk,
+                     .leaving = leaving,
+                     .body = body};
+               });
   });
 }
 
@@ -263,7 +281,8 @@
     }
     if (slot.frozen) {
       // Taken by the socket; run when the endpoint thaws.
-      slot.inbox.push_back([=, this] { watch.SeeRun(call.name, call.key, now); });
+      slot.inbox.push_back(
+          [=, this] { watch.SeeRun(call.name, call.key, now); });
       Unanswered(*this, run, effect.timeout, true);
       return;
     }
@@ -282,11 +301,13 @@
       case endpoint_mode::kCrossed:
         // Another attempt's answer, then its own.
         Answered(*this, run, latency, run.attempt + 1, "served another", false);
-        Answered(*this, run, 2 * latency + call.takes, run.attempt, body, false);
+        Answered(*this, run, 2 * latency + call.takes, run.attempt, body,
+                 false);
         return;
       case endpoint_mode::kLate:
         Unanswered(*this, run, effect.timeout, true);
-        Answered(*this, run, effect.timeout + latency, run.attempt, body, false);
+        Answered(*this, run, effect.timeout + latency, run.attempt, body,
+                 false);
         return;
       case endpoint_mode::kWell:
         if (call.takes > effect.timeout)
--- a/source/replay/stage_state.h
+++ b/source/replay/stage_state.h
@@ -79,7 +79,9 @@
 
   // Entries (stage.cc).
   void StartEntry(std::uint32_t entry);
-  void Post(std::uint32_t entry, std::uint64_t incarnation, const event_maker& make);
+  void Post(std::uint32_t entry,
+            std::uint64_t incarnation,
+            const event_maker& make);
   void Reduce(std::uint32_t entry, const model::event& event);
   void Observe(std::uint32_t entry);
   void NotePhases(const model::ledger& ledger);
@@ -94,7 +96,9 @@
   void Perform(std::uint32_t entry, const model::call_worker& effect);
   void Perform(std::uint32_t entry, const model::call_endpoint& effect);
   void AnswerRead(const std::shared_ptr<parked_read>& read);
-  void SyncWorker(std::uint32_t entry, const model::call_worker& effect, bool answers);
+  void SyncWorker(std::uint32_t entry,
+                  const model::call_worker& effect,
+                  bool answers);
   void SeeWorker(worker_slot& worker);
   model::duration RemainingOf(const model::job_id& job) const;
 
@@ -120,7 +124,8 @@
   model::timestamp now = kRunStart;
   std::uint64_t next_action = 0;
   std::mt19937_64 random;
-  std::map<std::pair<model::timestamp, std::uint64_t>, std::function<void()>> actions;
+  std::map<std::pair<model::timestamp, std::uint64_t>, std::function<void()>>
+      actions;
 
   std::vector<entry_slot> entries;
   std::map<model::worker_id, worker_slot> workers;
--- a/source/report/burn.cc
+++ b/source/report/burn.cc
@@ -27,8 +27,9 @@
 
 constexpr std::uint64_t kPermille = 1000;
 
-const model::objective* FindObjective(const std::vector<model::objective>& objectives,
-                                      const model::service_id& service) {
+const model::objective* FindObjective(
+    const std::vector<model::objective>& objectives,
+    const model::service_id& service) {
   const auto found =
       std::ranges::find(objectives, service, &model::objective::service_name);
   return found == objectives.end() ? nullptr : &*found;
@@ -90,10 +91,11 @@
           .short_good = brief.good,
           .long_total = lengthy.total,
           .long_good = lengthy.good,
-          .short_burn_permille = BurnPermille(brief.total, brief.good, target_permille),
+          .short_burn_permille =
+              BurnPermille(brief.total, brief.good, target_permille),
           .long_burn_permille = long_burn,
-          .budget_left_permille =
-              static_cast<std::int64_t>(kPermille) - static_cast<std::int64_t>(long_burn)};
+          .budget_left_permille = static_cast<std::int64_t>(kPermille) -
+                                  static_cast<std::int64_t>(long_burn)};
 }
 
 }  // namespace
@@ -104,7 +106,8 @@
   const model::objective* objective = FindObjective(objectives, seen.service);
   if (objective == nullptr)
     return counts;
-  const burn_bucket_name name{.service = seen.service, .start = BucketOf(seen.at)};
+  const burn_bucket_name name{.service = seen.service,
+                              .start = BucketOf(seen.at)};
   const burn_count* present = counts.Find(name);
   const burn_count old = present == nullptr ? burn_count{} : *present;
   const bool good = seen.whole_answer && seen.latency <= objective->within;
@@ -114,24 +117,28 @@
   return counts;
 }
 
-std::vector<burn_line> BurnReport(const burn_counts& counts,
-                                  const std::vector<model::objective>& objectives,
-                                  model::timestamp now) {
+std::vector<burn_line> BurnReport(
+    const burn_counts& counts,
+    const std::vector<model::objective>& objectives,
+    model::timestamp now) {
   std::vector<burn_line> lines;
   for (const model::objective& each : objectives) {
-    lines.push_back(LineOf(each.service_name, each.target_permille, each.within,
-                           SumSince(counts, each.service_name, now - kShortWindow),
-                           SumSince(counts, each.service_name, now - kLongWindow)));
+    lines.push_back(
+        LineOf(each.service_name, each.target_permille, each.within,
+               SumSince(counts, each.service_name, now - kShortWindow),
+               SumSince(counts, each.service_name, now - kLongWindow)));
   }
   return lines;
 }
 
-std::vector<burn_line> SumBurn(const std::vector<std::vector<burn_line>>& reports) {
+std::vector<burn_line> SumBurn(
+    const std::vector<std::vector<burn_line>>& reports) {
   std::vector<burn_line> sums;
   for (const std::vector<burn_line>& report : reports) {
     std::vector<burn_line> next;
     for (const burn_line& line : report) {
-      const auto found = std::ranges::find(sums, line.service, &burn_line::service);
+      const auto found =
+          std::ranges::find(sums, line.service, &burn_line::service);
       const burn_line before =
           found == sums.end() ? burn_line{.service = line.service} : *found;
       next.push_back(LineOf(line.service, line.target_permille, line.within,
@@ -150,22 +157,25 @@
 }
 
 std::vector<burn_line> DecodeBurn(const std::string& text) {
-  auto lines =
-      wire::ValueOf([&] { return wire::FromJson<std::vector<burn_line>>(text); });
+  auto lines = wire::ValueOf(
+      [&] { return wire::FromJson<std::vector<burn_line>>(text); });
   return lines ? std::move(*lines) : std::vector<burn_line>();
 }
 
 std::string BurnTable(const std::vector<burn_line>& lines) {
   constexpr double kPermilleReal = 1000.0;
-  std::string table =
-      fmt::format("{:<24} {:>8} {:>9} {:>10} {:>10} {:>10} {:>11} {:>12}\n", "SERVICE",
-                  "TARGET", "WITHIN", "5 MIN", "BURN", "60 MIN", "BURN", "BUDGET LEFT");
+  std::string table = fmt::format(
+      "{:<24} {:>8} {:>9} {:>10} {:>10} {:>10} {:>11} {:>12}\n", "SERVICE",
+      "TARGET", "WITHIN", "5 MIN", "BURN", "60 MIN", "BURN", "BUDGET LEFT");
   for (const burn_line& line : lines) {
     table += fmt::format(
-        "{:<24} {:>7.1f}% {:>6} ms {:>10} {:>10.2f} {:>10} {:>11.2f} {:>11.1f}%\n",
+        "{:<24} {:>7.1f}% {:>6} ms {:>10} {:>10.2f} {:>10} {:>11.2f} "
+        "{:>11.1f}%\n",
         line.service.value(), line.target_permille / 10.0, line.within.count(),
-        line.short_total, static_cast<double>(line.short_burn_permille) / kPermilleReal,
-        line.long_total, static_cast<double>(line.long_burn_permille) / kPermilleReal,
+        line.short_total,
+        static_cast<double>(line.short_burn_permille) / kPermilleReal,
+        line.long_total,
+        static_cast<double>(line.long_burn_permille) / kPermilleReal,
         static_cast<double>(line.budget_left_permille) / 10.0);
   }
   return table;
--- a/source/report/burn.h
+++ b/source/report/burn.h
@@ -1,5 +1,6 @@
-// Service-level burn: how fast a service uses up its error budget. A burn of 1 uses
-// the budget up exactly by the end of the objective's period; above 1 is too fast.
+// Service-level burn: how fast a service uses up its error budget. A burn of 1
+// uses the budget up exactly by the end of the objective's period; above 1 is
+// too fast.
 
 #ifndef PARSLEYHITCH_REPORT_BURN_H_
 #define PARSLEYHITCH_REPORT_BURN_H_
@@ -43,8 +44,8 @@
 // Counts by service and bucket of time.
 using burn_counts = model::value_table<burn_bucket_name, burn_count>;
 
-// Adds the observation, judged by the service's objective; without one it is left
-// out. Buckets older than the long window are dropped.
+// Adds the observation, judged by the service's objective; without one it is
+// left out. Buckets older than the long window are dropped.
 burn_counts Observe(burn_counts counts,
                     const std::vector<model::objective>& objectives,
                     const observation& seen);
@@ -65,12 +66,14 @@
   bool operator==(const burn_line&) const = default;
 };
 
-std::vector<burn_line> BurnReport(const burn_counts& counts,
-                                  const std::vector<model::objective>& objectives,
-                                  model::timestamp now);
+std::vector<burn_line> BurnReport(
+    const burn_counts& counts,
+    const std::vector<model::objective>& objectives,
+    model::timestamp now);
 
 // Adds up the reports of several entries on the same objectives.
-std::vector<burn_line> SumBurn(const std::vector<std::vector<burn_line>>& reports);
+std::vector<burn_line> SumBurn(
+    const std::vector<std::vector<burn_line>>& reports);
 
 std::string EncodeBurn(const std::vector<burn_line>& lines);
 std::vector<burn_line> DecodeBurn(const std::string& text);
--- a/source/report/latency.h
+++ b/source/report/latency.h
@@ -13,8 +13,9 @@
 
 namespace detail {
 
-using log_axis = boost::histogram::axis::regular<double,
-                                                 boost::histogram::axis::transform::log>;
+using log_axis =
+    boost::histogram::axis::regular<double,
+                                    boost::histogram::axis::transform::log>;
 using counts = boost::histogram::histogram<std::tuple<log_axis>>;
 
 }  // namespace detail
@@ -29,8 +30,8 @@
   std::uint64_t count() const { return count_; }
   model::duration sum() const { return sum_; }
 
-  // The duration below which `permille` of the values lie: the upper edge of its
-  // bucket; zero when there are no values.
+  // The duration below which `permille` of the values lie: the upper edge of
+  // its bucket; zero when there are no values.
   model::duration Quantile(std::uint32_t permille) const;
 
   // Values of at most `bound`, to the precision of the buckets.
--- a/source/report/metrics.h
+++ b/source/report/metrics.h
@@ -1,5 +1,5 @@
-// Counters and latency histograms of one entry, in the text format that scrapers
-// read.
+// Counters and latency histograms of one entry, in the text format that
+// scrapers read.
 
 #ifndef PARSLEYHITCH_REPORT_METRICS_H_
 #define PARSLEYHITCH_REPORT_METRICS_H_
--- a/source/runtime/entry_loop.cc
+++ b/source/runtime/entry_loop.cc
@@ -6,7 +6,8 @@
 
 namespace parsleyhitch::runtime {
 
-entry_loop::entry_loop(const scheduler::environment& environment, loop_hooks hooks)
+entry_loop::entry_loop(const scheduler::environment& environment,
+                       loop_hooks hooks)
     : environment_(environment), hooks_(std::move(hooks)) {}
 
 void entry_loop::Post(model::event event) {
@@ -22,7 +23,8 @@
 void entry_loop::ReduceNext() {
   const model::event event = std::move(waiting_.front());
   waiting_.pop_front();
-  scheduler::step step = scheduler::Reduce(environment_, std::move(state_), event);
+  scheduler::step step =
+      scheduler::Reduce(environment_, std::move(state_), event);
   state_ = std::move(step.state);
   if (hooks_.observe)
     hooks_.observe(event, step.effects);
--- a/source/runtime/entry_loop.h
+++ b/source/runtime/entry_loop.h
@@ -1,5 +1,5 @@
-// Feeds events to the reducer, one at a time, and hands its effects on. It decides
-// nothing.
+// Feeds events to the reducer, one at a time, and hands its effects on. It
+// decides nothing.
 
 #ifndef PARSLEYHITCH_RUNTIME_ENTRY_LOOP_H_
 #define PARSLEYHITCH_RUNTIME_ENTRY_LOOP_H_
--- a/source/runtime/entry_process.cc
+++ b/source/runtime/entry_process.cc
@@ -37,8 +37,8 @@
   return {.me = settings.entry,
           .peers = std::move(peers),
           .limits = settings.limits,
-          .behaviour =
-              baseline ? scheduler::BaselineHooks() : scheduler::DefaultHooks()};
+          .behaviour = baseline ? scheduler::BaselineHooks()
+                                : scheduler::DefaultHooks()};
 }
 
 // Time that follows the system's at the start and never goes back.
@@ -46,12 +46,15 @@
  public:
   model::timestamp Now() const {
     const auto passed = std::chrono::steady_clock::now() - start_;
-    return std::chrono::time_point_cast<model::duration>(system_start_ + passed);
+    return std::chrono::time_point_cast<model::duration>(system_start_ +
+                                                         passed);
   }
 
  private:
-  std::chrono::steady_clock::time_point start_ = std::chrono::steady_clock::now();
-  std::chrono::system_clock::time_point system_start_ = std::chrono::system_clock::now();
+  std::chrono::steady_clock::time_point start_ =
+      std::chrono::steady_clock::now();
+  std::chrono::system_clock::time_point system_start_ =
+      std::chrono::system_clock::now();
 };
 
 // One call that waits for its answer.
@@ -62,7 +65,8 @@
 
 class entry_process {
  public:
-  entry_process(const settings::settings& settings, const std::string& record_path)
+  entry_process(const settings::settings& settings,
+                const std::string& record_path)
       : settings_(settings),
         environment_(EnvironmentOf(settings)),
         client_(io_),
@@ -74,21 +78,25 @@
                 io_,
                 settings.http_listen,
                 settings.max_body_bytes,
-                http_handlers{
-                    .call =
-                        [this](const wire::http_call& call,
-                               std::uint64_t connection,
-                               http_responder respond) {
-                          ReceiveCall(call, connection, std::move(respond));
-                        },
-                    .closed = [this](std::uint64_t connection) { LoseCaller(connection); }}),
+                http_handlers{.call =
+                                  [this](const wire::http_call& call,
+                                         std::uint64_t connection,
+                                         http_responder respond) {
+                                    ReceiveCall(call, connection,
+                                                std::move(respond));
+                                  },
+                              .closed =
+                                  [this](std::uint64_t connection) {
+                                    LoseCaller(connection);
+                                  }}),
         wake_(io_),
         signals_(io_, SIGTERM, SIGINT),
         tools_{.settings = settings_,
                .client = client_,
                .peers = peers_,
                .clock = [this] { return clock_.Now(); },
-               .post = [this](model::event event) { loop_.Post(std::move(event)); },
+               .post =
+                   [this](model::event event) { loop_.Post(std::move(event)); },
                .incarnation = static_cast<std::uint64_t>(
                    clock_.Now().time_since_epoch().count())},
         loop_(environment_, MakeHooks(record_path)) {}
@@ -116,11 +124,14 @@
     record_ << wire::EncodeRecordingHead(
                    {.entry = environment_.me,
                     .peers = environment_.peers,
-                    .baseline = settings_.placement == settings::policy::kBaseline,
+                    .baseline =
+                        settings_.placement == settings::policy::kBaseline,
                     .limits = environment_.limits})
             << "\n";
-    hooks.observe = [this](const model::event& event, const model::effects& effects) {
-      record_ << wire::EncodeRecordedStep({.event = event, .effects = effects}) << "\n";
+    hooks.observe = [this](const model::event& event,
+                           const model::effects& effects) {
+      record_ << wire::EncodeRecordedStep({.event = event, .effects = effects})
+              << "\n";
     };
     return hooks;
   }
@@ -168,23 +179,24 @@
   void Do(const model::stop_process&) {
     wake_.cancel();
     signals_.cancel();
-    server_->WhenWritten([this] {
-      asio::post(io_, [this] { io_.stop(); });
-    });
+    server_->WhenWritten([this] { asio::post(io_, [this] { io_.stop(); }); });
   }
 
   std::vector<model::objective> Objectives() const {
     const model::manifest* in_force = loop_.state().ledger.in_force.Get();
-    return in_force == nullptr ? std::vector<model::objective>() : in_force->objectives;
+    return in_force == nullptr ? std::vector<model::objective>()
+                               : in_force->objectives;
   }
 
   void ReceiveFromPeer(const std::string& bytes) {
-    auto message = wire::ValueOf([&] { return wire::DecodePeerMessage(bytes); });
+    auto message =
+        wire::ValueOf([&] { return wire::DecodePeerMessage(bytes); });
     if (!message) {
       Do(model::count_metric{.name = "peer_messages_damaged_total"});
       return;
     }
-    loop_.Post(model::peer_heard{.at = clock_.Now(), .message = std::move(*message)});
+    loop_.Post(
+        model::peer_heard{.at = clock_.Now(), .message = std::move(*message)});
   }
 
   void ReceiveCall(const wire::http_call& call,
@@ -267,7 +279,8 @@
 
 }  // namespace
 
-void RunEntry(const settings::settings& settings, const std::string& record_path) {
+void RunEntry(const settings::settings& settings,
+              const std::string& record_path) {
   entry_process(settings, record_path).Run();
 }
 
--- a/source/runtime/entry_process.h
+++ b/source/runtime/entry_process.h
@@ -9,10 +9,11 @@
 
 namespace parsleyhitch::runtime {
 
-// Runs until a graceful shutdown has ended. `record_path` names the file that takes
-// the recording; empty for none. Throws std::exception when an address can't be
-// listened at.
-void RunEntry(const settings::settings& settings, const std::string& record_path);
+// Runs until a graceful shutdown has ended. `record_path` names the file that
+// takes the recording; empty for none. Throws std::exception when an address
+// can't be listened at.
+void RunEntry(const settings::settings& settings,
+              const std::string& record_path);
 
 }  // namespace parsleyhitch::runtime
 
--- a/source/runtime/http_client.cc
+++ b/source/runtime/http_client.cc
@@ -38,7 +38,8 @@
 };
 
 struct client_state {
-  explicit client_state(asio::io_context& context) : io(context), timer(context) {}
+  explicit client_state(asio::io_context& context)
+      : io(context), timer(context) {}
 
   asio::io_context& io;
   asio::steady_timer timer;
@@ -51,7 +52,10 @@
 
 constexpr long kMaxIdleConnections = 512;
 
-std::size_t WriteBody(char* data, std::size_t size, std::size_t count, void* user) {
+std::size_t WriteBody(char* data,
+                      std::size_t size,
+                      std::size_t count,
+                      void* user) {
   static_cast<transfer*>(user)->response.append(data, size * count);
   return size * count;
 }
@@ -64,15 +68,20 @@
   return lower;
 }
 
-std::size_t WriteHeader(char* data, std::size_t size, std::size_t count, void* user) {
+std::size_t WriteHeader(char* data,
+                        std::size_t size,
+                        std::size_t count,
+                        void* user) {
   const std::string_view line(data, size * count);
   const std::size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
     const std::size_t start = line.find_first_not_of(' ', colon + 1);
     const std::size_t end = line.find_last_not_of("\r\n");
     const bool empty = start == std::string_view::npos || start > end;
-    static_cast<transfer*>(user)->response_headers[Lower(line.substr(0, colon))] =
-        empty ? std::string() : std::string(line.substr(start, end + 1 - start));
+    static_cast<transfer*>(user)
+        ->response_headers[Lower(line.substr(0, colon))] =
+        empty ? std::string()
+              : std::string(line.substr(start, end + 1 - start));
   }
   return size * count;
 }
@@ -118,13 +127,14 @@
     http_outcome outcome = OutcomeOf(easy, code, each);
     http_callback done = std::move(each.done);
     Release(*state, easy);
-    asio::post(state->io, [done = std::move(done), outcome = std::move(outcome)] {
-      done(outcome);
-    });
+    asio::post(state->io, [done = std::move(done),
+                           outcome = std::move(outcome)] { done(outcome); });
   }
 }
 
-void Act(const std::shared_ptr<client_state>& state, curl_socket_t socket, int action) {
+void Act(const std::shared_ptr<client_state>& state,
+         curl_socket_t socket,
+         int action) {
   if (state->multi == nullptr)
     return;
   int running = 0;
@@ -228,7 +238,8 @@
   for (const std::string& header : request.headers)
     each.headers = curl_slist_append(each.headers, header.c_str());
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, each.headers);
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(request.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, WriteBody);
@@ -253,7 +264,8 @@
   curl_multi_setopt(state_->multi, CURLMOPT_SOCKETDATA, &state_);
   curl_multi_setopt(state_->multi, CURLMOPT_TIMERFUNCTION, detail::OnTimer);
   curl_multi_setopt(state_->multi, CURLMOPT_TIMERDATA, &state_);
-  curl_multi_setopt(state_->multi, CURLMOPT_MAXCONNECTS, detail::kMaxIdleConnections);
+  curl_multi_setopt(state_->multi, CURLMOPT_MAXCONNECTS,
+                    detail::kMaxIdleConnections);
 }
 
 http_client::~http_client() {
--- a/source/runtime/http_client.h
+++ b/source/runtime/http_client.h
@@ -1,5 +1,5 @@
-// HTTP calls by libcurl's multi interface, driven by the Asio loop's sockets and
-// timers.
+// HTTP calls by libcurl's multi interface, driven by the Asio loop's sockets
+// and timers.
 
 #ifndef PARSLEYHITCH_RUNTIME_HTTP_CLIENT_H_
 #define PARSLEYHITCH_RUNTIME_HTTP_CLIENT_H_
@@ -25,8 +25,8 @@
   const std::vector<std::string> headers;
   const std::string body;
   const model::duration timeout{0};
-  // A request that must not be repeated goes over a connection of its own: libcurl
-  // repeats one by itself when a kept connection turns out to be dead.
+  // A request that must not be repeated goes over a connection of its own:
+  // libcurl repeats one by itself when a kept connection turns out to be dead.
   const bool own_connection = false;
 };
 
--- a/source/runtime/http_server.cc
+++ b/source/runtime/http_server.cc
@@ -21,8 +21,10 @@
   explicit connection_listener(std::function<void(std::uint64_t)> closed)
       : closed_(std::move(closed)) {}
 
-  void state_changed(const restinio::connection_state::notice_t& notice) noexcept {
-    if (std::holds_alternative<restinio::connection_state::closed_t>(notice.cause()))
+  void state_changed(
+      const restinio::connection_state::notice_t& notice) noexcept {
+    if (std::holds_alternative<restinio::connection_state::closed_t>(
+            notice.cause()))
       closed_(notice.connection_id());
   }
 
@@ -31,8 +33,8 @@
 };
 
 struct server_traits : public restinio::default_single_thread_traits_t {
-  using request_handler_t =
-      std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+  using request_handler_t = std::function<restinio::request_handling_status_t(
+      restinio::request_handle_t)>;
   using connection_state_listener_t = connection_listener;
 };
 
@@ -62,9 +64,10 @@
 
 wire::http_call CallOf(const restinio::request_handle_t& request) {
   std::map<std::string, std::string> headers;
-  request->header().for_each_field([&](const restinio::http_header_field_t& field) {
-    headers[Lower(field.name())] = field.value();
-  });
+  request->header().for_each_field(
+      [&](const restinio::http_header_field_t& field) {
+        headers[Lower(field.name())] = field.value();
+      });
   return {.method = request->header().method().c_str(),
           .path = std::string(request->header().path()),
           .query = std::string(request->header().query()),
@@ -76,7 +79,8 @@
   --state->unwritten;
   if (state->unwritten != 0 || !state->when_written)
     return;
-  const std::function<void()> done = std::exchange(state->when_written, nullptr);
+  const std::function<void()> done =
+      std::exchange(state->when_written, nullptr);
   done();
 }
 
@@ -87,7 +91,8 @@
       restinio::http_status_code_t(static_cast<std::uint16_t>(reply.status)),
       reply.status < 400 ? "OK" : "Refused"};
   auto response = request->create_response(status);
-  response.append_header(restinio::http_field::content_type, reply.content_type);
+  response.append_header(restinio::http_field::content_type,
+                         reply.content_type);
   for (const auto& [name, value] : reply.headers)
     response.append_header(name, value);
   response.set_body(reply.body);
@@ -95,8 +100,9 @@
   response.done([state](const auto&) { NoteWritten(state); });
 }
 
-restinio::request_handling_status_t Accept(const std::shared_ptr<server_state>& state,
-                                           const restinio::request_handle_t& request) {
+restinio::request_handling_status_t Accept(
+    const std::shared_ptr<server_state>& state,
+    const restinio::request_handle_t& request) {
   state->handlers.call(CallOf(request), request->connection_id(),
                        [state, request](const wire::http_reply& reply) {
                          Respond(state, request, reply);
@@ -115,7 +121,8 @@
     : state_(std::make_shared<detail::server_state>()) {
   state_->handlers = std::move(handlers);
   const std::size_t colon = address.rfind(':');
-  const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)));
+  const auto port =
+      static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)));
   const std::weak_ptr<detail::server_state> weak = state_;
   auto listener = std::make_shared<detail::connection_listener>(
       [weak](std::uint64_t connection) {
@@ -130,7 +137,8 @@
             .write_http_response_timelimit(detail::kIdleConnection)
             .read_next_http_message_timelimit(detail::kIdleConnection)
             .incoming_http_msg_limits(
-                restinio::incoming_http_msg_limits_t().max_body_size(max_body_bytes))
+                restinio::incoming_http_msg_limits_t().max_body_size(
+                    max_body_bytes))
             .connection_state_listener(listener)
             .request_handler([weak](const restinio::request_handle_t& request) {
               const auto state = weak.lock();
--- a/source/runtime/http_server.h
+++ b/source/runtime/http_server.h
@@ -18,8 +18,9 @@
 
 struct http_handlers {
   // `connection` names the call's connection until `closed` names it.
-  std::function<
-      void(wire::http_call call, std::uint64_t connection, http_responder respond)>
+  std::function<void(wire::http_call call,
+                     std::uint64_t connection,
+                     http_responder respond)>
       call;
   std::function<void(std::uint64_t connection)> closed;
 };
--- a/source/runtime/peer_socket.cc
+++ b/source/runtime/peer_socket.cc
@@ -1,5 +1,5 @@
-// ZeroMQ's file descriptor is edge-triggered: after each wake the socket is read
-// until it is empty (zmq_getsockopt(3), ZMQ_FD).
+// ZeroMQ's file descriptor is edge-triggered: after each wake the socket is
+// read until it is empty (zmq_getsockopt(3), ZMQ_FD).
 
 #include "runtime/peer_socket.h"
 
@@ -35,14 +35,13 @@
 }
 
 void WaitForMessages(const std::shared_ptr<peer_sockets>& sockets) {
-  sockets->readable.async_wait(
-      asio::posix::stream_descriptor::wait_read,
-      [sockets](const asio::error_code& error) {
-        if (error)
-          return;
-        Drain(*sockets);
-        WaitForMessages(sockets);
-      });
+  sockets->readable.async_wait(asio::posix::stream_descriptor::wait_read,
+                               [sockets](const asio::error_code& error) {
+                                 if (error)
+                                   return;
+                                 Drain(*sockets);
+                                 WaitForMessages(sockets);
+                               });
 }
 
 }  // namespace
@@ -80,7 +79,8 @@
   const auto found = sockets_->outgoing.find(to);
   if (found == sockets_->outgoing.end())
     return false;
-  const auto sent = found->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+  const auto sent =
+      found->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
   return sent.has_value();
 }
 
--- a/source/runtime/peer_socket.h
+++ b/source/runtime/peer_socket.h
@@ -1,6 +1,6 @@
-// Messages between entries over ZeroMQ: one socket that takes all peers' messages,
-// and one to each peer. Sending never waits: a message that can't go out is dropped,
-// as the next heartbeat says the same and more.
+// Messages between entries over ZeroMQ: one socket that takes all peers'
+// messages, and one to each peer. Sending never waits: a message that can't go
+// out is dropped, as the next heartbeat says the same and more.
 
 #ifndef PARSLEYHITCH_RUNTIME_PEER_SOCKET_H_
 #define PARSLEYHITCH_RUNTIME_PEER_SOCKET_H_
@@ -22,8 +22,8 @@
 
 class peer_socket {
  public:
-  // Listens at "ip:port" and connects to each peer. Throws std::exception when it
-  // can't listen.
+  // Listens at "ip:port" and connects to each peer. Throws std::exception when
+  // it can't listen.
   peer_socket(asio::io_context& io,
               const std::string& listen,
               const std::vector<settings::peer_address>& peers,
--- a/source/runtime/performers.cc
+++ b/source/runtime/performers.cc
@@ -24,7 +24,8 @@
 // The body of a successful response; null otherwise.
 const std::string* BodyOf(const http_outcome& outcome) {
   const auto* response = std::get_if<http_response>(&outcome);
-  return response != nullptr && response->status == kOk ? &response->body : nullptr;
+  return response != nullptr && response->status == kOk ? &response->body
+                                                        : nullptr;
 }
 
 std::optional<wire::log_page> PageOf(const http_outcome& outcome) {
@@ -48,9 +49,11 @@
 }
 
 // Names one attempt; an endpoint that repeats it lets crossed answers be seen.
-std::string AttemptName(const performer_tools& tools, const model::call_endpoint& effect) {
-  return tools.settings.entry.value() + "-" + std::to_string(tools.incarnation) + "-" +
-         std::to_string(effect.call) + "-" + std::to_string(effect.attempt);
+std::string AttemptName(const performer_tools& tools,
+                        const model::call_endpoint& effect) {
+  return tools.settings.entry.value() + "-" +
+         std::to_string(tools.incarnation) + "-" + std::to_string(effect.call) +
+         "-" + std::to_string(effect.attempt);
 }
 
 model::event EndpointEvent(const performer_tools& tools,
@@ -58,23 +61,26 @@
                            const http_outcome& outcome) {
   const auto* response = std::get_if<http_response>(&outcome);
   if (response == nullptr) {
-    return model::endpoint_unanswered{.at = tools.clock(),
-                                      .call = effect.call,
-                                      .attempt = effect.attempt,
-                                      .sent = std::get<http_failure>(outcome).sent};
+    return model::endpoint_unanswered{
+        .at = tools.clock(),
+        .call = effect.call,
+        .attempt = effect.attempt,
+        .sent = std::get<http_failure>(outcome).sent};
   }
   const std::string repeated = HeaderOf(*response, kAttemptHeader);
-  const bool crossed = !repeated.empty() && repeated != AttemptName(tools, effect);
+  const bool crossed =
+      !repeated.empty() && repeated != AttemptName(tools, effect);
   if (crossed) {
     return model::endpoint_unanswered{
         .at = tools.clock(), .call = effect.call, .attempt = effect.attempt};
   }
-  return model::endpoint_answered{.at = tools.clock(),
-                                  .call = effect.call,
-                                  .attempt = effect.attempt,
-                                  .status = response->status,
-                                  .leaving = !HeaderOf(*response, kLeavingHeader).empty(),
-                                  .body = response->body};
+  return model::endpoint_answered{
+      .at = tools.clock(),
+      .call = effect.call,
+      .attempt = effect.attempt,
+      .status = response->status,
+      .leaving = !HeaderOf(*response, kLeavingHeader).empty(),
+      .body = response->body};
 }
 
 }  // namespace
@@ -86,15 +92,18 @@
                        .headers = {"Content-Type: application/octet-stream"},
                        .body = wire::EncodeBatch(effect.content),
                        .timeout = effect.timeout};
-  tools.client.Send(std::move(request), [&tools, sequence](const http_outcome& outcome) {
+  tools.client.Send(std::move(request), [&tools, sequence](
+                                            const http_outcome& outcome) {
     std::optional<wire::log_position> position;
     if (const std::string* body = BodyOf(outcome)) {
-      auto decoded = wire::ValueOf([&] { return wire::DecodeLogPosition(*body); });
+      auto decoded =
+          wire::ValueOf([&] { return wire::DecodeLogPosition(*body); });
       if (decoded)
         position.emplace(*decoded);
     }
     if (!position) {
-      tools.post(model::append_unanswered{.at = tools.clock(), .sequence = sequence});
+      tools.post(
+          model::append_unanswered{.at = tools.clock(), .sequence = sequence});
       return;
     }
     tools.post(model::append_answered{
@@ -130,7 +139,8 @@
     if (body != nullptr) {
       auto vms = wire::ValueOf([&] { return wire::DecodeVmList(*body); });
       if (vms) {
-        tools.post(model::vm_list_read{.at = tools.clock(), .vms = std::move(*vms)});
+        tools.post(
+            model::vm_list_read{.at = tools.clock(), .vms = std::move(*vms)});
         return;
       }
     }
@@ -150,22 +160,22 @@
                        .timeout = effect.timeout};
   const model::worker_id worker = effect.worker;
   const std::uint64_t call = effect.call;
-  tools.client.Send(
-      std::move(request), [&tools, worker, call](const http_outcome& outcome) {
-        const std::string* body = BodyOf(outcome);
-        if (body != nullptr) {
-          auto report = wire::ValueOf([&] { return wire::DecodeReport(*body); });
-          if (report) {
-            tools.post(model::worker_answered{.at = tools.clock(),
-                                              .worker = worker,
-                                              .call = call,
-                                              .report = std::move(*report)});
-            return;
-          }
-        }
-        tools.post(model::worker_unanswered{
-            .at = tools.clock(), .worker = worker, .call = call});
-      });
+  tools.client.Send(std::move(request), [&tools, worker,
+                                         call](const http_outcome& outcome) {
+    const std::string* body = BodyOf(outcome);
+    if (body != nullptr) {
+      auto report = wire::ValueOf([&] { return wire::DecodeReport(*body); });
+      if (report) {
+        tools.post(model::worker_answered{.at = tools.clock(),
+                                          .worker = worker,
+                                          .call = call,
+                                          .report = std::move(*report)});
+        return;
+      }
+    }
+    tools.post(model::worker_unanswered{
+        .at = tools.clock(), .worker = worker, .call = call});
+  });
 }
 
 void Perform(const performer_tools& tools, const model::call_endpoint& effect) {
@@ -181,9 +191,10 @@
       .body = effect.body,
       .timeout = effect.timeout,
       .own_connection = !effect.key.empty()};
-  tools.client.Send(std::move(request), [&tools, effect](const http_outcome& outcome) {
-    tools.post(EndpointEvent(tools, effect, outcome));
-  });
+  tools.client.Send(std::move(request),
+                    [&tools, effect](const http_outcome& outcome) {
+                      tools.post(EndpointEvent(tools, effect, outcome));
+                    });
 }
 
 }  // namespace parsleyhitch::runtime
--- a/source/scheduler/capacity.cc
+++ b/source/scheduler/capacity.cc
@@ -57,12 +57,14 @@
 
 }  // namespace
 
-model::capacity UseOf(const model::ledger& ledger, const model::worker_id& worker) {
+model::capacity UseOf(const model::ledger& ledger,
+                      const model::worker_id& worker) {
   const model::capacity* use = ledger.use.Find(worker);
   return use == nullptr ? model::capacity{} : *use;
 }
 
-std::uint32_t FreeOf(const model::ledger& ledger, const model::worker_id& worker) {
+std::uint32_t FreeOf(const model::ledger& ledger,
+                     const model::worker_id& worker) {
   const model::worker_status* status = ledger.workers.Find(worker);
   if (status == nullptr)
     return 0;
@@ -78,10 +80,11 @@
   const bool indexed = kind != use_kind::kReserved;
   if (indexed)
     ledger = Unindex(std::move(ledger), worker);
-  ledger.use.Put(worker,
-                 {.firm = Changed(old.firm, kind == use_kind::kFirm, change),
-                  .soft = Changed(old.soft, kind == use_kind::kSoft, change),
-                  .reserved = Changed(old.reserved, kind == use_kind::kReserved, change)});
+  ledger.use.Put(
+      worker,
+      {.firm = Changed(old.firm, kind == use_kind::kFirm, change),
+       .soft = Changed(old.soft, kind == use_kind::kSoft, change),
+       .reserved = Changed(old.reserved, kind == use_kind::kReserved, change)});
   if (kind == use_kind::kFirm)
     ledger.accelerators_firm += static_cast<std::uint64_t>(change);
   if (kind == use_kind::kSoft)
--- a/source/scheduler/capacity.h
+++ b/source/scheduler/capacity.h
@@ -14,10 +14,12 @@
 enum class use_kind { kFirm, kSoft, kReserved };
 
 // The worker's use; zeros for an unknown worker.
-model::capacity UseOf(const model::ledger& ledger, const model::worker_id& worker);
+model::capacity UseOf(const model::ledger& ledger,
+                      const model::worker_id& worker);
 
 // Accelerators of a worker free of firm and soft work; 0 for an unknown worker.
-std::uint32_t FreeOf(const model::ledger& ledger, const model::worker_id& worker);
+std::uint32_t FreeOf(const model::ledger& ledger,
+                     const model::worker_id& worker);
 
 // Adds `change` (may be negative) to one kind of use of a worker.
 model::ledger ChangeUse(model::ledger ledger,
--- a/source/scheduler/checkpoint.cc
+++ b/source/scheduler/checkpoint.cc
@@ -20,7 +20,8 @@
   std::optional<model::manifest> kept;
   if (in_force != nullptr)
     kept.emplace(*in_force);
-  parts.emplace_back(model::saved_head{.clock = ledger.clock, .in_force = kept});
+  parts.emplace_back(
+      model::saved_head{.clock = ledger.clock, .in_force = kept});
 }
 
 void SaveJobs(part_list& parts, const model::ledger& ledger) {
@@ -29,7 +30,8 @@
     std::optional<model::placement> kept;
     if (placed != nullptr)
       kept.emplace(*placed);
-    parts.emplace_back(model::saved_job{.job = id, .status = status, .placed = kept});
+    parts.emplace_back(
+        model::saved_job{.job = id, .status = status, .placed = kept});
   }
 }
 
@@ -37,14 +39,16 @@
   part_list parts;
   SaveHead(parts, ledger);
   for (const auto& [name, sequence] : ledger.last_sequence)
-    parts.emplace_back(model::saved_writer{.name = name, .last_sequence = sequence});
+    parts.emplace_back(
+        model::saved_writer{.name = name, .last_sequence = sequence});
   for (const auto& [id, status] : ledger.workers)
     parts.emplace_back(model::saved_worker{.status = status});
   SaveJobs(parts, ledger);
   for (const auto& [name, key] : ledger.job_keys)
     parts.emplace_back(model::saved_job_key{.name = name, .key = key});
   for (const auto& [kind, estimate] : ledger.estimates)
-    parts.emplace_back(model::saved_estimate{.kind = kind, .estimate = estimate});
+    parts.emplace_back(
+        model::saved_estimate{.kind = kind, .estimate = estimate});
   for (const auto& [id, status] : ledger.guarantees)
     parts.emplace_back(model::saved_guarantee{.id = id, .status = status});
   for (const auto& [name, claim] : ledger.claims)
@@ -80,8 +84,8 @@
   for (const model::member& each : part.placed->members) {
     if (IsOver(each.state))
       continue;
-    ledger = ChangeMember(std::move(ledger), part.job, *part.placed, each.worker,
-                          member_change::kTake);
+    ledger = ChangeMember(std::move(ledger), part.job, *part.placed,
+                          each.worker, member_change::kTake);
   }
   return ledger;
 }
@@ -96,7 +100,8 @@
   return ledger;
 }
 
-model::ledger Restore(model::ledger ledger, const model::saved_guarantee& part) {
+model::ledger Restore(model::ledger ledger,
+                      const model::saved_guarantee& part) {
   return RestoreGuarantee(std::move(ledger), part.id, part.status);
 }
 
@@ -108,22 +113,25 @@
 
 }  // namespace
 
-std::vector<model::checkpoint_chunk> TakeCheckpoint(const model::ledger& ledger,
-                                                    const model::entry_id& by,
-                                                    const model::limits& limits) {
+std::vector<model::checkpoint_chunk> TakeCheckpoint(
+    const model::ledger& ledger,
+    const model::entry_id& by,
+    const model::limits& limits) {
   const part_list parts = PartsOf(ledger);
   const std::size_t size = limits.checkpoint_chunk_parts;
   const std::size_t count = (parts.size() + size - 1) / size;
   std::vector<model::checkpoint_chunk> chunks;
   for (std::size_t index = 0; index < count; ++index) {
-    const auto first = parts.begin() + static_cast<std::ptrdiff_t>(index * size);
+    const auto first =
+        parts.begin() + static_cast<std::ptrdiff_t>(index * size);
     const std::size_t last = std::min(parts.size(), (index + 1) * size);
-    chunks.push_back({.by = by,
-                      .upto = ledger.next_offset,
-                      .index = static_cast<std::uint32_t>(index),
-                      .count = static_cast<std::uint32_t>(count),
-                      .parts = part_list(first, parts.begin() +
-                                                    static_cast<std::ptrdiff_t>(last))});
+    chunks.push_back(
+        {.by = by,
+         .upto = ledger.next_offset,
+         .index = static_cast<std::uint32_t>(index),
+         .count = static_cast<std::uint32_t>(count),
+         .parts = part_list(
+             first, parts.begin() + static_cast<std::ptrdiff_t>(last))});
   }
   return chunks;
 }
@@ -133,13 +141,15 @@
   model::ledger ledger;
   for (const model::checkpoint_part& part : parts) {
     ledger = std::visit(
-        [&](const auto& each) { return Restore(std::move(ledger), each); }, part);
+        [&](const auto& each) { return Restore(std::move(ledger), each); },
+        part);
   }
   ledger.next_offset = upto;
   return ledger;
 }
 
-collected Collect(checkpoint_collector collector, const model::checkpoint_chunk& chunk) {
+collected Collect(checkpoint_collector collector,
+                  const model::checkpoint_chunk& chunk) {
   const checkpoint_name name{.upto = chunk.upto, .by = chunk.by};
   const auto* present = collector.chunks.Find(name);
   model::value_table<std::uint32_t, model::checkpoint_chunk> chunks;
--- a/source/scheduler/checkpoint.h
+++ b/source/scheduler/checkpoint.h
@@ -1,4 +1,5 @@
-// Checkpoints: the ledger as records, so that state outlives the log's retention.
+// Checkpoints: the ledger as records, so that state outlives the log's
+// retention.
 
 #ifndef PARSLEYHITCH_SCHEDULER_CHECKPOINT_H_
 #define PARSLEYHITCH_SCHEDULER_CHECKPOINT_H_
@@ -15,9 +16,10 @@
 namespace parsleyhitch::scheduler {
 
 // The whole ledger, as it stands before its next offset, in chunks.
-std::vector<model::checkpoint_chunk> TakeCheckpoint(const model::ledger& ledger,
-                                                    const model::entry_id& by,
-                                                    const model::limits& limits);
+std::vector<model::checkpoint_chunk> TakeCheckpoint(
+    const model::ledger& ledger,
+    const model::entry_id& by,
+    const model::limits& limits);
 
 // The ledger that the parts describe; equal to the one they were taken from.
 model::ledger RestoreLedger(const std::vector<model::checkpoint_part>& parts,
@@ -32,7 +34,8 @@
 
 // Chunks read so far, by checkpoint. Repeated chunks replace one another.
 struct checkpoint_collector {
-  model::value_table<checkpoint_name, model::value_table<std::uint32_t, model::checkpoint_chunk>>
+  model::value_table<checkpoint_name,
+                     model::value_table<std::uint32_t, model::checkpoint_chunk>>
       chunks;
 
   bool operator==(const checkpoint_collector&) const = default;
@@ -44,7 +47,8 @@
   std::optional<model::ledger> restored;
 };
 
-collected Collect(checkpoint_collector collector, const model::checkpoint_chunk& chunk);
+collected Collect(checkpoint_collector collector,
+                  const model::checkpoint_chunk& chunk);
 
 }  // namespace parsleyhitch::scheduler
 
--- a/source/scheduler/entry_state.h
+++ b/source/scheduler/entry_state.h
@@ -34,8 +34,8 @@
   kDrain,
 };
 
-// Something to look at again at a time. `worker` and `call` name the subject, where
-// there is one.
+// Something to look at again at a time. `worker` and `call` name the subject,
+// where there is one.
 struct alarm {
   const model::timestamp at;
   const alarm_kind kind = alarm_kind::kHeartbeat;
@@ -63,8 +63,8 @@
 struct log_state {
   bool readable = false;
   bool caught_up = false;
-  // Set while the records before the oldest one kept are needed: the entry looks
-  // for a complete checkpoint from `recover_from` on.
+  // Set while the records before the oldest one kept are needed: the entry
+  // looks for a complete checkpoint from `recover_from` on.
   bool recovering = false;
   std::uint64_t recover_from = 0;
   // The oldest offset that the log still had at the last read.
@@ -100,7 +100,8 @@
 
 struct peers_state {
   model::value_table<model::entry_id, peer_status> peers;
-  // Entries that are ready and not draining, sorted; this one may be among them.
+  // Entries that are ready and not draining, sorted; this one may be among
+  // them.
   std::vector<model::entry_id> alive;
   model::value_table<model::worker_id, leaving_view> leaving;
   // VM lists in a row that lack a worker.
@@ -151,8 +152,8 @@
 struct calls_state {
   model::value_table<model::call_number, open_call> open;
   bool plan_due = false;
-  // Records of the last plan that are not read back yet. The next plan waits for
-  // them, so that it sees what became of the last.
+  // Records of the last plan that are not read back yet. The next plan waits
+  // for them, so that it sees what became of the last.
   std::uint32_t planned_records = 0;
   model::timestamp next_plan;
   // The pending alarm for a plan; the epoch when there is none.
@@ -246,8 +247,8 @@
   // Sum of the endpoints' slots.
   std::uint32_t total_slots = 0;
 
-  // Calls to endpoints by the call they serve. Each counts as load until it ends,
-  // also when its request was answered without it.
+  // Calls to endpoints by the call they serve. Each counts as load until it
+  // ends, also when its request was answered without it.
   model::value_table<model::call_number, endpoint_call> calls;
 
   // Retry tokens, in hundredths.
--- a/source/scheduler/fold.cc
+++ b/source/scheduler/fold.cc
@@ -1,5 +1,5 @@
-// The root of the fold: repeats are dropped, the clock advances, each record goes
-// to the reducer of its kind.
+// The root of the fold: repeats are dropped, the clock advances, each record
+// goes to the reducer of its kind.
 
 #include "scheduler/fold.h"
 
@@ -17,8 +17,8 @@
 constexpr std::uint32_t kFenceIndexBits = 16;
 
 bool IsRepeat(const model::ledger& ledger, const model::batch& batch) {
-  const std::uint64_t* last =
-      ledger.last_sequence.Find({.entry = batch.by, .incarnation = batch.incarnation});
+  const std::uint64_t* last = ledger.last_sequence.Find(
+      {.entry = batch.by, .incarnation = batch.incarnation});
   return last != nullptr && batch.sequence <= *last;
 }
 
@@ -40,12 +40,13 @@
   }
   for (const model::writer& writer : older)
     ledger.last_sequence.Erase(writer);
-  ledger.last_sequence.Put({.entry = batch.by, .incarnation = batch.incarnation},
-                           batch.sequence);
+  ledger.last_sequence.Put(
+      {.entry = batch.by, .incarnation = batch.incarnation}, batch.sequence);
   return ledger;
 }
 
-model::ledger ForgetOldClaims(model::ledger ledger, const model::limits& limits) {
+model::ledger ForgetOldClaims(model::ledger ledger,
+                              const model::limits& limits) {
   while (!ledger.claim_ages.empty()) {
     const auto oldest = *ledger.claim_ages.begin();
     if (oldest.first + limits.key_retention > ledger.clock)
@@ -67,7 +68,8 @@
     return step;
   step.ledger = NoteWriter(std::move(step.ledger), batch);
   step.ledger.clock = std::max(step.ledger.clock, batch.at);
-  const model::writer author{.entry = batch.by, .incarnation = batch.incarnation};
+  const model::writer author{.entry = batch.by,
+                             .incarnation = batch.incarnation};
   std::uint32_t index = 0;
   for (const model::record& record : batch.records) {
     const model::fence position = (logged.offset << kFenceIndexBits) | index;
--- a/source/scheduler/fold.h
+++ b/source/scheduler/fold.h
@@ -78,9 +78,11 @@
   scheduler::changes changes;
 };
 
-// Folds the batch at the ledger's next offset. A repeated batch only advances the
-// offset.
-fold_step FoldBatch(const fold_rules& rules, fold_step step, const model::logged_batch& batch);
+// Folds the batch at the ledger's next offset. A repeated batch only advances
+// the offset.
+fold_step FoldBatch(const fold_rules& rules,
+                    fold_step step,
+                    const model::logged_batch& batch);
 
 namespace detail {
 
@@ -94,23 +96,67 @@
 record_step Refuse(fold_step step, std::string place, std::string message);
 
 // The reducers by kind of record. `position` is the record's fence.
-record_step FoldRecord(const fold_rules&, fold_step, model::fence, const model::manifest_published&);
-record_step FoldRecord(const fold_rules&, fold_step, model::fence, const model::worker_registered&);
-record_step FoldRecord(const fold_rules&, fold_step, model::fence, const model::worker_leaving&);
-record_step FoldRecord(const fold_rules&, fold_step, model::fence, const model::worker_suspected&);
-record_step FoldRecord(const fold_rules&, fold_step, model::fence, const model::worker_heard&);
-record_step FoldRecord(const fold_rules&, fold_step, model::fence, const model::worker_removed&);
-record_step FoldRecord(const fold_rules&, fold_step, model::fence, const model::job_submitted&);
-record_step FoldRecord(const fold_rules&, fold_step, model::fence, const model::job_placed&);
-record_step FoldRecord(const fold_rules&, fold_step, model::fence, const model::job_preempted&);
-record_step FoldRecord(const fold_rules&, fold_step, model::fence, const model::job_cancelled&);
-record_step FoldRecord(const fold_rules&, fold_step, model::fence, const model::tasks_reported&);
-record_step FoldRecord(const fold_rules&, fold_step, model::fence, const model::request_claimed&);
-record_step FoldRecord(const fold_rules&, fold_step, model::fence, const model::request_finished&);
-record_step FoldRecord(const fold_rules&, fold_step, model::fence, const model::checkpoint_chunk&);
+record_step FoldRecord(const fold_rules&,
+                       fold_step,
+                       model::fence,
+                       const model::manifest_published&);
+record_step FoldRecord(const fold_rules&,
+                       fold_step,
+                       model::fence,
+                       const model::worker_registered&);
+record_step FoldRecord(const fold_rules&,
+                       fold_step,
+                       model::fence,
+                       const model::worker_leaving&);
+record_step FoldRecord(const fold_rules&,
+                       fold_step,
+                       model::fence,
+                       const model::worker_suspected&);
+record_step FoldRecord(const fold_rules&,
+                       fold_step,
+                       model::fence,
+                       const model::worker_heard&);
+record_step FoldRecord(const fold_rules&,
+                       fold_step,
+                       model::fence,
+                       const model::worker_removed&);
+record_step FoldRecord(const fold_rules&,
+                       fold_step,
+                       model::fence,
+                       const model::job_submitted&);
+record_step FoldRecord(const fold_rules&,
+                       fold_step,
+                       model::fence,
+                       const model::job_placed&);
+record_step FoldRecord(const fold_rules&,
+                       fold_step,
+                       model::fence,
+                       const model::job_preempted&);
+record_step FoldRecord(const fold_rules&,
+                       fold_step,
+                       model::fence,
+                       const model::job_cancelled&);
+record_step FoldRecord(const fold_rules&,
+                       fold_step,
+                       model::fence,
+                       const model::tasks_reported&);
+record_step FoldRecord(const fold_rules&,
+                       fold_step,
+                       model::fence,
+                       const model::request_claimed&);
+record_step FoldRecord(const fold_rules&,
+                       fold_step,
+                       model::fence,
+                       const model::request_finished&);
+record_step FoldRecord(const fold_rules&,
+                       fold_step,
+                       model::fence,
+                       const model::checkpoint_chunk&);
 
 // Stops the gangs that have a member on a lost worker.
-fold_step BreakGangsOn(const fold_rules& rules, fold_step step, const model::worker_id& worker);
+fold_step BreakGangsOn(const fold_rules& rules,
+                       fold_step step,
+                       const model::worker_id& worker);
 
 }  // namespace detail
 
--- a/source/scheduler/fold_jobs.cc
+++ b/source/scheduler/fold_jobs.cc
@@ -1,5 +1,5 @@
-// Jobs in the ledger: submission, the claim on capacity, the gang's progress from
-// its members' reports, and its end.
+// Jobs in the ledger: submission, the claim on capacity, the gang's progress
+// from its members' reports, and its end.
 
 #include <algorithm>
 #include <set>
@@ -97,7 +97,8 @@
       return true;
     if (spec.failure_domain != first.failure_domain)
       return false;
-    return nearness == model::adjacency::kFailureDomain || spec.rack == first.rack;
+    return nearness == model::adjacency::kFailureDomain ||
+           spec.rack == first.rack;
   });
 }
 
@@ -114,20 +115,23 @@
 bool IsReservedOnAll(const model::ledger& ledger,
                      const model::guarantee_id& id,
                      const std::vector<model::worker_id>& workers) {
-  const std::vector<model::worker_id>& reserved = ledger.guarantees.Find(id)->workers;
+  const std::vector<model::worker_id>& reserved =
+      ledger.guarantees.Find(id)->workers;
   return std::ranges::all_of(workers, [&](const model::worker_id& worker) {
     return std::ranges::count(reserved, worker) > 0;
   });
 }
 
-model::placement ProposedPlacement(const model::ledger& ledger,
-                                   const model::job_spec& spec,
-                                   model::fence position,
-                                   const std::vector<model::worker_id>& workers) {
+model::placement ProposedPlacement(
+    const model::ledger& ledger,
+    const model::job_spec& spec,
+    model::fence position,
+    const std::vector<model::worker_id>& workers) {
   std::optional<model::guarantee_id> claims = ClaimableBy(ledger, spec, {});
   if (claims && !IsReservedOnAll(ledger, *claims, workers))
     claims.reset();
   std::vector<model::member> members;
+  members.reserve(workers.size());
   for (const model::worker_id& worker : workers)
     members.push_back({.worker = worker});
   return {.token = position,
@@ -138,8 +142,8 @@
 }
 
 bool AllOver(const model::placement& placed) {
-  return std::ranges::all_of(placed.members,
-                             [](const auto& each) { return IsOver(each.state); });
+  return std::ranges::all_of(
+      placed.members, [](const auto& each) { return IsOver(each.state); });
 }
 
 bool AllFinished(const model::placement& placed) {
@@ -169,19 +173,22 @@
   constexpr std::uint32_t kWindow = 8;
   const model::work_kind kind{.owner = job.spec.owner, .kind = job.spec.kind};
   const std::int64_t ran = (ledger.clock - job.since).count();
-  const std::int64_t sample = ran * kPermille / job.spec.declared_run_time.count();
+  const std::int64_t sample =
+      ran * kPermille / job.spec.declared_run_time.count();
   const model::run_time_estimate* old = ledger.estimates.Find(kind);
   const std::uint32_t samples = old == nullptr ? 0 : old->samples;
   const std::int64_t weight = std::min(samples, kWindow - 1);
   const std::int64_t before = old == nullptr ? 0 : old->ratio_permille;
   const std::int64_t ratio = (before * weight + sample) / (weight + 1);
-  ledger.estimates.Put(kind, {.ratio_permille = static_cast<std::uint32_t>(ratio),
-                              .samples = samples + 1});
+  ledger.estimates.Put(kind,
+                       {.ratio_permille = static_cast<std::uint32_t>(ratio),
+                        .samples = samples + 1});
   return ledger;
 }
 
 // What becomes of a job whose gang has stopped.
-model::job_phase PhaseAfterStop(const fold_rules& rules, const model::job_status& job) {
+model::job_phase PhaseAfterStop(const fold_rules& rules,
+                                const model::job_status& job) {
   if (job.reason == model::stop_reason::kCancelled)
     return model::job_phase::kCancelled;
   if (job.failed_attempts >= rules.limits.max_attempts)
@@ -190,7 +197,9 @@
 }
 
 // The last member is over: the placement ends.
-fold_step EndPlacement(const fold_rules& rules, fold_step step, const model::job_id& id) {
+fold_step EndPlacement(const fold_rules& rules,
+                       fold_step step,
+                       const model::job_id& id) {
   const model::placement placed = *step.ledger.placements.Find(id);
   const model::job_status job = *step.ledger.jobs.Find(id);
   step.ledger.placements.Erase(id);
@@ -202,14 +211,16 @@
     return EnterPhase(rules, std::move(step), id, model::job_phase::kFinished,
                       model::stop_reason::kNone);
   }
-  return EnterPhase(rules, std::move(step), id, PhaseAfterStop(rules, job), job.reason);
+  return EnterPhase(rules, std::move(step), id, PhaseAfterStop(rules, job),
+                    job.reason);
 }
 
 fold_step StopGang(const fold_rules& rules,
                    fold_step step,
                    const model::job_id& id,
                    model::stop_reason reason) {
-  step = EnterPhase(rules, std::move(step), id, model::job_phase::kStopping, reason);
+  step = EnterPhase(rules, std::move(step), id, model::job_phase::kStopping,
+                    reason);
   const model::placement& placed = *step.ledger.placements.Find(id);
   step.changes.push_back(job_changed{.job = id, .workers = WorkersOf(placed)});
   return step;
@@ -223,7 +234,9 @@
 }
 
 // Moves the gang on after a member's state changed: one decision for the whole.
-fold_step AdvanceGang(const fold_rules& rules, fold_step step, const model::job_id& id) {
+fold_step AdvanceGang(const fold_rules& rules,
+                      fold_step step,
+                      const model::job_id& id) {
   const model::placement placed = *step.ledger.placements.Find(id);
   const model::job_phase phase = step.ledger.jobs.Find(id)->phase;
   if (AllOver(placed))
@@ -232,7 +245,8 @@
       AllAtLeast(placed, model::task_state::kHeld)) {
     step = EnterPhase(rules, std::move(step), id, model::job_phase::kStarting,
                       model::stop_reason::kNone);
-    step.changes.push_back(job_changed{.job = id, .workers = WorkersOf(placed)});
+    step.changes.push_back(
+        job_changed{.job = id, .workers = WorkersOf(placed)});
   }
   if (phase == model::job_phase::kStarting &&
       AllAtLeast(placed, model::task_state::kRunning)) {
@@ -260,7 +274,8 @@
   step.ledger = ChangeMember(std::move(step.ledger), id, old, worker,
                              member_change::kGiveBack);
   step.changes.push_back(job_changed{.job = id, .workers = {worker}});
-  const bool stopping = step.ledger.jobs.Find(id)->phase == model::job_phase::kStopping;
+  const bool stopping =
+      step.ledger.jobs.Find(id)->phase == model::job_phase::kStopping;
   if (state != model::task_state::kFinished && !stopping) {
     if (state == model::task_state::kFailed)
       step.ledger.jobs.Put(id, WithFailure(*step.ledger.jobs.Find(id)));
@@ -269,7 +284,8 @@
   return AdvanceGang(rules, std::move(step), id);
 }
 
-// The member's present state; nothing when the report is stale or tells no news.
+// The member's present state; nothing when the report is stale or tells no
+// news.
 const model::member* MemberToUpdate(const model::ledger& ledger,
                                     const model::worker_id& worker,
                                     const model::task_report& report) {
@@ -295,7 +311,8 @@
   const std::uint32_t failures = old.failures + 1;
   model::timestamp until = old.ejected_until;
   if (failures >= rules.limits.worker_failures_to_eject) {
-    const std::uint32_t beyond = failures - rules.limits.worker_failures_to_eject;
+    const std::uint32_t beyond =
+        failures - rules.limits.worker_failures_to_eject;
     const model::duration hold =
         rules.limits.eject_base * (1U << std::min(beyond, kMaxDoublings));
     until = ledger.clock + std::min(hold, rules.limits.eject_max);
@@ -308,13 +325,14 @@
                                        .ejected_until = until});
 }
 
-model::ledger NoteSuccess(model::ledger ledger, const model::worker_id& worker) {
+model::ledger NoteSuccess(model::ledger ledger,
+                          const model::worker_id& worker) {
   const model::worker_status old = *ledger.workers.Find(worker);
   if (old.failures == 0)
     return ledger;
-  return PutWorker(std::move(ledger), {.spec = old.spec,
-                                       .phase = old.phase,
-                                       .suspected_by = old.suspected_by});
+  return PutWorker(
+      std::move(ledger),
+      {.spec = old.spec, .phase = old.phase, .suspected_by = old.suspected_by});
 }
 
 // Guaranteed shapes do not wait on a worker that fails what it is given.
@@ -347,8 +365,10 @@
   model::findings faults = CheckJob(record.spec, step.ledger);
   if (!faults.empty())
     return {.step = std::move(step), .faults = std::move(faults)};
-  const model::scoped_key key{.owner = record.spec.owner, .key = record.spec.key};
-  if (step.ledger.jobs.Contains(record.job) || step.ledger.job_keys.Contains(key))
+  const model::scoped_key key{.owner = record.spec.owner,
+                              .key = record.spec.key};
+  if (step.ledger.jobs.Contains(record.job) ||
+      step.ledger.job_keys.Contains(key))
     return Refuse(std::move(step), "/key", "the job is already known");
   const model::job_status job{.spec = record.spec,
                               .submitted = position,
@@ -370,7 +390,8 @@
   if (job == nullptr || job->phase != model::job_phase::kWaiting)
     return Refuse(std::move(step), "/job", "does not wait for a placement");
   const model::job_spec spec = job->spec;
-  if (record.workers.size() != spec.capacity.gang_size || record.workers.empty() ||
+  if (record.workers.size() != spec.capacity.gang_size ||
+      record.workers.empty() ||
       !AreDistinctAndLive(step.ledger, record.workers) ||
       !AreNear(step.ledger, record.workers, spec.capacity.nearness)) {
     return Refuse(std::move(step), "/workers", "can't hold the gang");
@@ -379,20 +400,23 @@
     return Refuse(std::move(step), "/job", "is above its workspace's quota");
   const model::placement placed =
       ProposedPlacement(step.ledger, spec, position, record.workers);
-  const bool room = std::ranges::all_of(record.workers, [&](const auto& worker) {
-    return HasRoom(rules, step.ledger, placed, worker);
-  });
+  const bool room =
+      std::ranges::all_of(record.workers, [&](const auto& worker) {
+        return HasRoom(rules, step.ledger, placed, worker);
+      });
   if (!room)
     return Refuse(std::move(step), "/workers", "have no room left");
   if (placed.claims)
-    step.ledger = Claim(std::move(step.ledger), *placed.claims, record.job, placed);
+    step.ledger =
+        Claim(std::move(step.ledger), *placed.claims, record.job, placed);
   step.ledger.placements.Put(record.job, placed);
   for (const model::worker_id& worker : record.workers)
-    step.ledger = ChangeMember(std::move(step.ledger), record.job, placed, worker,
-                               member_change::kTake);
-  step = EnterPhase(rules, std::move(step), record.job, model::job_phase::kHolding,
-                    model::stop_reason::kNone);
-  step.changes.push_back(job_changed{.job = record.job, .workers = record.workers});
+    step.ledger = ChangeMember(std::move(step.ledger), record.job, placed,
+                               worker, member_change::kTake);
+  step = EnterPhase(rules, std::move(step), record.job,
+                    model::job_phase::kHolding, model::stop_reason::kNone);
+  step.changes.push_back(
+      job_changed{.job = record.job, .workers = record.workers});
   return Accept(std::move(step));
 }
 
@@ -435,7 +459,8 @@
     if (MemberToUpdate(step.ledger, record.worker, report) == nullptr)
       continue;
     step = NoteWorkerOutcome(rules, std::move(step), record.worker, report);
-    step = SetMember(rules, std::move(step), report.job, record.worker, report.state);
+    step = SetMember(rules, std::move(step), report.job, record.worker,
+                     report.state);
   }
   return Accept(std::move(step));
 }
@@ -448,7 +473,8 @@
     return step;
   const std::set<model::job_id> jobs = *present;
   for (const model::job_id& job : jobs)
-    step = SetMember(rules, std::move(step), job, worker, model::task_state::kStopped);
+    step = SetMember(rules, std::move(step), job, worker,
+                     model::task_state::kStopped);
   return step;
 }
 
--- a/source/scheduler/fold_requests.cc
+++ b/source/scheduler/fold_requests.cc
@@ -1,5 +1,5 @@
-// Claims of non-idempotent requests. The earliest claim of a key in log order is
-// the only one under which the request may run.
+// Claims of non-idempotent requests. The earliest claim of a key in log order
+// is the only one under which the request may run.
 
 #include <utility>
 
@@ -22,7 +22,8 @@
                        const model::request_claimed& record) {
   const model::scoped_key key{.owner = record.owner, .key = record.key};
   if (step.ledger.claims.Contains(key))
-    return Refuse(NoteChange(std::move(step), key), "/key", "is already claimed");
+    return Refuse(NoteChange(std::move(step), key), "/key",
+                  "is already claimed");
   step.ledger.claims.Put(key, {.digest = record.digest,
                                .by = record.by,
                                .incarnation = record.incarnation,
--- a/source/scheduler/fold_workers.cc
+++ b/source/scheduler/fold_workers.cc
@@ -1,4 +1,5 @@
-// Workers in the ledger: registered, leaving, suspected, lost, heard again, gone.
+// Workers in the ledger: registered, leaving, suspected, lost, heard again,
+// gone.
 
 #include <algorithm>
 #include <utility>
@@ -33,7 +34,8 @@
                        fold_step step,
                        model::fence,
                        const model::worker_registered& record) {
-  const model::worker_status* known = step.ledger.workers.Find(record.spec.worker);
+  const model::worker_status* known =
+      step.ledger.workers.Find(record.spec.worker);
   if (known != nullptr)
     return Refuse(std::move(step), "/spec/worker", "is already registered");
   step.ledger = PutWorker(std::move(step.ledger), {.spec = record.spec});
@@ -49,8 +51,9 @@
   if (known == nullptr || known->phase != model::worker_phase::kLive)
     return Refuse(std::move(step), "/worker", "is not live");
   const model::worker_status old = *known;
-  step.ledger = PutWorker(std::move(step.ledger),
-                          With(old, model::worker_phase::kLeaving, old.suspected_by));
+  step.ledger =
+      PutWorker(std::move(step.ledger),
+                With(old, model::worker_phase::kLeaving, old.suspected_by));
   step = MoveGuaranteesOff(std::move(step), record.worker);
   return Accept(NoteChange(std::move(step), record.worker));
 }
@@ -68,8 +71,10 @@
   std::vector<model::entry_id> suspected_by = old.suspected_by;
   suspected_by.push_back(record.by);
   const bool lost = suspected_by.size() >= record.witnesses;
-  const model::worker_phase phase = lost ? model::worker_phase::kLost : old.phase;
-  step.ledger = PutWorker(std::move(step.ledger), With(old, phase, suspected_by));
+  const model::worker_phase phase =
+      lost ? model::worker_phase::kLost : old.phase;
+  step.ledger =
+      PutWorker(std::move(step.ledger), With(old, phase, suspected_by));
   if (lost) {
     step = MoveGuaranteesOff(std::move(step), record.worker);
     step = BreakGangsOn(rules, std::move(step), record.worker);
@@ -87,8 +92,8 @@
   if (known == nullptr || known->phase != model::worker_phase::kLost)
     return Refuse(std::move(step), "/worker", "is not lost");
   const model::worker_status old = *known;
-  step.ledger =
-      PutWorker(std::move(step.ledger), With(old, model::worker_phase::kLive, {}));
+  step.ledger = PutWorker(std::move(step.ledger),
+                          With(old, model::worker_phase::kLive, {}));
   step = RetryShortGuarantees(std::move(step));
   return Accept(NoteChange(std::move(step), record.worker));
 }
@@ -101,8 +106,8 @@
   if (known == nullptr)
     return Refuse(std::move(step), "/worker", "is unknown");
   const model::worker_status old = *known;
-  step.ledger =
-      PutWorker(std::move(step.ledger), With(old, model::worker_phase::kLost, {}));
+  step.ledger = PutWorker(std::move(step.ledger),
+                          With(old, model::worker_phase::kLost, {}));
   step = MoveGuaranteesOff(std::move(step), record.worker);
   step = BreakGangsOn(rules, std::move(step), record.worker);
   step.ledger = DropWorker(std::move(step.ledger), record.worker);
--- a/source/scheduler/guarantees.cc
+++ b/source/scheduler/guarantees.cc
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr char kNoRoom[] = "no adjacent workers with room beside firm work and other guarantees";
+constexpr char kNoRoom[] =
+    "no adjacent workers with room beside firm work and other guarantees";
 
 model::ledger ReleaseReservation(model::ledger ledger,
                                  const model::guarantee_status& status) {
@@ -37,8 +38,11 @@
 }
 
 // Reserves the shape on whatever workers fit, or marks it short.
-fold_step Reserve(fold_step step, const model::guarantee_id& id, const model::shape& shape) {
-  const std::vector<model::worker_id> workers = FindReservable(step.ledger, shape);
+fold_step Reserve(fold_step step,
+                  const model::guarantee_id& id,
+                  const model::shape& shape) {
+  const std::vector<model::worker_id> workers =
+      FindReservable(step.ledger, shape);
   if (workers.empty())
     return MarkShort(std::move(step), id, shape);
   for (const model::worker_id& worker : workers) {
@@ -50,7 +54,8 @@
   return step;
 }
 
-bool HasMemberOn(const model::placement& placed, const model::worker_id& worker) {
+bool HasMemberOn(const model::placement& placed,
+                 const model::worker_id& worker) {
   return std::ranges::any_of(placed.members, [&](const model::member& each) {
     return each.worker == worker;
   });
@@ -60,7 +65,8 @@
 std::uint32_t LeftoverOn(const model::worker_id& worker,
                          const model::guarantee_status& status,
                          const model::placement& placed) {
-  const std::uint32_t used = HasMemberOn(placed, worker) ? placed.accelerators : 0;
+  const std::uint32_t used =
+      HasMemberOn(placed, worker) ? placed.accelerators : 0;
   return status.capacity.accelerators - used;
 }
 
@@ -69,8 +75,10 @@
                              const model::placement& placed,
                              std::int32_t sign) {
   for (const model::worker_id& worker : status.workers) {
-    const auto leftover = static_cast<std::int32_t>(LeftoverOn(worker, status, placed));
-    ledger = ChangeUse(std::move(ledger), worker, use_kind::kReserved, sign * leftover);
+    const auto leftover =
+        static_cast<std::int32_t>(LeftoverOn(worker, status, placed));
+    ledger = ChangeUse(std::move(ledger), worker, use_kind::kReserved,
+                       sign * leftover);
   }
   return ledger;
 }
@@ -80,7 +88,8 @@
   if (!status.claimed_by) {
     step.ledger = ReleaseReservation(std::move(step.ledger), status);
   } else {
-    const model::placement placed = *step.ledger.placements.Find(*status.claimed_by);
+    const model::placement placed =
+        *step.ledger.placements.Find(*status.claimed_by);
     step.ledger = ChangeLeftover(std::move(step.ledger), status, placed, -1);
   }
   step.ledger.short_guarantees.erase(id);
@@ -101,6 +110,7 @@
 std::vector<const wanted_guarantee*> LargestFirst(
     const std::vector<wanted_guarantee>& wanted) {
   std::vector<const wanted_guarantee*> order;
+  order.reserve(wanted.size());
   for (const wanted_guarantee& each : wanted)
     order.push_back(&each);
   std::ranges::stable_sort(order, [](const auto* left, const auto* right) {
@@ -121,17 +131,20 @@
 }
 
 bool Fits(const model::shape& inner, const model::shape& outer) {
-  return inner.gang_size <= outer.gang_size && inner.accelerators <= outer.accelerators &&
+  return inner.gang_size <= outer.gang_size &&
+         inner.accelerators <= outer.accelerators &&
          inner.nearness <= outer.nearness;
 }
 
 }  // namespace
 
 fold_step ApplyGuarantees(fold_step step) {
-  const std::vector<wanted_guarantee> wanted = WantedBy(*step.ledger.in_force.Get());
+  const std::vector<wanted_guarantee> wanted =
+      WantedBy(*step.ledger.in_force.Get());
   std::set<model::guarantee_id> unchanged;
   for (const wanted_guarantee& each : wanted) {
-    const model::guarantee_status* present = step.ledger.guarantees.Find(each.id);
+    const model::guarantee_status* present =
+        step.ledger.guarantees.Find(each.id);
     if (present != nullptr && present->capacity == each.capacity)
       unchanged.insert(each.id);
   }
@@ -203,10 +216,12 @@
 }
 
 bool MayEverClaim(const model::ledger& ledger, const model::job_spec& spec) {
-  const model::workspace* owner = FindWorkspace(*ledger.in_force.Get(), spec.owner);
-  return std::ranges::any_of(owner->guarantees, [&](const model::guarantee& each) {
-    return Fits(spec.capacity, each.capacity);
-  });
+  const model::workspace* owner =
+      FindWorkspace(*ledger.in_force.Get(), spec.owner);
+  return std::ranges::any_of(owner->guarantees,
+                             [&](const model::guarantee& each) {
+                               return Fits(spec.capacity, each.capacity);
+                             });
 }
 
 model::ledger Claim(model::ledger ledger,
@@ -242,7 +257,8 @@
 fold_step Unclaim(fold_step step,
                   const model::job_id& job,
                   const model::placement& placed) {
-  const model::guarantee_status* present = step.ledger.guarantees.Find(*placed.claims);
+  const model::guarantee_status* present =
+      step.ledger.guarantees.Find(*placed.claims);
   if (present == nullptr || present->claimed_by != job)
     return step;
   const model::guarantee_status status = *present;
--- a/source/scheduler/hooks.cc
+++ b/source/scheduler/hooks.cc
@@ -79,7 +79,8 @@
 bool NothingInHand(const drain_view& view) {
   if (view.timed_out)
     return true;
-  return view.open_requests == 0 && view.open_calls == 0 && view.unfolded_records == 0;
+  return view.open_requests == 0 && view.open_calls == 0 &&
+         view.unfolded_records == 0;
 }
 
 // Compare-and-swap on the version that the author had read.
@@ -114,7 +115,9 @@
   hooks baseline = DefaultHooks();
   baseline.plan = PlanFirstFit;
   baseline.order_request = FirstComeFirstServed;
-  baseline.urgent_slots = [](const model::limits&, std::uint32_t) { return 0U; };
+  baseline.urgent_slots = [](const model::limits&, std::uint32_t) {
+    return 0U;
+  };
   baseline.may_shed = [](const request_view&) { return false; };
   return baseline;
 }
--- a/source/scheduler/hooks.h
+++ b/source/scheduler/hooks.h
@@ -1,6 +1,6 @@
-// Behaviour that varies, as functions given at construction. Each mechanism that
-// keeps an invariant is a hook, so a proof can put the naive one in its place and
-// show the failure that the mechanism prevents.
+// Behaviour that varies, as functions given at construction. Each mechanism
+// that keeps an invariant is a hook, so a proof can put the naive one in its
+// place and show the failure that the mechanism prevents.
 
 #ifndef PARSLEYHITCH_SCHEDULER_HOOKS_H_
 #define PARSLEYHITCH_SCHEDULER_HOOKS_H_
@@ -48,8 +48,9 @@
   bool operator==(const drain_view&) const = default;
 };
 
-using guarantee_rule = std::function<
-    bool(const model::capacity&, std::uint32_t total, std::uint32_t accelerators)>;
+using guarantee_rule = std::function<bool(const model::capacity&,
+                                          std::uint32_t total,
+                                          std::uint32_t accelerators)>;
 
 // What a plan is bound by besides the ledger.
 struct plan_rules {
@@ -76,24 +77,28 @@
   std::function<std::uint64_t(std::string_view)> hash;
 
   // Which jobs to place and preempt next: job_placed and job_preempted records.
-  std::function<std::vector<
-      model::record>(const model::ledger&, model::timestamp, const plan_rules&)>
+  std::function<std::vector<model::record>(const model::ledger&,
+                                           model::timestamp,
+                                           const plan_rules&)>
       plan;
 
   // Place of a request in line: the lowest goes first, then the earlier call.
   std::function<request_order(const request_view&)> order_request;
   // Of an entry's slots, how many only urgent requests may use.
-  std::function<std::uint32_t(const model::limits&, std::uint32_t slots)> urgent_slots;
-  // May a request be refused early because its wait would outlast its deadline, or
-  // shed for a more important one?
+  std::function<std::uint32_t(const model::limits&, std::uint32_t slots)>
+      urgent_slots;
+  // May a request be refused early because its wait would outlast its deadline,
+  // or shed for a more important one?
   std::function<bool(const request_view&)> may_shed;
 
   // Wait before retry `attempt` (from 1), given a random number.
-  std::function<
-      model::duration(const model::limits&, std::uint32_t attempt, std::uint64_t random)>
+  std::function<model::duration(const model::limits&,
+                                std::uint32_t attempt,
+                                std::uint64_t random)>
       backoff;
 
-  // Invariant 1: may firm work take `accelerators` more of a worker with `total`?
+  // Invariant 1: may firm work take `accelerators` more of a worker with
+  // `total`?
   guarantee_rule leaves_guarantees;
   // Invariant 2: may this member be started?
   std::function<bool(const model::placement&, const model::member&)> may_start;
@@ -109,16 +114,16 @@
   // Invariant 7: may the process stop now?
   std::function<bool(const drain_view&)> may_stop;
   // Invariant 8: does the manifest take effect over the one in force?
-  std::function<
-      bool(const model::manifest* in_force, const model::manifest& proposed)>
+  std::function<bool(const model::manifest* in_force,
+                     const model::manifest& proposed)>
       supersedes;
 };
 
 // The hooks of the product.
 hooks DefaultHooks();
 
-// The baseline that the policy is measured against: first come first served for jobs
-// and requests, first fit, no reserved starts, no shares, no shedding.
+// The baseline that the policy is measured against: first come first served for
+// jobs and requests, first fit, no reserved starts, no shares, no shedding.
 hooks BaselineHooks();
 
 }  // namespace parsleyhitch::scheduler
--- a/source/scheduler/job_rules.cc
+++ b/source/scheduler/job_rules.cc
@@ -82,21 +82,26 @@
 }
 
 bool IsOver(model::task_state state) {
-  return state == model::task_state::kFinished || state == model::task_state::kFailed ||
-         state == model::task_state::kRefused || state == model::task_state::kStopped;
+  return state == model::task_state::kFinished ||
+         state == model::task_state::kFailed ||
+         state == model::task_state::kRefused ||
+         state == model::task_state::kStopped;
 }
 
 bool IsEnd(model::job_phase phase) {
-  return phase == model::job_phase::kFinished || phase == model::job_phase::kFailed ||
+  return phase == model::job_phase::kFinished ||
+         phase == model::job_phase::kFailed ||
          phase == model::job_phase::kCancelled;
 }
 
 bool CanBeStopped(model::job_phase phase) {
-  return phase == model::job_phase::kHolding || phase == model::job_phase::kStarting ||
+  return phase == model::job_phase::kHolding ||
+         phase == model::job_phase::kStarting ||
          phase == model::job_phase::kRunning;
 }
 
-model::queue_position PositionOf(const model::job_id& id, const model::job_status& job) {
+model::queue_position PositionOf(const model::job_id& id,
+                                 const model::job_status& job) {
   return {.priority = job.spec.priority, .submitted = job.submitted, .job = id};
 }
 
--- a/source/scheduler/job_rules.h
+++ b/source/scheduler/job_rules.h
@@ -7,8 +7,8 @@
 
 namespace parsleyhitch::scheduler {
 
-// True when the job may start beside what its workspace, and each workspace above
-// it, already holds.
+// True when the job may start beside what its workspace, and each workspace
+// above it, already holds.
 bool WithinQuota(const model::ledger& ledger, const model::job_spec& spec);
 
 // True when the member runs no more and holds nothing.
@@ -21,7 +21,8 @@
 bool CanBeStopped(model::job_phase phase);
 
 // The job's place in the queue of waiting jobs.
-model::queue_position PositionOf(const model::job_id& id, const model::job_status& job);
+model::queue_position PositionOf(const model::job_id& id,
+                                 const model::job_status& job);
 
 // Takes one member's accelerators, or gives them back.
 enum class member_change { kTake, kGiveBack };
@@ -31,11 +32,13 @@
                            const model::worker_id& worker,
                            member_change change);
 
-// The run time to expect: the declared one, corrected by what jobs of the kind ran.
-model::duration ExpectedRunTime(const model::ledger& ledger, const model::job_spec& spec);
+// The run time to expect: the declared one, corrected by what jobs of the kind
+// ran.
+model::duration ExpectedRunTime(const model::ledger& ledger,
+                                const model::job_spec& spec);
 
-// When the job is expected to end. One that has outrun its estimate is expected to
-// run as long again as it has run.
+// When the job is expected to end. One that has outrun its estimate is expected
+// to run as long again as it has run.
 model::timestamp ExpectedEnd(const model::ledger& ledger,
                              const model::job_status& job,
                              model::timestamp now);
--- a/source/scheduler/job_view.h
+++ b/source/scheduler/job_view.h
@@ -9,14 +9,16 @@
 namespace parsleyhitch::scheduler {
 
 // The job must be in the ledger.
-inline model::job_view ViewOf(const model::ledger& ledger, const model::job_id& job) {
+inline model::job_view ViewOf(const model::ledger& ledger,
+                              const model::job_id& job) {
   const model::job_status& status = *ledger.jobs.Find(job);
   const model::placement* placed = ledger.placements.Find(job);
   return {.job = job,
           .phase = status.phase,
           .reason = status.reason,
           .failed_attempts = status.failed_attempts,
-          .members = placed == nullptr ? std::vector<model::member>() : placed->members};
+          .members = placed == nullptr ? std::vector<model::member>()
+                                       : placed->members};
 }
 
 }  // namespace parsleyhitch::scheduler
--- a/source/scheduler/manifest_rules.cc
+++ b/source/scheduler/manifest_rules.cc
@@ -17,7 +17,9 @@
 constexpr std::uint32_t kMaxAcceleratorsPerWorker = 64;
 constexpr std::uint32_t kPermille = 1000;
 
-std::string At(const std::string& list, std::size_t index, const std::string& field) {
+std::string At(const std::string& list,
+               std::size_t index,
+               const std::string& field) {
   return "/" + list + "/" + std::to_string(index) + "/" + field;
 }
 
@@ -29,14 +31,17 @@
                 const std::string& place,
                 const model::shape& shape) {
   if (shape.gang_size == 0 || shape.gang_size > kMaxGang)
-    Note(found, place + "/gang_size", "must be from 1 to " + std::to_string(kMaxGang));
-  if (shape.accelerators == 0 || shape.accelerators > kMaxAcceleratorsPerWorker) {
+    Note(found, place + "/gang_size",
+         "must be from 1 to " + std::to_string(kMaxGang));
+  if (shape.accelerators == 0 ||
+      shape.accelerators > kMaxAcceleratorsPerWorker) {
     Note(found, place + "/accelerators",
          "must be from 1 to " + std::to_string(kMaxAcceleratorsPerWorker));
   }
 }
 
-bool ReachesItself(const model::manifest& manifest, const model::workspace& start) {
+bool ReachesItself(const model::manifest& manifest,
+                   const model::workspace& start) {
   std::set<model::workspace_id> seen;
   const model::workspace* at = &start;
   while (at != nullptr && !at->parent.empty()) {
@@ -54,8 +59,10 @@
     if (each.id.empty())
       Note(found, At("workspaces", i, "id"), "must not be empty");
     if (!names.insert(each.id).second)
-      Note(found, At("workspaces", i, "id"), "'" + each.id.value() + "' is used twice");
-    if (!each.parent.empty() && FindWorkspace(manifest, each.parent) == nullptr) {
+      Note(found, At("workspaces", i, "id"),
+           "'" + each.id.value() + "' is used twice");
+    if (!each.parent.empty() &&
+        FindWorkspace(manifest, each.parent) == nullptr) {
       Note(found, At("workspaces", i, "parent"),
            "no workspace '" + each.parent.value() + "'");
     }
@@ -63,7 +70,8 @@
       Note(found, At("workspaces", i, "parent"), "is part of a cycle");
     std::set<std::string> guarantees;
     for (std::size_t j = 0; j < each.guarantees.size(); ++j) {
-      const std::string place = At("workspaces", i, "guarantees/") + std::to_string(j);
+      const std::string place =
+          At("workspaces", i, "guarantees/") + std::to_string(j);
       if (!guarantees.insert(each.guarantees[j].name).second)
         Note(found, place + "/name", "is used twice");
       CheckShape(found, place + "/capacity", each.guarantees[j].capacity);
@@ -76,7 +84,8 @@
   for (std::size_t i = 0; i < manifest.services.size(); ++i) {
     const model::service& each = manifest.services[i];
     if (!names.insert(each.id).second)
-      Note(found, At("services", i, "id"), "'" + each.id.value() + "' is used twice");
+      Note(found, At("services", i, "id"),
+           "'" + each.id.value() + "' is used twice");
     if (FindWorkspace(manifest, each.owner) == nullptr) {
       Note(found, At("services", i, "owner"),
            "no workspace '" + each.owner.value() + "'");
@@ -94,7 +103,8 @@
            "no service '" + each.service_name.value() + "'");
     }
     if (each.target_permille == 0 || each.target_permille >= kPermille)
-      Note(found, At("objectives", i, "target_permille"), "must be from 1 to 999");
+      Note(found, At("objectives", i, "target_permille"),
+           "must be from 1 to 999");
   }
 }
 
@@ -108,9 +118,10 @@
   return empty;
 }
 
-// True when firm work of this shape has room on a fleet that runs nothing, beside
-// every guaranteed shape that it does not claim itself.
-bool FitsBesideGuarantees(const model::job_spec& spec, const model::ledger& ledger) {
+// True when firm work of this shape has room on a fleet that runs nothing,
+// beside every guaranteed shape that it does not claim itself.
+bool FitsBesideGuarantees(const model::job_spec& spec,
+                          const model::ledger& ledger) {
   if (spec.preemptible || MayEverClaim(ledger, spec))
     return true;
   // The reservations as they are usually answer the question.
@@ -167,7 +178,8 @@
   return found;
 }
 
-model::findings CheckJob(const model::job_spec& spec, const model::ledger& ledger) {
+model::findings CheckJob(const model::job_spec& spec,
+                         const model::ledger& ledger) {
   model::findings found;
   CheckShape(found, "/capacity", spec.capacity);
   if (spec.declared_run_time <= model::duration::zero())
@@ -188,7 +200,8 @@
   if (!FleetCouldHold(ledger, spec.capacity))
     Note(found, "/capacity", "no part of the fleet could ever hold this shape");
   else if (!FitsBesideGuarantees(spec, ledger))
-    Note(found, "/capacity", "the guaranteed shapes never leave room for this shape");
+    Note(found, "/capacity",
+         "the guaranteed shapes never leave room for this shape");
   return found;
 }
 
--- a/source/scheduler/plan.cc
+++ b/source/scheduler/plan.cc
@@ -16,16 +16,17 @@
 
 namespace {
 
-// Shapes that found no room in this plan, with the shortest run time that didn't.
+// Shapes that found no room in this plan, with the shortest run time that
+// didn't.
 struct sought_shape {
   const model::shape capacity;
   const bool preemptible = false;
 
   bool operator<(const sought_shape& other) const {
-    return std::tie(capacity.gang_size, capacity.accelerators, capacity.nearness,
-                    preemptible) < std::tie(other.capacity.gang_size,
-                                            other.capacity.accelerators,
-                                            other.capacity.nearness, other.preemptible);
+    return std::tie(capacity.gang_size, capacity.accelerators,
+                    capacity.nearness, preemptible) <
+           std::tie(other.capacity.gang_size, other.capacity.accelerators,
+                    other.capacity.nearness, other.preemptible);
   }
 };
 
@@ -42,7 +43,8 @@
 void NoteFailed(failed_shapes& failed,
                 const model::job_spec& spec,
                 model::duration run_time) {
-  const sought_shape shape{.capacity = spec.capacity, .preemptible = spec.preemptible};
+  const sought_shape shape{.capacity = spec.capacity,
+                           .preemptible = spec.preemptible};
   const auto [found, inserted] = failed.emplace(shape, run_time);
   if (!inserted)
     found->second = std::min(found->second, run_time);
@@ -54,7 +56,8 @@
   const headroom room = [&](const model::worker_id& worker) {
     return RoomNow(board, job, worker);
   };
-  return FindWorkers(*board.ledger, shape, room, shape.accelerators, fit::kBest);
+  return FindWorkers(*board.ledger, shape, room, shape.accelerators,
+                     fit::kBest);
 }
 
 bool MayPreempt(const plan_board& board, const model::job_status& job) {
@@ -80,7 +83,8 @@
                          std::uint32_t& reserved_starts) {
   const sought_job job{.id = id, .spec = status.spec};
   if (MayPreempt(board, status)) {
-    const std::vector<model::worker_id> workers = FindAfterPreemption(board, job);
+    const std::vector<model::worker_id> workers =
+        FindAfterPreemption(board, job);
     if (!workers.empty())
       return PreemptFor(std::move(board), job.spec, workers);
   }
@@ -100,7 +104,8 @@
     const std::optional<model::guarantee_id> id = GuaranteeFor(board, spec);
     if (!id || !QuotaAllows(board, spec))
       continue;
-    board = ClaimGuarantee(std::move(board), {.id = position.job, .spec = spec}, *id);
+    board = ClaimGuarantee(std::move(board), {.id = position.job, .spec = spec},
+                           *id);
     handled.insert(position.job);
   }
   return board;
@@ -129,7 +134,8 @@
         hopeless ? std::vector<model::worker_id>()
                  : FindNow(board, {.id = position.job, .spec = job.spec});
     if (!workers.empty()) {
-      board = PlaceOn(std::move(board), {.id = position.job, .spec = job.spec}, workers);
+      board = PlaceOn(std::move(board), {.id = position.job, .spec = job.spec},
+                      workers);
       continue;
     }
     NoteFailed(failed, job.spec, run_time);
--- a/source/scheduler/plan.h
+++ b/source/scheduler/plan.h
@@ -1,5 +1,5 @@
-// Placement policies: which waiting jobs to place, and which preemptible work to
-// move out of the way. A plan is proposed through the log; what has become
+// Placement policies: which waiting jobs to place, and which preemptible work
+// to move out of the way. A plan is proposed through the log; what has become
 // infeasible there is void.
 
 #ifndef PARSLEYHITCH_SCHEDULER_PLAN_H_
--- a/source/scheduler/plan_baseline.cc
+++ b/source/scheduler/plan_baseline.cc
@@ -17,7 +17,8 @@
   std::vector<const model::queue_position*> order;
   for (const model::queue_position& position : ledger.waiting)
     order.push_back(&position);
-  std::ranges::sort(order, {}, [](const auto* each) { return each->submitted; });
+  std::ranges::sort(order, {},
+                    [](const auto* each) { return each->submitted; });
   if (order.size() > rules.limits.plan_scan)
     order.resize(rules.limits.plan_scan);
   for (const model::queue_position* position : order) {
@@ -33,8 +34,8 @@
     const headroom room = [&](const model::worker_id& worker) {
       return RoomNow(board, job, worker);
     };
-    const std::vector<model::worker_id> workers =
-        FindWorkers(ledger, spec.capacity, room, spec.capacity.accelerators, fit::kFirst);
+    const std::vector<model::worker_id> workers = FindWorkers(
+        ledger, spec.capacity, room, spec.capacity.accelerators, fit::kFirst);
     if (!workers.empty())
       board = PlaceOn(std::move(board), job, workers);
   }
--- a/source/scheduler/plan_board.cc
+++ b/source/scheduler/plan_board.cc
@@ -22,8 +22,9 @@
   return planned == nullptr ? planned_use{} : *planned;
 }
 
-// A worker under an ejection hold gets nothing; after the hold, one single-member
-// job on trial. A job does not go back to where it has just failed.
+// A worker under an ejection hold gets nothing; after the hold, one
+// single-member job on trial. A job does not go back to where it has just
+// failed.
 bool IsOpenTo(const plan_board& board,
               const sought_job& job,
               const model::worker_status& status) {
@@ -46,8 +47,8 @@
   return board.now + ExpectedRunTime(*board.ledger, spec) <= *kept;
 }
 
-// What firm work may take of a worker, were its preemptible work gone; 0 when that
-// is less than the job wants.
+// What firm work may take of a worker, were its preemptible work gone; 0 when
+// that is less than the job wants.
 std::uint32_t FirmRoom(const plan_board& board,
                        const model::job_spec& spec,
                        const model::worker_status& status) {
@@ -65,7 +66,8 @@
   return std::max(wanted, Minus(total, after.firm + after.reserved));
 }
 
-std::uint32_t UnplannedFree(const plan_board& board, const model::worker_id& worker) {
+std::uint32_t UnplannedFree(const plan_board& board,
+                            const model::worker_id& worker) {
   const planned_use planned = PlannedOn(board, worker);
   return Minus(FreeOf(*board.ledger, worker), planned.firm + planned.soft);
 }
@@ -98,7 +100,8 @@
     const model::job_phase phase = board.ledger->jobs.Find(job)->phase;
     if (!CanBeStopped(phase) || !board.preempted.insert(job).second)
       continue;
-    board.records.emplace_back(model::job_preempted{.job = job, .token = placed.token});
+    board.records.emplace_back(
+        model::job_preempted{.job = job, .token = placed.token});
   }
   return board;
 }
@@ -135,15 +138,17 @@
 }
 
 bool QuotaAllows(const plan_board& board, const model::job_spec& spec) {
-  // The fold checks the whole chain; this keeps one plan from proposing what its
-  // own earlier placements already use up.
+  // The fold checks the whole chain; this keeps one plan from proposing what
+  // its own earlier placements already use up.
   if (board.planned_by_workspace.Contains(spec.owner)) {
     const std::uint64_t planned = *board.planned_by_workspace.Find(spec.owner);
-    const std::uint64_t wanted = planned + std::uint64_t{spec.capacity.gang_size} *
-                                               spec.capacity.accelerators;
+    const std::uint64_t wanted =
+        planned +
+        std::uint64_t{spec.capacity.gang_size} * spec.capacity.accelerators;
     const model::job_spec together{
         .owner = spec.owner,
-        .capacity = {.gang_size = 1, .accelerators = static_cast<std::uint32_t>(wanted)}};
+        .capacity = {.gang_size = 1,
+                     .accelerators = static_cast<std::uint32_t>(wanted)}};
     return WithinQuota(*board.ledger, together);
   }
   return WithinQuota(*board.ledger, spec);
@@ -154,15 +159,16 @@
                    const std::vector<model::worker_id>& workers) {
   const model::job_spec& spec = job.spec;
   for (const model::worker_id& worker : workers) {
-    board =
-        Use(std::move(board), worker, !spec.preemptible, spec.capacity.accelerators);
+    board = Use(std::move(board), worker, !spec.preemptible,
+                spec.capacity.accelerators);
   }
   const std::uint64_t* planned = board.planned_by_workspace.Find(spec.owner);
   const std::uint64_t before = planned == nullptr ? 0 : *planned;
   board.planned_by_workspace.Put(
-      spec.owner,
-      before + std::uint64_t{spec.capacity.gang_size} * spec.capacity.accelerators);
-  board.records.emplace_back(model::job_placed{.job = job.id, .workers = workers});
+      spec.owner, before + std::uint64_t{spec.capacity.gang_size} *
+                               spec.capacity.accelerators);
+  board.records.emplace_back(
+      model::job_placed{.job = job.id, .workers = workers});
   return board;
 }
 
--- a/source/scheduler/plan_board.h
+++ b/source/scheduler/plan_board.h
@@ -1,5 +1,5 @@
-// The planner's working view of the fleet: the ledger, what this plan has already
-// given away, and which workers are kept for a later start.
+// The planner's working view of the fleet: the ledger, what this plan has
+// already given away, and which workers are kept for a later start.
 
 #ifndef PARSLEYHITCH_SCHEDULER_PLAN_BOARD_H_
 #define PARSLEYHITCH_SCHEDULER_PLAN_BOARD_H_
@@ -31,7 +31,8 @@
   model::timestamp now;
 
   model::value_table<model::worker_id, planned_use> planned;
-  // A job that starts on such a worker must be expected to end before this time.
+  // A job that starts on such a worker must be expected to end before this
+  // time.
   model::value_table<model::worker_id, model::timestamp> kept_from;
   model::value_table<model::workspace_id, std::uint64_t> planned_by_workspace;
   std::set<model::guarantee_id> claimed;
@@ -73,8 +74,8 @@
 std::optional<model::guarantee_id> GuaranteeFor(const plan_board& board,
                                                 const model::job_spec& spec);
 
-// Places the job on its workspace's guaranteed shape; while borrowed work stands
-// there, reclaims it first.
+// Places the job on its workspace's guaranteed shape; while borrowed work
+// stands there, reclaims it first.
 plan_board ClaimGuarantee(plan_board board,
                           const sought_job& job,
                           const model::guarantee_id& id);
--- a/source/scheduler/plan_reserve.cc
+++ b/source/scheduler/plan_reserve.cc
@@ -46,7 +46,8 @@
   const std::uint32_t wanted = spec.capacity.accelerators;
   if (!spec.preemptible && RoomAfterPreemption(board, job, worker) < wanted) {
     const model::capacity use = UseOf(*board.ledger, worker);
-    const std::uint32_t total = board.ledger->workers.Find(worker)->spec.accelerators;
+    const std::uint32_t total =
+        board.ledger->workers.Find(worker)->spec.accelerators;
     if (use.reserved + wanted > total)
       return {};
   }
@@ -68,7 +69,8 @@
   free_times times;
   for (const auto& [rack, slots] : board.ledger->racks) {
     for (const model::free_slot& slot : slots) {
-      const std::optional<model::timestamp> from = FreeFrom(board, job, slot.worker);
+      const std::optional<model::timestamp> from =
+          FreeFrom(board, job, slot.worker);
       if (from)
         times.emplace(slot.worker, *from);
     }
@@ -97,15 +99,16 @@
   for (const auto& [worker, at] : times)
     instants.push_back(at);
   std::ranges::sort(instants);
-  const auto repeats = std::ranges::unique(instants);
-  instants.erase(repeats.begin(), repeats.end());
-  const auto start = std::ranges::partition_point(
-      instants, [&](model::timestamp by) {
+  const auto repeats = std::unique(instants.begin(), instants.end());
+  instants.erase(repeats, instants.end());
+  const auto start =
+      std::ranges::partition_point(instants, [&](model::timestamp by) {
         return WorkersFreeBy(board, spec, times, by).empty();
       });
   if (start == instants.end())
     return board;
-  for (const model::worker_id& worker : WorkersFreeBy(board, spec, times, *start))
+  for (const model::worker_id& worker :
+       WorkersFreeBy(board, spec, times, *start))
     board.kept_from.Put(worker, *start);
   return board;
 }
--- a/source/scheduler/plan_reserve.h
+++ b/source/scheduler/plan_reserve.h
@@ -1,5 +1,5 @@
-// Reserved starts: a shape that does not fit now is promised the workers that are
-// expected to be free for it soonest, so that small work can't starve it.
+// Reserved starts: a shape that does not fit now is promised the workers that
+// are expected to be free for it soonest, so that small work can't starve it.
 
 #ifndef PARSLEYHITCH_SCHEDULER_PLAN_RESERVE_H_
 #define PARSLEYHITCH_SCHEDULER_PLAN_RESERVE_H_
--- a/source/scheduler/plan_search.cc
+++ b/source/scheduler/plan_search.cc
@@ -1,5 +1,5 @@
-// Racks are visited in the order of their failure domains, so each group of near
-// workers is contiguous.
+// Racks are visited in the order of their failure domains, so each group of
+// near workers is contiguous.
 
 #include "scheduler/plan_search.h"
 
@@ -31,7 +31,8 @@
                              const headroom& room,
                              std::uint32_t minimum_free) {
   rack_candidates found{.failure_domain = &rack.failure_domain};
-  auto slot = slots.lower_bound({.free = minimum_free, .worker = model::worker_id()});
+  auto slot =
+      slots.lower_bound({.free = minimum_free, .worker = model::worker_id()});
   for (; slot != slots.end(); ++slot) {
     const std::uint32_t available = room(slot->worker);
     if (available < shape.accelerators)
@@ -62,7 +63,8 @@
                                  std::uint32_t minimum_free) {
   std::vector<rack_group> groups;
   for (const auto& [rack, slots] : ledger.racks) {
-    rack_candidates found = CandidatesOf(rack, slots, shape, room, minimum_free);
+    rack_candidates found =
+        CandidatesOf(rack, slots, shape, room, minimum_free);
     if (found.workers.empty())
       continue;
     if (groups.empty() || !SameGroup(shape, groups.back().back(), found))
@@ -86,7 +88,8 @@
   return room;
 }
 
-// One member goes where it leaves least: the fullest worker of the fullest rack.
+// One member goes where it leaves least: the fullest worker of the fullest
+// rack.
 std::vector<model::worker_id> TakeOne(const rack_group& group) {
   const candidate* best = nullptr;
   std::uint64_t best_rack_room = 0;
@@ -104,12 +107,14 @@
 }
 
 // A gang takes the racks that hold most of it, so that it spreads over few.
-std::vector<model::worker_id> TakeGang(const rack_group& group, std::uint32_t gang_size) {
+std::vector<model::worker_id> TakeGang(const rack_group& group,
+                                       std::uint32_t gang_size) {
   std::vector<const rack_candidates*> racks;
   for (const rack_candidates& rack : group)
     racks.push_back(&rack);
-  std::ranges::stable_sort(racks, std::ranges::greater{},
-                           [](const auto* rack) { return rack->workers.size(); });
+  std::ranges::stable_sort(racks, std::ranges::greater{}, [](const auto* rack) {
+    return rack->workers.size();
+  });
   std::vector<model::worker_id> taken;
   for (const rack_candidates* rack : racks) {
     for (const candidate& each : rack->workers) {
@@ -121,7 +126,8 @@
   return taken;
 }
 
-std::vector<model::worker_id> TakeFirst(const rack_group& group, std::uint32_t gang_size) {
+std::vector<model::worker_id> TakeFirst(const rack_group& group,
+                                        std::uint32_t gang_size) {
   std::vector<model::worker_id> taken;
   for (const rack_candidates& rack : group) {
     for (const candidate& each : rack.workers)
@@ -140,7 +146,8 @@
                                           std::uint32_t minimum_free,
                                           fit choice) {
   const rack_group* chosen = nullptr;
-  const std::vector<rack_group> groups = GroupsOf(ledger, shape, room, minimum_free);
+  const std::vector<rack_group> groups =
+      GroupsOf(ledger, shape, room, minimum_free);
   for (const rack_group& group : groups) {
     if (MembersIn(group) < shape.gang_size)
       continue;
@@ -172,8 +179,9 @@
   return FindWorkers(ledger, shape, room, 0, fit::kBest);
 }
 
-std::vector<model::worker_id> FindBesideReservations(const model::ledger& ledger,
-                                                     const model::shape& shape) {
+std::vector<model::worker_id> FindBesideReservations(
+    const model::ledger& ledger,
+    const model::shape& shape) {
   const headroom room = [&](const model::worker_id& worker) -> std::uint32_t {
     const std::uint32_t total = ledger.workers.Find(worker)->spec.accelerators;
     const std::uint32_t reserved = UseOf(ledger, worker).reserved;
--- a/source/scheduler/plan_search.h
+++ b/source/scheduler/plan_search.h
@@ -17,24 +17,27 @@
 // Which of the fitting workers a search takes.
 enum class fit { kBest, kFirst };
 
-// `shape.gang_size` workers near enough to one another, each with headroom for a
-// member; empty when there are none. Best fit takes the rack, or the worker, with
-// the least to spare, so that whole racks stay free. `minimum_free` skips workers
-// with fewer accelerators free of firm and soft work by way of the index.
+// `shape.gang_size` workers near enough to one another, each with headroom for
+// a member; empty when there are none. Best fit takes the rack, or the worker,
+// with the least to spare, so that whole racks stay free. `minimum_free` skips
+// workers with fewer accelerators free of firm and soft work by way of the
+// index.
 std::vector<model::worker_id> FindWorkers(const model::ledger& ledger,
                                           const model::shape& shape,
                                           const headroom& room,
                                           std::uint32_t minimum_free,
                                           fit choice);
 
-// Workers that can be reserved for a guaranteed shape: preemptible work does not
-// stand in the way, firm work and other reservations do.
+// Workers that can be reserved for a guaranteed shape: preemptible work does
+// not stand in the way, firm work and other reservations do.
 std::vector<model::worker_id> FindReservable(const model::ledger& ledger,
                                              const model::shape& shape);
 
-// Workers with room for the shape beside reservations alone, were nothing running.
-std::vector<model::worker_id> FindBesideReservations(const model::ledger& ledger,
-                                                     const model::shape& shape);
+// Workers with room for the shape beside reservations alone, were nothing
+// running.
+std::vector<model::worker_id> FindBesideReservations(
+    const model::ledger& ledger,
+    const model::shape& shape);
 
 // True when the shape would fit in the fleet if nothing ran.
 bool FleetCouldHold(const model::ledger& ledger, const model::shape& shape);
--- a/source/scheduler/reduce.cc
+++ b/source/scheduler/reduce.cc
@@ -1,5 +1,5 @@
-// The root of the reducer: one visit over all events, then the work that has become
-// due.
+// The root of the reducer: one visit over all events, then the work that has
+// become due.
 
 #include "scheduler/reduce.h"
 
@@ -22,10 +22,14 @@
   return Emit(std::move(step), model::count_metric{.name = std::move(metric)});
 }
 
-step Log(step step, model::severity level, std::string message, std::string subject) {
-  return Emit(std::move(step), model::write_log_line{.level = level,
-                                                     .message = std::move(message),
-                                                     .subject = std::move(subject)});
+step Log(step step,
+         model::severity level,
+         std::string message,
+         std::string subject) {
+  return Emit(std::move(step),
+              model::write_log_line{.level = level,
+                                    .message = std::move(message),
+                                    .subject = std::move(subject)});
 }
 
 step SetAlarm(step step, alarm alarm) {
@@ -117,7 +121,8 @@
   step next{.state = std::move(state), .effects = {}};
   if (next.state.drain.stopped)
     return next;
-  const model::timestamp at = std::visit([](const auto& each) { return each.at; }, event);
+  const model::timestamp at =
+      std::visit([](const auto& each) { return each.at; }, event);
   next.state.now = std::max(next.state.now, at);
   next = std::visit(
       [&](const auto& each) {
--- a/source/scheduler/reduce.h
+++ b/source/scheduler/reduce.h
@@ -1,5 +1,6 @@
-// The reducer: the only place where anything is decided. It is pure: time, seeds
-// and names come in on events, everything it wants done goes out as effects.
+// The reducer: the only place where anything is decided. It is pure: time,
+// seeds and names come in on events, everything it wants done goes out as
+// effects.
 
 #ifndef PARSLEYHITCH_SCHEDULER_REDUCE_H_
 #define PARSLEYHITCH_SCHEDULER_REDUCE_H_
@@ -29,7 +30,9 @@
   model::effects effects;
 };
 
-step Reduce(const environment& environment, entry_state state, const model::event& event);
+step Reduce(const environment& environment,
+            entry_state state,
+            const model::event& event);
 
 }  // namespace parsleyhitch::scheduler
 
--- a/source/scheduler/reduce_jobs.cc
+++ b/source/scheduler/reduce_jobs.cc
@@ -1,5 +1,5 @@
-// Callers' jobs and operators' manifests on their way into the log, and the plans of
-// the entry that is the planner's home.
+// Callers' jobs and operators' manifests on their way into the log, and the
+// plans of the entry that is the planner's home.
 
 #include <optional>
 #include <utility>
@@ -50,7 +50,8 @@
   if (RefusesNewCalls(environment, state))
     return Unavailable(environment, "this entry is shutting down");
   if (!IsReady(state))
-    return Unavailable(environment, "this entry has not caught up with the log");
+    return Unavailable(environment,
+                       "this entry has not caught up with the log");
   return {};
 }
 
@@ -68,23 +69,24 @@
 }
 
 step OpenCall(step step, model::call_number call, open_call opened) {
-  step = SetAlarm(std::move(step), {.at = opened.deadline,
-                                    .kind = alarm_kind::kCallDeadline,
-                                    .call = call});
+  step = SetAlarm(
+      std::move(step),
+      {.at = opened.deadline, .kind = alarm_kind::kCallDeadline, .call = call});
   step.state.calls.open.Put(call, std::move(opened));
   return step;
 }
 
 step CloseCall(step step, model::call_number call, model::answer answer) {
   const open_call& opened = *step.state.calls.open.Find(call);
-  step = DropAlarm(std::move(step), {.at = opened.deadline,
-                                     .kind = alarm_kind::kCallDeadline,
-                                     .call = call});
+  step = DropAlarm(
+      std::move(step),
+      {.at = opened.deadline, .kind = alarm_kind::kCallDeadline, .call = call});
   step.state.calls.open.Erase(call);
   return Answer(std::move(step), call, std::move(answer));
 }
 
-// Takes the call's record out of the queue; false when it is in a batch already.
+// Takes the call's record out of the queue; false when it is in a batch
+// already.
 bool Withdraw(log_state& log, model::call_number call) {
   std::deque<pending_record> kept;
   bool withdrawn = false;
@@ -108,7 +110,8 @@
     if (verdict.accepted)
       return {.kind = model::answer_kind::kAccepted, .version = version};
     const bool stale = verdict.faults.front().place == "/base";
-    return {.kind = stale ? model::answer_kind::kConflict : model::answer_kind::kInvalid,
+    return {.kind = stale ? model::answer_kind::kConflict
+                          : model::answer_kind::kInvalid,
             .ran = model::run_state::kNotRun,
             .faults = verdict.faults,
             .version = version};
@@ -121,7 +124,8 @@
           .job = ViewOf(ledger, opened.job)};
 }
 
-// A submission that lost a race to the same key is answered by the winner's job.
+// A submission that lost a race to the same key is answered by the winner's
+// job.
 std::optional<model::answer> AnswerToRace(const entry_state& state,
                                           const record_verdict& verdict,
                                           const model::job_spec* spec) {
@@ -130,17 +134,19 @@
   return AnswerByKey(state.ledger, *spec);
 }
 
-const model::job_spec* SubmittedSpec(const entry_state& state, std::uint32_t index) {
+const model::job_spec* SubmittedSpec(const entry_state& state,
+                                     std::uint32_t index) {
   const model::batch* batch = state.log.in_flight.Get();
   if (batch == nullptr || index >= batch->records.size())
     return nullptr;
-  const auto* submitted = std::get_if<model::job_submitted>(&batch->records[index]);
+  const auto* submitted =
+      std::get_if<model::job_submitted>(&batch->records[index]);
   return submitted == nullptr ? nullptr : &submitted->spec;
 }
 
 bool MayPlan(const environment& environment, const entry_state& state) {
-  return state.calls.plan_due && state.calls.planned_records == 0 && IsReady(state) &&
-         IsHomeOf(environment, state, kPlannerSubject);
+  return state.calls.plan_due && state.calls.planned_records == 0 &&
+         IsReady(state) && IsHomeOf(environment, state, kPlannerSubject);
 }
 
 step PlanAgainAt(step step, model::timestamp at) {
@@ -153,11 +159,14 @@
 
 }  // namespace
 
-step On(const environment& environment, step step, const model::job_requested& event) {
+step On(const environment& environment,
+        step step,
+        const model::job_requested& event) {
   std::optional<model::answer> refusal = RefusalNow(environment, step.state);
   if (refusal)
     return Answer(std::move(step), event.call, std::move(*refusal));
-  std::optional<model::answer> known = AnswerByKey(step.state.ledger, event.spec);
+  std::optional<model::answer> known =
+      AnswerByKey(step.state.ledger, event.spec);
   if (known)
     return Answer(std::move(step), event.call, std::move(*known));
   model::findings faults = CheckJob(event.spec, step.state.ledger);
@@ -166,13 +175,17 @@
   const model::job_id job(environment.me.value() + "-" +
                           std::to_string(step.state.incarnation) + "-" +
                           std::to_string(event.call));
-  step = Append(std::move(step), model::job_submitted{.job = job, .spec = event.spec},
+  step = Append(std::move(step),
+                model::job_submitted{.job = job, .spec = event.spec},
                 {.kind = waiter_kind::kJob, .call = event.call});
-  return OpenCall(std::move(step), event.call,
-                  {.kind = waiter_kind::kJob, .deadline = event.deadline, .job = job});
+  return OpenCall(
+      std::move(step), event.call,
+      {.kind = waiter_kind::kJob, .deadline = event.deadline, .job = job});
 }
 
-step On(const environment& environment, step step, const model::job_cancel_requested& event) {
+step On(const environment& environment,
+        step step,
+        const model::job_cancel_requested& event) {
   std::optional<model::answer> refusal = RefusalNow(environment, step.state);
   if (refusal)
     return Answer(std::move(step), event.call, std::move(*refusal));
@@ -183,9 +196,10 @@
   }
   step = Append(std::move(step), model::job_cancelled{.job = event.job},
                 {.kind = waiter_kind::kCancel, .call = event.call});
-  return OpenCall(
-      std::move(step), event.call,
-      {.kind = waiter_kind::kCancel, .deadline = event.deadline, .job = event.job});
+  return OpenCall(std::move(step), event.call,
+                  {.kind = waiter_kind::kCancel,
+                   .deadline = event.deadline,
+                   .job = event.job});
 }
 
 step On(const environment&, step step, const model::job_read_requested& event) {
@@ -199,14 +213,17 @@
   return Answer(std::move(step), event.call, std::move(found));
 }
 
-step On(const environment& environment, step step, const model::manifest_offered& event) {
+step On(const environment& environment,
+        step step,
+        const model::manifest_offered& event) {
   std::optional<model::answer> refusal = RefusalNow(environment, step.state);
   if (refusal)
     return Answer(std::move(step), event.call, std::move(*refusal));
   model::findings faults = CheckManifest(event.proposed);
   if (!faults.empty())
     return Answer(std::move(step), event.call, Invalid(std::move(faults)));
-  step = Append(std::move(step), model::manifest_published{.proposed = event.proposed},
+  step = Append(std::move(step),
+                model::manifest_published{.proposed = event.proposed},
                 {.kind = waiter_kind::kManifest, .call = event.call});
   return OpenCall(std::move(step), event.call,
                   {.kind = waiter_kind::kManifest, .deadline = event.deadline});
@@ -230,47 +247,57 @@
   const model::job_spec* spec = SubmittedSpec(step.state, verdict.index);
   std::optional<model::answer> raced = AnswerToRace(step.state, verdict, spec);
   model::answer answer =
-      raced ? std::move(*raced) : AnswerToVerdict(step.state.ledger, verdict, *opened);
+      raced ? std::move(*raced)
+            : AnswerToVerdict(step.state.ledger, verdict, *opened);
   return CloseCall(std::move(step), waits.call, std::move(answer));
 }
 
-step OnCallDeadline(const environment& environment, step step, model::call_number call) {
+step OnCallDeadline(const environment& environment,
+                    step step,
+                    model::call_number call) {
   const open_call* opened = step.state.calls.open.Find(call);
   if (opened == nullptr)
     return step;
   const model::job_id job = opened->job;
   if (Withdraw(step.state.log, call)) {
-    return CloseCall(std::move(step), call,
-                     Unavailable(environment, "the log took no record in time"));
+    return CloseCall(
+        std::move(step), call,
+        Unavailable(environment, "the log took no record in time"));
   }
   const bool submitted = opened->kind == waiter_kind::kJob;
   std::optional<model::job_view> view;
   if (submitted)
     view.emplace(model::job_view{.job = job});
-  return CloseCall(std::move(step), call,
-                   {.kind = model::answer_kind::kDeadline,
-                    .ran = model::run_state::kOutcomeUnknown,
-                    .faults = One("", "the log has not confirmed the record yet"),
-                    .job = view});
+  return CloseCall(
+      std::move(step), call,
+      {.kind = model::answer_kind::kDeadline,
+       .ran = model::run_state::kOutcomeUnknown,
+       .faults = One("", "the log has not confirmed the record yet"),
+       .job = view});
 }
 
 step PlanIfDue(const environment& environment, step step) {
   if (!MayPlan(environment, step.state))
     return step;
-  if (step.state.now < step.state.calls.next_plan)
-    return PlanAgainAt(std::move(step), step.state.calls.next_plan);
+  const model::timestamp earliest = step.state.calls.next_plan;
+  if (step.state.now < earliest)
+    return PlanAgainAt(std::move(step), earliest);
   step.state.calls.plan_due = false;
   step.state.calls.next_plan = step.state.now + environment.limits.plan_pause;
   if (step.state.ledger.waiting.empty())
     return step;
-  const plan_rules rules{.limits = environment.limits,
-                         .leaves_guarantees = environment.behaviour.leaves_guarantees};
+  const plan_rules rules{
+      .limits = environment.limits,
+      .leaves_guarantees = environment.behaviour.leaves_guarantees};
   std::vector<model::record> records =
       environment.behaviour.plan(step.state.ledger, step.state.now, rules);
   step.state.calls.planned_records = static_cast<std::uint32_t>(records.size());
   for (model::record& record : records)
-    step = Append(std::move(step), std::move(record), {.kind = waiter_kind::kPlan});
-  return PlanAgainAt(std::move(step), step.state.now + environment.limits.plan_interval);
+    step = Append(std::move(step), std::move(record),
+                  {.kind = waiter_kind::kPlan});
+  const model::timestamp next =
+      step.state.now + environment.limits.plan_interval;
+  return PlanAgainAt(std::move(step), next);
 }
 
 }  // namespace parsleyhitch::scheduler::detail
--- a/source/scheduler/reduce_log.cc
+++ b/source/scheduler/reduce_log.cc
@@ -1,5 +1,6 @@
-// The platform's log: reading and folding, group commit of this entry's records,
-// repeats of ambiguous appends, recovery from a checkpoint, relay to peers.
+// The platform's log: reading and folding, group commit of this entry's
+// records, repeats of ambiguous appends, recovery from a checkpoint, relay to
+// peers.
 
 #include <algorithm>
 #include <utility>
@@ -14,21 +15,25 @@
 
 constexpr char kCheckpointSubject[] = "checkpoint";
 
-// Until it has caught up the entry wants to know where the log ends, so the log must
-// not hold an empty answer back.
+// Until it has caught up the entry wants to know where the log ends, so the log
+// must not hold an empty answer back.
 step ReadOn(const environment& environment, step step) {
   const log_state& log = step.state.log;
   const bool catching_up = !log.caught_up && !log.recovering;
-  const std::uint64_t from = log.recovering ? log.recover_from : step.state.ledger.next_offset;
+  const std::uint64_t from =
+      log.recovering ? log.recover_from : step.state.ledger.next_offset;
   const model::duration wait =
       catching_up ? model::duration::zero() : environment.limits.read_wait;
   return Emit(std::move(step),
-              model::read_log{
-                  .from = from, .wait = wait, .timeout = environment.limits.read_timeout});
+              model::read_log{.from = from,
+                              .wait = wait,
+                              .timeout = environment.limits.read_timeout});
 }
 
 // Remembers the batch for peers that can't read the log themselves.
-step KeepRecent(const environment& environment, step step, const model::logged_batch& batch) {
+step KeepRecent(const environment& environment,
+                step step,
+                const model::logged_batch& batch) {
   step.state.log.recent.push_back(batch);
   if (step.state.log.recent.size() > environment.limits.relay_buffer_batches)
     step.state.log.recent.pop_front();
@@ -36,7 +41,9 @@
 }
 
 // The batch in flight has been read back: its waiters' verdicts are known.
-step TakeVerdict(const environment& environment, step step, const record_verdict& verdict) {
+step TakeVerdict(const environment& environment,
+                 step step,
+                 const record_verdict& verdict) {
   const bool own = verdict.author.entry == environment.me &&
                    verdict.author.incarnation == step.state.incarnation;
   const model::batch* in_flight = step.state.log.in_flight.Get();
@@ -48,11 +55,15 @@
   return OnVerdict(environment, std::move(step), verdict, waits);
 }
 
-step TakeChange(const environment& environment, step step, const record_verdict& change) {
+step TakeChange(const environment& environment,
+                step step,
+                const record_verdict& change) {
   return TakeVerdict(environment, std::move(step), change);
 }
 
-step TakeChange(const environment& environment, step step, const job_changed& change) {
+step TakeChange(const environment& environment,
+                step step,
+                const job_changed& change) {
   step.state.calls.plan_due = true;
   const bool over = !step.state.ledger.placements.Contains(change.job);
   for (const model::worker_id& worker : change.workers) {
@@ -63,12 +74,16 @@
   return step;
 }
 
-step TakeChange(const environment& environment, step step, const worker_changed& change) {
+step TakeChange(const environment& environment,
+                step step,
+                const worker_changed& change) {
   step.state.calls.plan_due = true;
   return OnWorkerChanged(environment, std::move(step), change.worker);
 }
 
-step TakeChange(const environment& environment, step step, const claim_changed& change) {
+step TakeChange(const environment& environment,
+                step step,
+                const claim_changed& change) {
   return OnClaimChanged(environment, std::move(step), change.key);
 }
 
@@ -101,7 +116,9 @@
   return step;
 }
 
-step Fold(const environment& environment, step step, const model::logged_batch& batch) {
+step Fold(const environment& environment,
+          step step,
+          const model::logged_batch& batch) {
   const fold_rules rules{.behaviour = environment.behaviour,
                          .limits = environment.limits};
   fold_step folded = FoldBatch(
@@ -141,14 +158,17 @@
              std::to_string(first_offset));
 }
 
-step AdoptLedger(const environment& environment, step step, model::ledger restored) {
+step AdoptLedger(const environment& environment,
+                 step step,
+                 model::ledger restored) {
   step.state.log.recovering = false;
   step.state.log.collector = {};
   step.state.log.checkpoint_upto = restored.next_offset;
+  const std::string offset = std::to_string(restored.next_offset);
   step.state.ledger = std::move(restored);
   step.state.calls.planned_records = 0;
-  step = Log(std::move(step), model::severity::kInfo, "restored from a checkpoint",
-             std::to_string(step.state.ledger.next_offset));
+  step = Log(std::move(step), model::severity::kInfo,
+             "restored from a checkpoint", offset);
   std::vector<model::worker_id> workers;
   for (const auto& [worker, status] : step.state.ledger.workers)
     workers.push_back(worker);
@@ -157,7 +177,9 @@
   return SettleInFlight(environment, std::move(step));
 }
 
-step RecoverFrom(const environment& environment, step step, const model::logged_batch& batch) {
+step RecoverFrom(const environment& environment,
+                 step step,
+                 const model::logged_batch& batch) {
   step.state.log.recover_from = batch.offset + 1;
   for (const model::record& record : batch.content.records) {
     const auto* chunk = std::get_if<model::checkpoint_chunk>(&record);
@@ -167,13 +189,17 @@
     collected next = Collect(std::move(step.state.log.collector), *chunk);
     step.state.log.collector = std::move(next.collector);
     // An older checkpoint than what is known can't bring the entry forward.
-    if (next.restored && next.restored->next_offset >= step.state.ledger.next_offset)
-      return AdoptLedger(environment, std::move(step), std::move(*next.restored));
+    if (next.restored &&
+        next.restored->next_offset >= step.state.ledger.next_offset)
+      return AdoptLedger(environment, std::move(step),
+                         std::move(*next.restored));
   }
   return step;
 }
 
-step NoteReadable(const environment& environment, step step, const model::log_read& event) {
+step NoteReadable(const environment& environment,
+                  step step,
+                  const model::log_read& event) {
   const bool before = step.state.log.readable;
   step.state.log.readable = true;
   if (!before)
@@ -190,17 +216,19 @@
 }
 
 bool CheckpointIsDue(const environment& environment, const entry_state& state) {
-  if (!IsReady(state) || !state.log.readable || state.log.batches_since_checkpoint == 0)
+  if (!IsReady(state) || !state.log.readable ||
+      state.log.batches_since_checkpoint == 0)
     return false;
-  const bool many =
-      state.log.batches_since_checkpoint >= environment.limits.checkpoint_every_batches;
+  const bool many = state.log.batches_since_checkpoint >=
+                    environment.limits.checkpoint_every_batches;
   // Records that a restart would need are gone.
-  const bool trimmed =
-      state.log.first_offset > state.log.checkpoint_upto &&
-      state.now - state.log.last_checkpoint >= environment.limits.append_timeout;
-  const bool old =
-      state.now - state.log.last_checkpoint >= environment.limits.checkpoint_interval;
-  return (many || old || trimmed) && IsHomeOf(environment, state, kCheckpointSubject);
+  const bool trimmed = state.log.first_offset > state.log.checkpoint_upto &&
+                       state.now - state.log.last_checkpoint >=
+                           environment.limits.append_timeout;
+  const bool old = state.now - state.log.last_checkpoint >=
+                   environment.limits.checkpoint_interval;
+  return (many || old || trimmed) &&
+         IsHomeOf(environment, state, kCheckpointSubject);
 }
 
 step CheckpointIfDue(const environment& environment, step step) {
@@ -223,7 +251,8 @@
 step FillBatch(const environment& environment, step step) {
   log_state& log = step.state.log;
   std::vector<model::record> records;
-  while (!log.queue.empty() && records.size() < environment.limits.max_batch_records) {
+  while (!log.queue.empty() &&
+         records.size() < environment.limits.max_batch_records) {
     const bool chunk = IsChunk(log.queue.front());
     if (chunk && !records.empty())
       break;
@@ -247,9 +276,9 @@
   step.state.log.append_open = true;
   step.state.log.last_append = step.state.now;
   step = Count(std::move(step), "appends_total");
-  return Emit(std::move(step),
-              model::append_batch{.content = *step.state.log.in_flight.Get(),
-                                  .timeout = environment.limits.append_timeout});
+  model::append_batch append{.content = *step.state.log.in_flight.Get(),
+                             .timeout = environment.limits.append_timeout};
+  return Emit(std::move(step), std::move(append));
 }
 
 }  // namespace
@@ -262,8 +291,11 @@
   return ReadOn(environment, std::move(step));
 }
 
-step FoldIfNext(const environment& environment, step step, const model::logged_batch& batch) {
-  if (step.state.log.recovering || batch.offset != step.state.ledger.next_offset)
+step FoldIfNext(const environment& environment,
+                step step,
+                const model::logged_batch& batch) {
+  if (step.state.log.recovering ||
+      batch.offset != step.state.ledger.next_offset)
     return step;
   step = Fold(environment, std::move(step), batch);
   const model::checkpoint_chunk* chunk = LastChunkIn(batch.content);
@@ -275,17 +307,20 @@
   return step;
 }
 
-step On(const environment& environment, step step, const model::log_read& event) {
+step On(const environment& environment,
+        step step,
+        const model::log_read& event) {
   step.state.log.first_offset = event.first_offset;
   const bool trimmed = event.first_offset > step.state.ledger.next_offset;
-  const bool again =
-      step.state.log.recovering && event.first_offset > step.state.log.recover_from;
+  const bool again = step.state.log.recovering &&
+                     event.first_offset > step.state.log.recover_from;
   if ((trimmed && !step.state.log.recovering) || again) {
     step = StartRecovery(std::move(step), event.first_offset);
     step = RefreshMembership(environment, std::move(step));
   }
   for (const model::logged_batch& batch : event.batches) {
-    if (step.state.log.recovering && batch.offset == step.state.log.recover_from)
+    if (step.state.log.recovering &&
+        batch.offset == step.state.log.recover_from)
       step = RecoverFrom(environment, std::move(step), batch);
     else
       step = FoldIfNext(environment, std::move(step), batch);
@@ -297,33 +332,42 @@
 
 step On(const environment& environment, step step, const model::log_unread&) {
   if (step.state.log.readable) {
-    step = Log(std::move(step), model::severity::kWarning, "log can't be read", "");
+    step = Log(std::move(step), model::severity::kWarning, "log can't be read",
+               "");
     step = Count(std::move(step), "log_outages_total");
   }
   step.state.log.readable = false;
+  const model::timestamp retry_at =
+      step.state.now + environment.limits.read_retry;
   return SetAlarm(std::move(step),
-                  {.at = step.state.now + environment.limits.read_retry,
-                   .kind = alarm_kind::kReadLog});
+                  {.at = retry_at, .kind = alarm_kind::kReadLog});
 }
 
 // An answered batch is read back soon; it is repeated only if not.
-step On(const environment& environment, step step, const model::append_answered&) {
+step On(const environment& environment,
+        step step,
+        const model::append_answered&) {
   step.state.log.append_open = false;
   if (step.state.log.in_flight.Get() != nullptr)
-    step.state.log.next_append = step.state.now + environment.limits.append_retry;
+    step.state.log.next_append =
+        step.state.now + environment.limits.append_retry;
   return step;
 }
 
-step On(const environment& environment, step step, const model::append_unanswered&) {
+step On(const environment& environment,
+        step step,
+        const model::append_unanswered&) {
   step.state.log.append_open = false;
   step.state.log.next_append = step.state.now + environment.limits.append_retry;
   step = Count(std::move(step), "appends_unanswered_total");
+  const model::timestamp retry_at = step.state.log.next_append;
   return SetAlarm(std::move(step),
-                  {.at = step.state.log.next_append, .kind = alarm_kind::kAppend});
+                  {.at = retry_at, .kind = alarm_kind::kAppend});
 }
 
 step Append(step step, model::record record, waiter waits) {
-  step.state.log.queue.push_back({.content = std::move(record), .waits = waits});
+  step.state.log.queue.push_back(
+      {.content = std::move(record), .waits = waits});
   return step;
 }
 
@@ -334,8 +378,10 @@
   const bool nothing = log.in_flight.Get() == nullptr && log.queue.empty();
   if (nothing)
     return step;
-  if (step.state.now < log.next_append) {
-    return SetAlarm(std::move(step), {.at = log.next_append, .kind = alarm_kind::kAppend});
+  const model::timestamp earliest = log.next_append;
+  if (step.state.now < earliest) {
+    return SetAlarm(std::move(step),
+                    {.at = earliest, .kind = alarm_kind::kAppend});
   }
   if (log.in_flight.Get() == nullptr)
     step = FillBatch(environment, std::move(step));
--- a/source/scheduler/reduce_parts.h
+++ b/source/scheduler/reduce_parts.h
@@ -1,5 +1,5 @@
-// The reducers by part, and the small steps that they share. Each takes the step so
-// far and gives the next one.
+// The reducers by part, and the small steps that they share. Each takes the
+// step so far and gives the next one.
 
 #ifndef PARSLEYHITCH_SCHEDULER_REDUCE_PARTS_H_
 #define PARSLEYHITCH_SCHEDULER_REDUCE_PARTS_H_
@@ -15,7 +15,10 @@
 // Shared steps (reduce.cc).
 step Emit(step step, model::effect effect);
 step Count(step step, std::string metric);
-step Log(step step, model::severity level, std::string message, std::string subject);
+step Log(step step,
+         model::severity level,
+         std::string message,
+         std::string subject);
 step On(const environment&, step, const model::wake_due&);
 step SetAlarm(step step, alarm alarm);
 step DropAlarm(step step, const alarm& alarm);
@@ -44,7 +47,10 @@
 step RefreshMembership(const environment&, step);
 step ReadVmList(const environment&, step);
 step StopIfDrained(const environment&, step);
-step NoteLeaving(const environment&, step, const model::worker_id&, const leaving_view&);
+step NoteLeaving(const environment&,
+                 step,
+                 const model::worker_id&,
+                 const leaving_view&);
 bool IsHomeOf(const environment&, const entry_state&, std::string_view subject);
 // True once new calls are to be refused.
 bool RefusesNewCalls(const environment&, const entry_state&);
@@ -75,7 +81,10 @@
 step On(const environment&, step, const model::endpoint_answered&);
 step On(const environment&, step, const model::endpoint_unanswered&);
 step OnClaimChanged(const environment&, step, const model::scoped_key&);
-step OnClaimVerdict(const environment&, step, const record_verdict&, model::call_number);
+step OnClaimVerdict(const environment&,
+                    step,
+                    const record_verdict&,
+                    model::call_number);
 step OnRequestDeadline(const environment&, step, model::call_number);
 step RetryRequest(const environment&, step, model::call_number);
 step ReadmitEndpoint(const environment&, step, const model::worker_id&);
