--- a/source/scheduler/reduce_requests.cc
+++ b/source/scheduler/reduce_requests.cc
@@ -34,13 +34,15 @@
                      .message = "no workspace '" + event.owner.value() + "'"});
   }
   if (!event.idempotent && event.key.empty()) {
-    found.push_back({.place = "/key",
-                     .message = "a non-idempotent request needs an idempotency key"});
+    found.push_back(
+        {.place = "/key",
+         .message = "a non-idempotent request needs an idempotency key"});
   }
   return found;
 }
 
-std::uint32_t OpenOf(const entry_state& state, const model::workspace_id& owner) {
+std::uint32_t OpenOf(const entry_state& state,
+                     const model::workspace_id& owner) {
   const std::uint32_t* open = state.requests.by_workspace.Find(owner);
   return open == nullptr ? 0 : *open;
 }
@@ -58,7 +60,8 @@
 // Requests in line that go before one of this importance.
 std::uint32_t AheadOf(const entry_state& state, model::importance rank) {
   std::uint32_t ahead = 0;
-  for (std::size_t i = static_cast<std::size_t>(rank); i < state.requests.queued.size(); ++i)
+  for (std::size_t i = static_cast<std::size_t>(rank);
+       i < state.requests.queued.size(); ++i)
     ahead += state.requests.queued.at(i);
   return ahead;
 }
@@ -69,8 +72,8 @@
           .deadline = request.deadline};
 }
 
-// True when the line is so long that the deadline can't be met: better refused early
-// than late.
+// True when the line is so long that the deadline can't be met: better refused
+// early than late.
 bool WouldBeLate(const entry_state& state,
                  model::importance rank,
                  model::timestamp deadline) {
@@ -88,10 +91,12 @@
                                      const model::request_received& event,
                                      const open_request& request) {
   if (request.deadline <= state.now)
-    return Refuse(environment, model::answer_kind::kDeadline, "the deadline has passed");
+    return Refuse(environment, model::answer_kind::kDeadline,
+                  "the deadline has passed");
   const model::workspace& owner =
       *FindWorkspace(*state.ledger.in_force.Get(), event.owner);
-  if (owner.max_requests != 0 && OpenOf(state, event.owner) >= owner.max_requests) {
+  if (owner.max_requests != 0 &&
+      OpenOf(state, event.owner) >= owner.max_requests) {
     return Refuse(environment, model::answer_kind::kOverloaded,
                   "the workspace has too many requests open");
   }
@@ -104,7 +109,9 @@
 }
 
 // Sheds the least important request in line for a more important one.
-step ShedFor(const environment& environment, step step, model::importance rank) {
+step ShedFor(const environment& environment,
+             step step,
+             model::importance rank) {
   if (step.state.requests.queue.empty())
     return step;
   const request_position last = *step.state.requests.queue.rbegin();
@@ -134,7 +141,8 @@
           .key = event.key,
           .received = event.at,
           .deadline = deadline,
-          .digest = environment.behaviour.hash(event.target.value() + "\n" + event.body),
+          .digest = environment.behaviour.hash(event.target.value() + "\n" +
+                                               event.body),
           .order = environment.behaviour.order_request(view),
           .body = event.body};
 }
@@ -165,8 +173,8 @@
              const request_progress& progress) {
   step.state.requests.retry_budget -= kRetryTokenHundredths;
   const std::uint64_t random = Draw(step);
-  const model::duration wait =
-      environment.behaviour.backoff(environment.limits, progress.attempt, random);
+  const model::duration wait = environment.behaviour.backoff(
+      environment.limits, progress.attempt, random);
   step = Count(std::move(step), "request_retries_total");
   step = SetProgress(std::move(step), call,
                      {.phase = request_phase::kBackingOff,
@@ -174,9 +182,10 @@
                       .ambiguous_attempts = progress.ambiguous_attempts,
                       .worker = progress.worker,
                       .claimed = progress.claimed});
-  return SetAlarm(std::move(step), {.at = step.state.now + wait,
-                                    .kind = alarm_kind::kRetryRequest,
-                                    .call = call});
+  const model::timestamp retry_at = step.state.now + wait;
+  return SetAlarm(
+      std::move(step),
+      {.at = retry_at, .kind = alarm_kind::kRetryRequest, .call = call});
 }
 
 // An attempt brought no whole answer.
@@ -187,12 +196,14 @@
   const open_request& request = *step.state.requests.open.Find(call);
   if (MayRetry(environment, step.state, request, progress))
     return BackOff(environment, std::move(step), call, progress);
-  return CloseRequest(environment, std::move(step), call,
-                      RefusalOf(environment, progress, model::answer_kind::kUnavailable,
-                                "no endpoint gave a whole answer"));
+  return CloseRequest(
+      environment, std::move(step), call,
+      RefusalOf(environment, progress, model::answer_kind::kUnavailable,
+                "no endpoint gave a whole answer"));
 }
 
-// The attempt that the request waits for; null when the event belongs to another.
+// The attempt that the request waits for; null when the event belongs to
+// another.
 const request_progress* Awaiting(const environment& environment,
                                  const entry_state& state,
                                  model::call_number call,
@@ -204,17 +215,21 @@
   return environment.behaviour.answers_request(view) ? progress : nullptr;
 }
 
-request_progress AfterAttempt(const request_progress& progress, bool ambiguous) {
-  return {.phase = progress.phase,
-          .attempt = progress.attempt,
-          .ambiguous_attempts = progress.ambiguous_attempts + (ambiguous ? 1 : 0),
-          .worker = progress.worker,
-          .claimed = progress.claimed};
+request_progress AfterAttempt(const request_progress& progress,
+                              bool ambiguous) {
+  return {
+      .phase = progress.phase,
+      .attempt = progress.attempt,
+      .ambiguous_attempts = progress.ambiguous_attempts + (ambiguous ? 1 : 0),
+      .worker = progress.worker,
+      .claimed = progress.claimed};
 }
 
 }  // namespace
 
-step SetProgress(step step, model::call_number call, request_progress progress) {
+step SetProgress(step step,
+                 model::call_number call,
+                 request_progress progress) {
   step.state.requests.progress.Put(call, std::move(progress));
   return step;
 }
@@ -242,19 +257,22 @@
   const bool whole = answer.kind == model::answer_kind::kAnswered;
   if (progress.claimed) {
     const model::request_outcome refused =
-        answer.ran == model::run_state::kNotRun ? model::request_outcome::kNotRun
-                                                : model::request_outcome::kUnknown;
-    step = FinishClaim(environment, std::move(step), request,
-                       {.outcome = whole ? model::request_outcome::kAnswered : refused,
-                        .status = answer.endpoint_status,
-                        .body = answer.body});
+        answer.ran == model::run_state::kNotRun
+            ? model::request_outcome::kNotRun
+            : model::request_outcome::kUnknown;
+    step = FinishClaim(
+        environment, std::move(step), request,
+        {.outcome = whole ? model::request_outcome::kAnswered : refused,
+         .status = answer.endpoint_status,
+         .body = answer.body});
   }
   step = DropAlarm(std::move(step), {.at = request.deadline,
                                      .kind = alarm_kind::kCallDeadline,
                                      .call = call});
   step = CountOpen(std::move(step), request.owner, false);
   const model::scoped_key key{.owner = request.owner, .key = request.key};
-  const std::set<model::call_number>* waiting = step.state.requests.by_key.Find(key);
+  const std::set<model::call_number>* waiting =
+      step.state.requests.by_key.Find(key);
   if (waiting != nullptr) {
     std::set<model::call_number> rest = *waiting;
     rest.erase(call);
@@ -265,14 +283,16 @@
   }
   step.state.requests.open.Erase(call);
   step.state.requests.progress.Erase(call);
-  step = Emit(std::move(step),
-              model::observe_request{.target = request.target,
-                                     .latency = step.state.now - request.received,
-                                     .whole_answer = whole});
+  const model::duration latency = step.state.now - request.received;
+  step = Emit(std::move(step), model::observe_request{.target = request.target,
+                                                      .latency = latency,
+                                                      .whole_answer = whole});
   return Answer(std::move(step), call, std::move(answer));
 }
 
-step On(const environment& environment, step step, const model::request_received& event) {
+step On(const environment& environment,
+        step step,
+        const model::request_received& event) {
   if (RefusesNewCalls(environment, step.state)) {
     return Answer(std::move(step), event.call,
                   Refuse(environment, model::answer_kind::kUnavailable,
@@ -302,7 +322,8 @@
   }
   if (refusal) {
     step = Count(std::move(step), "requests_refused_total");
-    step = Emit(std::move(step), model::observe_request{.target = event.target});
+    step =
+        Emit(std::move(step), model::observe_request{.target = event.target});
     return Answer(std::move(step), event.call, std::move(*refusal));
   }
   step = OpenRequest(std::move(step), event.call, std::move(request));
@@ -310,10 +331,14 @@
                           : ClaimKey(environment, std::move(step), event.call);
 }
 
-step On(const environment& environment, step step, const model::caller_gone& event) {
-  const request_progress* progress = step.state.requests.progress.Find(event.call);
+step On(const environment& environment,
+        step step,
+        const model::caller_gone& event) {
+  const request_progress* progress =
+      step.state.requests.progress.Find(event.call);
   if (progress == nullptr || progress->phase == request_phase::kCalling ||
-      progress->phase == request_phase::kClaiming || progress->ambiguous_attempts != 0) {
+      progress->phase == request_phase::kClaiming ||
+      progress->ambiguous_attempts != 0) {
     return step;
   }
   return CloseRequest(environment, std::move(step), event.call,
@@ -321,7 +346,9 @@
                              "the caller has gone"));
 }
 
-step On(const environment& environment, step step, const model::endpoint_answered& event) {
+step On(const environment& environment,
+        step step,
+        const model::endpoint_answered& event) {
   const request_progress* awaiting =
       Awaiting(environment, step.state, event.call, event.attempt);
   std::optional<request_progress> progress;
@@ -330,7 +357,8 @@
   const endpoint_call* ended = step.state.requests.calls.Find(event.call);
   if (event.leaving && ended != nullptr) {
     const model::worker_id worker = ended->worker;
-    step = NoteLeaving(environment, std::move(step), worker, {.told_by_endpoint = true});
+    step = NoteLeaving(environment, std::move(step), worker,
+                       {.told_by_endpoint = true});
   }
   step = EndEndpointCall(environment, std::move(step), event.call,
                          event.status < kFirstServerError);
@@ -346,7 +374,9 @@
                        .body = event.body});
 }
 
-step On(const environment& environment, step step, const model::endpoint_unanswered& event) {
+step On(const environment& environment,
+        step step,
+        const model::endpoint_unanswered& event) {
   const request_progress* awaiting =
       Awaiting(environment, step.state, event.call, event.attempt);
   std::optional<request_progress> progress;
@@ -358,14 +388,18 @@
   return RetryOrClose(environment, std::move(step), event.call, *progress);
 }
 
-step OnRequestDeadline(const environment& environment, step step, model::call_number call) {
+step OnRequestDeadline(const environment& environment,
+                       step step,
+                       model::call_number call) {
   const request_progress progress = *step.state.requests.progress.Find(call);
-  // What is with an endpoint now, or with another holder of the key, may have run.
+  // What is with an endpoint now, or with another holder of the key, may have
+  // run.
   const bool out = progress.phase == request_phase::kCalling ||
                    progress.phase == request_phase::kAwaitingOther;
-  return CloseRequest(environment, std::move(step), call,
-                      RefusalOf(environment, AfterAttempt(progress, out),
-                                model::answer_kind::kDeadline, "the deadline passed"));
+  return CloseRequest(
+      environment, std::move(step), call,
+      RefusalOf(environment, AfterAttempt(progress, out),
+                model::answer_kind::kDeadline, "the deadline passed"));
 }
 
 step RetryRequest(const environment&, step step, model::call_number call) {
--- a/source/scheduler/reduce_status.cc
+++ b/source/scheduler/reduce_status.cc
@@ -45,7 +45,8 @@
                                         const entry_state& state) {
   std::vector<model::peer_view> views;
   for (const auto& [entry, peer] : state.peers.peers) {
-    const bool alive = state.now - peer.last_heard <= environment.limits.peer_timeout;
+    const bool alive =
+        state.now - peer.last_heard <= environment.limits.peer_timeout;
     views.push_back({.entry = entry,
                      .alive = alive,
                      .draining = peer.draining,
@@ -56,7 +57,9 @@
 
 }  // namespace
 
-step On(const environment& environment, step step, const model::status_requested& event) {
+step On(const environment& environment,
+        step step,
+        const model::status_requested& event) {
   const model::ledger& ledger = step.state.ledger;
   const worker_counts workers = CountWorkers(ledger);
   const model::manifest* in_force = ledger.in_force.Get();
--- a/source/scheduler/reduce_workers.cc
+++ b/source/scheduler/reduce_workers.cc
@@ -1,6 +1,6 @@
 // The care for workers: each has one home among the entries, which sends it the
-// whole of what it is to hold and run, renews its leases by that, and reports to the
-// log what it says of its tasks.
+// whole of what it is to hold and run, renews its leases by that, and reports
+// to the log what it says of its tasks.
 
 #include <algorithm>
 #include <utility>
@@ -29,8 +29,8 @@
   const model::worker_status* status = state.ledger.workers.Find(worker);
   if (status == nullptr || !IsReady(state))
     return false;
-  return HomeOf(environment.behaviour, worker.value(), Carers(state, *status)) ==
-         environment.me;
+  return HomeOf(environment.behaviour, worker.value(),
+                Carers(state, *status)) == environment.me;
 }
 
 model::task_order OrderFor(const environment& environment,
@@ -47,12 +47,14 @@
     return model::task_order::kCheckpoint;
   if (stopping)
     return model::task_order::kStop;
-  return environment.behaviour.may_start(placed, member) ? model::task_order::kRun
-                                                         : model::task_order::kHold;
+  return environment.behaviour.may_start(placed, member)
+             ? model::task_order::kRun
+             : model::task_order::kHold;
 }
 
 bool IsOpen(model::task_state state) {
-  return state == model::task_state::kPending || state == model::task_state::kHeld ||
+  return state == model::task_state::kPending ||
+         state == model::task_state::kHeld ||
          state == model::task_state::kRunning;
 }
 
@@ -75,10 +77,11 @@
       if (member == nullptr || !IsOpen(member->state))
         continue;
       const model::job_status& job = *state.ledger.jobs.Find(id);
-      tasks.push_back({.job = id,
-                       .token = placed.token,
-                       .accelerators = placed.accelerators,
-                       .order = OrderFor(environment, state, job, placed, *member)});
+      tasks.push_back(
+          {.job = id,
+           .token = placed.token,
+           .accelerators = placed.accelerators,
+           .order = OrderFor(environment, state, job, placed, *member)});
     }
   }
   return {.as_of = state.ledger.next_offset,
@@ -86,32 +89,42 @@
           .tasks = std::move(tasks)};
 }
 
-step ScheduleSync(step step, const model::worker_id& worker, model::timestamp at) {
-  return SetAlarm(std::move(step),
-                  {.at = at, .kind = alarm_kind::kSyncWorker, .worker = worker});
+step ScheduleSync(step step,
+                  const model::worker_id& worker,
+                  model::timestamp at) {
+  return SetAlarm(
+      std::move(step),
+      {.at = at, .kind = alarm_kind::kSyncWorker, .worker = worker});
 }
 
-step SendSync(const environment& environment, step step, const model::worker_id& worker) {
+step SendSync(const environment& environment,
+              step step,
+              const model::worker_id& worker) {
   const drive old = *step.state.workers.drives.Find(worker);
   const std::uint64_t call = step.state.workers.next_call++;
-  const model::timestamp next_due = step.state.now + environment.limits.sync_interval;
+  const model::timestamp next_due =
+      step.state.now + environment.limits.sync_interval;
   step.state.workers.drives.Put(worker, {.call = call,
                                          .sent_at = step.state.now,
                                          .last_ok = old.last_ok,
                                          .next_due = next_due});
   model::worker_sync sync = SyncFor(environment, step.state, worker);
-  const std::string address = step.state.ledger.workers.Find(worker)->spec.address;
-  step = Emit(std::move(step), model::call_worker{.worker = worker,
-                                                  .address = address,
-                                                  .call = call,
-                                                  .sync = std::move(sync),
-                                                  .timeout = environment.limits.sync_timeout});
+  const std::string address =
+      step.state.ledger.workers.Find(worker)->spec.address;
+  step = Emit(std::move(step),
+              model::call_worker{.worker = worker,
+                                 .address = address,
+                                 .call = call,
+                                 .sync = std::move(sync),
+                                 .timeout = environment.limits.sync_timeout});
   return ScheduleSync(std::move(step), worker, next_due);
 }
 
-// Takes up or lays down the care for one worker. Work is spread over the interval
-// by the worker's own hash, so syncs don't come in waves.
-step RefreshHome(const environment& environment, step step, const model::worker_id& worker) {
+// Takes up or lays down the care for one worker. Work is spread over the
+// interval by the worker's own hash, so syncs don't come in waves.
+step RefreshHome(const environment& environment,
+                 step step,
+                 const model::worker_id& worker) {
   const bool mine = IsCarer(environment, step.state, worker);
   const drive* present = step.state.workers.drives.Find(worker);
   if (!mine) {
@@ -122,25 +135,29 @@
     return step;
   const auto interval =
       static_cast<std::uint64_t>(environment.limits.sync_interval.count());
-  const std::uint64_t spread = environment.behaviour.hash(worker.value()) % interval;
+  const std::uint64_t spread =
+      environment.behaviour.hash(worker.value()) % interval;
   const model::timestamp first =
       step.state.now + model::duration(static_cast<std::int64_t>(spread));
-  step.state.workers.drives.Put(worker, {.last_ok = step.state.now, .next_due = first});
+  step.state.workers.drives.Put(worker,
+                                {.last_ok = step.state.now, .next_due = first});
   return ScheduleSync(std::move(step), worker, first);
 }
 
 // What the worker says that the ledger does not know and this entry has not
 // reported yet.
-std::vector<model::task_report> News(const entry_state& state,
-                                     const model::worker_id& worker,
-                                     const std::vector<model::task_report>& reports) {
+std::vector<model::task_report> News(
+    const entry_state& state,
+    const model::worker_id& worker,
+    const std::vector<model::task_report>& reports) {
   std::vector<model::task_report> news;
   for (const model::task_report& report : reports) {
     const model::placement* placed = state.ledger.placements.Find(report.job);
     if (placed == nullptr || placed->token != report.token)
       continue;
     const model::member* member = MemberOn(*placed, worker);
-    if (member == nullptr || !IsOpen(member->state) || report.state <= member->state)
+    if (member == nullptr || !IsOpen(member->state) ||
+        report.state <= member->state)
       continue;
     const reported_task* told =
         state.workers.reported.Find({.worker = worker, .job = report.job});
@@ -161,8 +178,9 @@
     step.state.workers.reported.Put({.worker = worker, .job = each.job},
                                     {.token = each.token, .state = each.state});
   }
-  return Append(std::move(step),
-                model::tasks_reported{.worker = worker, .tasks = std::move(news)}, {});
+  return Append(
+      std::move(step),
+      model::tasks_reported{.worker = worker, .tasks = std::move(news)}, {});
 }
 
 step NoteHeard(step step, const model::worker_id& worker) {
@@ -172,32 +190,40 @@
   return Append(std::move(step), model::worker_heard{.worker = worker}, {});
 }
 
-// A worker that has not answered for longer than its lease runs nothing any more.
+// A worker that has not answered for longer than its lease runs nothing any
+// more.
 step SuspectIfSilent(const environment& environment,
                      step step,
                      const model::worker_id& worker) {
   const drive& drive = *step.state.workers.drives.Find(worker);
   const model::worker_status* status = step.state.ledger.workers.Find(worker);
-  const bool silent = step.state.now - drive.last_ok >
-                      environment.limits.lease + environment.limits.sync_interval;
-  if (!silent || status == nullptr || status->phase == model::worker_phase::kLost)
+  const bool silent =
+      step.state.now - drive.last_ok >
+      environment.limits.lease + environment.limits.sync_interval;
+  if (!silent || status == nullptr ||
+      status->phase == model::worker_phase::kLost)
     return step;
   if (std::ranges::count(status->suspected_by, environment.me) > 0)
     return step;
   constexpr std::size_t kWitnesses = 2;
-  const std::size_t witnesses = std::min(kWitnesses, step.state.peers.alive.size());
+  const std::size_t witnesses =
+      std::min(kWitnesses, step.state.peers.alive.size());
   step = Count(std::move(step), "workers_suspected_total");
-  step = Log(std::move(step), model::severity::kWarning, "worker is silent", worker.value());
+  step = Log(std::move(step), model::severity::kWarning, "worker is silent",
+             worker.value());
   return Append(std::move(step),
-                model::worker_suspected{.worker = worker,
-                                        .by = environment.me,
-                                        .witnesses = static_cast<std::uint32_t>(witnesses)},
+                model::worker_suspected{
+                    .worker = worker,
+                    .by = environment.me,
+                    .witnesses = static_cast<std::uint32_t>(witnesses)},
                 {});
 }
 
-// True when the event answers the sync under way; a late answer of an earlier one
-// is ignored.
-bool IsAwaited(const entry_state& state, const model::worker_id& worker, std::uint64_t call) {
+// True when the event answers the sync under way; a late answer of an earlier
+// one is ignored.
+bool IsAwaited(const entry_state& state,
+               const model::worker_id& worker,
+               std::uint64_t call) {
   const drive* drive = state.workers.drives.Find(worker);
   return drive != nullptr && drive->call == call;
 }
@@ -209,8 +235,8 @@
   const drive old = *step.state.workers.drives.Find(worker);
   step.state.workers.drives.Put(
       worker, {.sent_at = old.sent_at,
-               // Counted from before the sync was sent: the worker's lease can't
-               // have begun earlier.
+               // Counted from before the sync was sent: the worker's lease
+               // can't have begun earlier.
                .last_ok = answered ? old.sent_at : old.last_ok,
                .next_due = old.next_due});
   if (!answered)
@@ -223,7 +249,9 @@
 
 }  // namespace
 
-step SyncSoon(const environment& environment, step step, const model::worker_id& worker) {
+step SyncSoon(const environment& environment,
+              step step,
+              const model::worker_id& worker) {
   const drive* present = step.state.workers.drives.Find(worker);
   if (present == nullptr)
     return step;
@@ -266,7 +294,9 @@
   return RefreshEndpoint(environment, std::move(step), worker);
 }
 
-step On(const environment& environment, step step, const model::worker_answered& event) {
+step On(const environment& environment,
+        step step,
+        const model::worker_answered& event) {
   if (!IsAwaited(step.state, event.worker, event.call))
     return step;
   if (!event.report.accepted) {
@@ -283,7 +313,9 @@
   return FinishSync(environment, std::move(step), event.worker, true);
 }
 
-step On(const environment& environment, step step, const model::worker_unanswered& event) {
+step On(const environment& environment,
+        step step,
+        const model::worker_unanswered& event) {
   if (!IsAwaited(step.state, event.worker, event.call))
     return step;
   step = Count(std::move(step), "syncs_unanswered_total");
--- a/source/scheduler/rendezvous.h
+++ b/source/scheduler/rendezvous.h
@@ -1,6 +1,6 @@
-// Rendezvous hashing: which entry is the home of a thing. Homes route work so that
-// proposals seldom collide; they carry no authority. An entry with a wrong view of
-// its peers costs a void proposal or a repeated sync.
+// Rendezvous hashing: which entry is the home of a thing. Homes route work so
+// that proposals seldom collide; they carry no authority. An entry with a wrong
+// view of its peers costs a void proposal or a repeated sync.
 
 #ifndef PARSLEYHITCH_SCHEDULER_RENDEZVOUS_H_
 #define PARSLEYHITCH_SCHEDULER_RENDEZVOUS_H_
--- a/source/scheduler/request_claims.cc
+++ b/source/scheduler/request_claims.cc
@@ -1,5 +1,5 @@
-// Non-idempotent requests: the claim of the key goes to the log first, and only the
-// earliest claim in log order runs. Others wait for its result.
+// Non-idempotent requests: the claim of the key goes to the log first, and only
+// the earliest claim in log order runs. Others wait for its result.
 
 #include <utility>
 
@@ -17,7 +17,10 @@
   return {.entry = environment.me, .incarnation = state.incarnation};
 }
 
-step SetPhase(step step, model::call_number call, request_phase phase, bool claimed) {
+step SetPhase(step step,
+              model::call_number call,
+              request_phase phase,
+              bool claimed) {
   const request_progress old = *step.state.requests.progress.Find(call);
   return SetProgress(std::move(step), call,
                      {.phase = phase,
@@ -27,7 +30,8 @@
                       .claimed = claimed});
 }
 
-model::answer AnswerOf(const environment& environment, const model::request_result& result) {
+model::answer AnswerOf(const environment& environment,
+                       const model::request_result& result) {
   if (result.outcome == model::request_outcome::kAnswered) {
     return {.kind = model::answer_kind::kAnswered,
             .endpoint_status = result.status,
@@ -40,7 +44,8 @@
 
 model::answer KeyConflict() {
   model::findings faults;
-  faults.push_back({.place = "/key", .message = "was used for another request"});
+  faults.push_back(
+      {.place = "/key", .message = "was used for another request"});
   return {.kind = model::answer_kind::kConflict,
           .ran = model::run_state::kNotRun,
           .faults = std::move(faults)};
@@ -76,7 +81,8 @@
 }
 
 step JoinKey(step step, model::call_number call, const model::scoped_key& key) {
-  const std::set<model::call_number>* present = step.state.requests.by_key.Find(key);
+  const std::set<model::call_number>* present =
+      step.state.requests.by_key.Find(key);
   std::set<model::call_number> calls;
   if (present != nullptr)
     calls = *present;
@@ -87,12 +93,15 @@
 
 }  // namespace
 
-step ClaimKey(const environment& environment, step step, model::call_number call) {
+step ClaimKey(const environment& environment,
+              step step,
+              model::call_number call) {
   const open_request request = *step.state.requests.open.Find(call);
   const model::scoped_key key = KeyOf(request);
   step = JoinKey(std::move(step), call, key);
   const model::request_claim* claim = step.state.ledger.claims.Find(key);
-  if (environment.behaviour.may_run_once(claim, Self(environment, step.state)) &&
+  if (environment.behaviour.may_run_once(claim,
+                                         Self(environment, step.state)) &&
       claim == nullptr) {
     return Enqueue(std::move(step), call);
   }
@@ -101,14 +110,16 @@
     return FollowClaim(environment, std::move(step), call, followed);
   }
   if (IsBeingClaimed(step.state, *step.state.requests.by_key.Find(key), call))
-    return SetPhase(std::move(step), call, request_phase::kAwaitingOther, false);
+    return SetPhase(std::move(step), call, request_phase::kAwaitingOther,
+                    false);
   step = SetPhase(std::move(step), call, request_phase::kClaiming, false);
+  const std::uint64_t incarnation = step.state.incarnation;
   return Append(std::move(step),
                 model::request_claimed{.owner = request.owner,
                                        .key = request.key,
                                        .digest = request.digest,
                                        .by = environment.me,
-                                       .incarnation = step.state.incarnation},
+                                       .incarnation = incarnation},
                 {.kind = waiter_kind::kClaim, .call = call});
 }
 
@@ -135,9 +146,11 @@
   }
   if (open != nullptr || !verdict.accepted)
     return step;
-  // The caller was told "not run" before the claim was read: the key is given free.
+  // The caller was told "not run" before the claim was read: the key is given
+  // free.
   const model::batch& batch = *step.state.log.in_flight.Get();
-  const auto& claimed = std::get<model::request_claimed>(batch.records.at(verdict.index));
+  const auto& claimed =
+      std::get<model::request_claimed>(batch.records.at(verdict.index));
   return Append(std::move(step),
                 model::request_finished{
                     .owner = claimed.owner,
@@ -147,8 +160,11 @@
                 {});
 }
 
-step OnClaimChanged(const environment& environment, step step, const model::scoped_key& key) {
-  const std::set<model::call_number>* present = step.state.requests.by_key.Find(key);
+step OnClaimChanged(const environment& environment,
+                    step step,
+                    const model::scoped_key& key) {
+  const std::set<model::call_number>* present =
+      step.state.requests.by_key.Find(key);
   if (present == nullptr)
     return step;
   const std::set<model::call_number> calls = *present;
--- a/source/scheduler/request_queue.cc
+++ b/source/scheduler/request_queue.cc
@@ -1,6 +1,6 @@
-// The line of requests and the choice of endpoints: the most important first, then
-// by deadline; a share of the slots is kept for urgent requests, so that short work
-// does not wait behind long.
+// The line of requests and the choice of endpoints: the most important first,
+// then by deadline; a share of the slots is kept for urgent requests, so that
+// short work does not wait behind long.
 
 #include <algorithm>
 #include <utility>
@@ -13,12 +13,15 @@
 
 constexpr std::int64_t kMeanWindow = 8;
 
-request_position PositionOf(model::call_number call, const open_request& request) {
+request_position PositionOf(model::call_number call,
+                            const open_request& request) {
   return {.order = request.order, .call = call};
 }
 
-// Slots of the worker that are this entry's: entries share each without talking.
-std::uint32_t ShareOf(const entry_state& state, const model::worker_id& worker) {
+// Slots of the worker that are this entry's: entries share each without
+// talking.
+std::uint32_t ShareOf(const entry_state& state,
+                      const model::worker_id& worker) {
   const model::worker_status* status = state.ledger.workers.Find(worker);
   if (status == nullptr || status->spec.slots == 0)
     return 0;
@@ -27,7 +30,8 @@
   return std::max(1U, status->spec.slots / entries);
 }
 
-endpoint_rank RankOf(const model::worker_id& worker, const endpoint_load& load) {
+endpoint_rank RankOf(const model::worker_id& worker,
+                     const endpoint_load& load) {
   return {.in_flight = load.in_flight, .turn = load.turn, .worker = worker};
 }
 
@@ -45,8 +49,8 @@
   return load.ejected_until <= state.now;
 }
 
-// Replaces an endpoint's load, keeping the index of callable endpoints and the sum of
-// slots in step.
+// Replaces an endpoint's load, keeping the index of callable endpoints and the
+// sum of slots in step.
 step PutLoad(const environment& environment,
              step step,
              const model::worker_id& worker,
@@ -70,14 +74,17 @@
   return step;
 }
 
-std::uint32_t SlotsForNotUrgent(const environment& environment, const entry_state& state) {
+std::uint32_t SlotsForNotUrgent(const environment& environment,
+                                const entry_state& state) {
   const std::uint32_t total = state.requests.total_slots;
-  const std::uint32_t kept = environment.behaviour.urgent_slots(environment.limits, total);
+  const std::uint32_t kept =
+      environment.behaviour.urgent_slots(environment.limits, total);
   return std::max(1U, total - std::min(total, kept));
 }
 
 // A retry goes to another endpoint where there is one.
-model::worker_id ChooseEndpoint(const entry_state& state, const model::worker_id& last) {
+model::worker_id ChooseEndpoint(const entry_state& state,
+                                const model::worker_id& last) {
   const auto& callable = state.requests.callable;
   const auto first = callable.begin();
   if (first->worker != last || callable.size() == 1)
@@ -87,7 +94,8 @@
 
 // Each first attempt earns a part of a retry.
 std::uint32_t EarnRetry(const environment& environment, std::uint32_t budget) {
-  const std::uint32_t cap = environment.limits.retry_budget_cap * kRetryTokenHundredths;
+  const std::uint32_t cap =
+      environment.limits.retry_budget_cap * kRetryTokenHundredths;
   return std::min(cap, budget + environment.limits.retry_budget_percent);
 }
 
@@ -121,15 +129,17 @@
                       .ambiguous_attempts = progress.ambiguous_attempts,
                       .worker = worker,
                       .claimed = progress.claimed});
-  const std::string address = step.state.ledger.workers.Find(worker)->spec.address;
-  return Emit(std::move(step),
-              model::call_endpoint{.address = address,
-                                   .call = call,
-                                   .attempt = attempt,
-                                   .target = request.target,
-                                   .key = request.key,
-                                   .body = request.body,
-                                   .timeout = request.deadline - step.state.now});
+  const std::string address =
+      step.state.ledger.workers.Find(worker)->spec.address;
+  return Emit(
+      std::move(step),
+      model::call_endpoint{.address = address,
+                           .call = call,
+                           .attempt = attempt,
+                           .target = request.target,
+                           .key = request.key,
+                           .body = request.body,
+                           .timeout = request.deadline - step.state.now});
 }
 
 // Failures in a row hold an endpoint back, for longer each time.
@@ -141,7 +151,8 @@
   const std::uint32_t failures = succeeded ? 0 : load.failures + 1;
   model::timestamp until = load.ejected_until;
   if (failures >= environment.limits.endpoint_failures_to_eject) {
-    const std::uint32_t beyond = failures - environment.limits.endpoint_failures_to_eject;
+    const std::uint32_t beyond =
+        failures - environment.limits.endpoint_failures_to_eject;
     const model::duration hold =
         environment.limits.eject_base * (1U << std::min(beyond, kMaxDoublings));
     until = state.now + std::min(hold, environment.limits.eject_max);
@@ -177,7 +188,8 @@
 }
 
 step DispatchRequests(const environment& environment, step step) {
-  while (!step.state.requests.queue.empty() && !step.state.requests.callable.empty()) {
+  while (!step.state.requests.queue.empty() &&
+         !step.state.requests.callable.empty()) {
     const request_position next = *step.state.requests.queue.begin();
     const bool urgent = step.state.requests.open.Find(next.call)->rank ==
                         model::importance::kUrgent;
@@ -207,12 +219,14 @@
   step.state.requests.in_flight_not_urgent -= ended.urgent ? 0 : 1;
   if (succeeded) {
     const model::duration took = step.state.now - ended.sent_at;
-    step.state.requests.mean_call += (took - step.state.requests.mean_call) / kMeanWindow;
+    step.state.requests.mean_call +=
+        (took - step.state.requests.mean_call) / kMeanWindow;
   }
   const endpoint_load* load = step.state.requests.endpoints.Find(ended.worker);
   if (load == nullptr)
     return step;
-  const endpoint_load after = AfterCall(environment, step.state, *load, succeeded);
+  const endpoint_load after =
+      AfterCall(environment, step.state, *load, succeeded);
   step = PutLoad(environment, std::move(step), ended.worker, after);
   if (after.ejected_until <= step.state.now)
     return step;
--- a/source/scheduler/requests.h
+++ b/source/scheduler/requests.h
@@ -35,9 +35,11 @@
                         model::answer_kind kind,
                         std::string why);
 
-// Begins to claim the key of a non-idempotent request, or joins those who wait for
-// the entry that runs it.
-step ClaimKey(const environment& environment, step step, model::call_number call);
+// Begins to claim the key of a non-idempotent request, or joins those who wait
+// for the entry that runs it.
+step ClaimKey(const environment& environment,
+              step step,
+              model::call_number call);
 
 // Tells the log how a claimed request ended.
 step FinishClaim(const environment& environment,
--- a/source/settings/manifest_file.cc
+++ b/source/settings/manifest_file.cc
@@ -15,7 +15,8 @@
   model::findings faults = source.faults;
   if (!faults.empty())
     return boost::leaf::new_error(std::move(faults));
-  auto manifest = wire::detail::DecodeJson<model::manifest>(source.content, "", faults);
+  auto manifest =
+      wire::detail::DecodeJson<model::manifest>(source.content, "", faults);
   for (const model::finding& each : scheduler::CheckManifest(manifest))
     faults.push_back(each);
   if (!faults.empty())
--- a/source/settings/settings.h
+++ b/source/settings/settings.h
@@ -1,6 +1,6 @@
-// The settings of one entry: its addresses and failure domain, whom it talks to, and
-// the reducer's limits. Every key of the settings file is a member here or in
-// model::limits.
+// The settings of one entry: its addresses and failure domain, whom it talks
+// to, and the reducer's limits. Every key of the settings file is a member here
+// or in model::limits.
 
 #ifndef PARSLEYHITCH_SETTINGS_SETTINGS_H_
 #define PARSLEYHITCH_SETTINGS_SETTINGS_H_
--- a/source/settings/settings_file.cc
+++ b/source/settings/settings_file.cc
@@ -47,7 +47,8 @@
                   const std::string& place,
                   const std::string& address) {
   if (!IsIpAndPort(address))
-    faults.push_back({.place = place, .message = "must be an IP address and a port"});
+    faults.push_back(
+        {.place = place, .message = "must be an IP address and a port"});
 }
 
 void CheckPeers(model::findings& faults, const settings& settings) {
@@ -71,18 +72,20 @@
                       .message = "must be at least twice sync_interval_ms"});
   }
   if (limits.peer_timeout < 2 * limits.heartbeat_interval) {
-    faults.push_back({.place = "/limits/peer_timeout_ms",
-                      .message = "must be at least twice heartbeat_interval_ms"});
+    faults.push_back(
+        {.place = "/limits/peer_timeout_ms",
+         .message = "must be at least twice heartbeat_interval_ms"});
   }
   if (limits.read_timeout <= limits.read_wait) {
     faults.push_back({.place = "/limits/read_timeout_ms",
                       .message = "must be above read_wait_ms"});
   }
   if (limits.max_batch_records == 0)
-    faults.push_back({.place = "/limits/max_batch_records", .message = "must be above 0"});
-  if (limits.checkpoint_chunk_parts == 0) {
     faults.push_back(
-        {.place = "/limits/checkpoint_chunk_parts", .message = "must be above 0"});
+        {.place = "/limits/max_batch_records", .message = "must be above 0"});
+  if (limits.checkpoint_chunk_parts == 0) {
+    faults.push_back({.place = "/limits/checkpoint_chunk_parts",
+                      .message = "must be above 0"});
   }
 }
 
@@ -90,7 +93,8 @@
   if (settings.entry.empty())
     faults.push_back({.place = "/entry", .message = "must not be empty"});
   if (settings.failure_domain.empty())
-    faults.push_back({.place = "/failure_domain", .message = "must not be empty"});
+    faults.push_back(
+        {.place = "/failure_domain", .message = "must not be empty"});
   CheckAddress(faults, "/http_listen", settings.http_listen);
   CheckAddress(faults, "/peer_listen", settings.peer_listen);
   CheckAddress(faults, "/log_address", settings.log_address);
@@ -98,7 +102,8 @@
   CheckPeers(faults, settings);
   CheckLimits(faults, settings.limits);
   if (settings.max_body_bytes == 0 || settings.max_body_bytes > kMaxBodyBytes)
-    faults.push_back({.place = "/max_body_bytes", .message = "must be from 1 to 4194304"});
+    faults.push_back(
+        {.place = "/max_body_bytes", .message = "must be from 1 to 4194304"});
 }
 
 }  // namespace
@@ -108,7 +113,8 @@
   model::findings faults = source.faults;
   if (!faults.empty())
     return boost::leaf::new_error(std::move(faults));
-  settings parsed = wire::detail::DecodeJson<settings>(source.content, "", faults);
+  settings parsed =
+      wire::detail::DecodeJson<settings>(source.content, "", faults);
   CheckSettings(faults, parsed);
   if (!faults.empty())
     return boost::leaf::new_error(Locate(source, faults));
--- a/source/settings/yaml_source.cc
+++ b/source/settings/yaml_source.cc
@@ -1,5 +1,5 @@
-// Plain scalars that read as a number or as true and false become such; quoted ones
-// stay text.
+// Plain scalars that read as a number or as true and false become such; quoted
+// ones stay text.
 
 #include "settings/yaml_source.h"
 
@@ -95,17 +95,20 @@
     source.content = converter(source).Convert(YAML::Load(text), "");
   } catch (const YAML::Exception& error) {
     const text_position position = PositionOf(error.mark);
-    source.faults.push_back(
-        {.message = error.msg, .line = position.line, .column = position.column});
+    source.faults.push_back({.message = error.msg,
+                             .line = position.line,
+                             .column = position.column});
   }
   return source;
 }
 
-model::findings Locate(const yaml_source& source, const model::findings& faults) {
+model::findings Locate(const yaml_source& source,
+                       const model::findings& faults) {
   std::vector<std::pair<text_position, const model::finding*>> located;
   for (const model::finding& each : faults) {
     const text_position known{.line = each.line, .column = each.column};
-    located.emplace_back(each.line == 0 ? FindPosition(source, each.place) : known, &each);
+    located.emplace_back(
+        each.line == 0 ? FindPosition(source, each.place) : known, &each);
   }
   std::ranges::stable_sort(located, {}, [](const auto& each) {
     return std::pair(each.first.line, each.first.column);
--- a/source/settings/yaml_source.h
+++ b/source/settings/yaml_source.h
@@ -1,5 +1,5 @@
-// A YAML text as JSON, with the place of each value in the text, so that findings
-// can name line and column.
+// A YAML text as JSON, with the place of each value in the text, so that
+// findings can name line and column.
 
 #ifndef PARSLEYHITCH_SETTINGS_YAML_SOURCE_H_
 #define PARSLEYHITCH_SETTINGS_YAML_SOURCE_H_
@@ -29,7 +29,8 @@
 yaml_source ReadYaml(const std::string& text);
 
 // The findings with line and column of their places, in the order of the text.
-model::findings Locate(const yaml_source& source, const model::findings& faults);
+model::findings Locate(const yaml_source& source,
+                       const model::findings& faults);
 
 }  // namespace parsleyhitch::settings
 
--- a/source/wire/api.cc
+++ b/source/wire/api.cc
@@ -49,7 +49,8 @@
   if (text.empty())
     return {};
   std::int64_t value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
   const bool whole = error == std::errc() && end == text.data() + text.size();
   if (!whole || value <= 0 || value > kMaxCallDeadline.count()) {
     faults.push_back({.place = std::string("header ") + kName,
@@ -59,8 +60,10 @@
   return model::duration(value);
 }
 
-model::timestamp DeadlineOf(const call_context& context, model::findings& faults) {
-  return context.at + DeadlineHeader(context.call, faults).value_or(kDefaultCallDeadline);
+model::timestamp DeadlineOf(const call_context& context,
+                            model::findings& faults) {
+  return context.at +
+         DeadlineHeader(context.call, faults).value_or(kDefaultCallDeadline);
 }
 
 result<api_request> Finish(model::findings faults, model::event event) {
@@ -83,10 +86,11 @@
   model::findings faults;
   const model::timestamp deadline = DeadlineOf(context, faults);
   BOOST_LEAF_AUTO(proposed, FromJson<model::manifest>(context.call.body));
-  return Finish(std::move(faults), model::manifest_offered{.at = context.at,
-                                                           .call = context.number,
-                                                           .proposed = std::move(proposed),
-                                                           .deadline = deadline});
+  return Finish(std::move(faults),
+                model::manifest_offered{.at = context.at,
+                                        .call = context.number,
+                                        .proposed = std::move(proposed),
+                                        .deadline = deadline});
 }
 
 bool ParseIdempotent(const http_call& call, model::findings& faults) {
@@ -99,9 +103,11 @@
   return text != "false";
 }
 
-result<api_request> ParseRequest(const call_context& context, const std::string& service) {
+result<api_request> ParseRequest(const call_context& context,
+                                 const std::string& service) {
   model::findings faults;
-  const std::optional<model::duration> within = DeadlineHeader(context.call, faults);
+  const std::optional<model::duration> within =
+      DeadlineHeader(context.call, faults);
   const bool idempotent = ParseIdempotent(context.call, faults);
   return Finish(
       std::move(faults),
@@ -109,20 +115,24 @@
           .at = context.at,
           .call = context.number,
           .target = model::service_id(service),
-          .owner = model::workspace_id(Header(context.call, "parsleyhitch-workspace")),
+          .owner = model::workspace_id(
+              Header(context.call, "parsleyhitch-workspace")),
           .idempotent = idempotent,
-          .key = model::idempotency_key(Header(context.call, "idempotency-key")),
+          .key =
+              model::idempotency_key(Header(context.call, "idempotency-key")),
           .deadline = within ? context.at + *within : model::timestamp(),
           .body = context.call.body});
 }
 
-result<api_request> ParseCancel(const call_context& context, const std::string& job) {
+result<api_request> ParseCancel(const call_context& context,
+                                const std::string& job) {
   model::findings faults;
   const model::timestamp deadline = DeadlineOf(context, faults);
-  return Finish(std::move(faults), model::job_cancel_requested{.at = context.at,
-                                                               .call = context.number,
-                                                               .job = model::job_id(job),
-                                                               .deadline = deadline});
+  return Finish(std::move(faults),
+                model::job_cancel_requested{.at = context.at,
+                                            .call = context.number,
+                                            .job = model::job_id(job),
+                                            .deadline = deadline});
 }
 
 json FaultsJson(const model::findings& faults) {
@@ -159,11 +169,13 @@
 std::map<std::string, std::string> HeadersOf(const model::answer& answer) {
   std::map<std::string, std::string> headers;
   if (answer.retry_after > model::duration::zero()) {
-    const auto seconds = std::chrono::ceil<std::chrono::seconds>(answer.retry_after);
+    const auto seconds =
+        std::chrono::ceil<std::chrono::seconds>(answer.retry_after);
     headers["Retry-After"] = std::to_string(seconds.count());
   }
   if (answer.ran != model::run_state::kNotApplicable)
-    headers["Parsleyhitch-Run"] = detail::EncodeJson(answer.ran).get<std::string>();
+    headers["Parsleyhitch-Run"] =
+        detail::EncodeJson(answer.ran).get<std::string>();
   return headers;
 }
 
@@ -202,9 +214,11 @@
   if (get && call.path == "/v1/burn")
     return api_request(page::kBurn);
   if (get && call.path == "/v1/status")
-    return api_request(model::event(model::status_requested{.at = at, .call = number}));
+    return api_request(
+        model::event(model::status_requested{.at = at, .call = number}));
   if (post && call.path == "/v1/drain")
-    return api_request(model::event(model::drain_requested{.at = at, .call = number}));
+    return api_request(
+        model::event(model::drain_requested{.at = at, .call = number}));
   if (post && call.path == "/v1/jobs")
     return ParseSubmit(context);
   if (post && call.path == "/v1/manifest")
@@ -216,8 +230,8 @@
   }
   if (call.method == "DELETE" && job)
     return ParseCancel(context, path[2]);
-  const bool service = path.size() == 4 && path[0] == "v1" && path[1] == "services" &&
-                       path[3] == "requests";
+  const bool service = path.size() == 4 && path[0] == "v1" &&
+                       path[1] == "services" && path[3] == "requests";
   if (post && service)
     return ParseRequest(context, path[2]);
   model::findings faults;
--- a/source/wire/api.h
+++ b/source/wire/api.h
@@ -1,5 +1,5 @@
-// The callers' and operators' HTTP interface: what calls say, and how answers are
-// put. `docs/API.md` describes it.
+// The callers' and operators' HTTP interface: what calls say, and how answers
+// are put. `docs/API.md` describes it.
 
 #ifndef PARSLEYHITCH_WIRE_API_H_
 #define PARSLEYHITCH_WIRE_API_H_
@@ -40,8 +40,8 @@
 // What a call asks for.
 using api_request = std::variant<model::event, page>;
 
-// The event that the call stands for at `at`, or the page it asks for. Every fault
-// of the call is reported.
+// The event that the call stands for at `at`, or the page it asks for. Every
+// fault of the call is reported.
 result<api_request> ParseCall(const http_call& call,
                               model::timestamp at,
                               model::call_number number);
--- a/source/wire/base.cc
+++ b/source/wire/base.cc
@@ -48,7 +48,8 @@
   if (source.is_string())
     return source.get<std::string>();
   const bool hex = source.is_object() && source.size() == 1 &&
-                   source.contains(kHexMember) && source[kHexMember].is_string();
+                   source.contains(kHexMember) &&
+                   source[kHexMember].is_string();
   if (!hex) {
     faults.push_back({.place = place, .message = "must be a string"});
     return {};
--- a/source/wire/base.h
+++ b/source/wire/base.h
@@ -19,8 +19,8 @@
 template <typename T>
 using result = boost::leaf::result<T>;
 
-// Runs `attempt` and gives its value to `on_value`, or its findings to `on_faults`.
-// Both return the same type.
+// Runs `attempt` and gives its value to `on_value`, or its findings to
+// `on_faults`. Both return the same type.
 template <typename Attempt, typename OnValue, typename OnFaults>
 auto Handle(Attempt&& attempt, OnValue&& on_value, OnFaults&& on_faults) {
   using outcome = decltype(on_faults(std::declval<const model::findings&>()));
@@ -29,7 +29,9 @@
         BOOST_LEAF_AUTO(value, attempt());
         return on_value(std::move(value));
       },
-      [&](const model::findings& faults) -> outcome { return on_faults(faults); },
+      [&](const model::findings& faults) -> outcome {
+        return on_faults(faults);
+      },
       [&]() -> outcome { return on_faults(model::findings()); });
 }
 
@@ -38,7 +40,8 @@
 auto ValueOf(Attempt&& attempt) {
   using value = std::remove_cvref_t<decltype(*attempt())>;
   return Handle(
-      attempt, [](value found) { return std::optional<value>(std::move(found)); },
+      attempt,
+      [](value found) { return std::optional<value>(std::move(found)); },
       [](const model::findings&) { return std::optional<value>(); });
 }
 
--- a/source/wire/describe.h
+++ b/source/wire/describe.h
@@ -1,5 +1,6 @@
-// The fields of each value type, by name and in order, for the generic codecs. The
-// order gives the field numbers of the protobuf encoding: add fields at the end.
+// The fields of each value type, by name and in order, for the generic codecs.
+// The order gives the field numbers of the protobuf encoding: add fields at the
+// end.
 
 #ifndef PARSLEYHITCH_WIRE_DESCRIBE_H_
 #define PARSLEYHITCH_WIRE_DESCRIBE_H_
@@ -18,10 +19,10 @@
 #include "model/record.h"
 
 // Describes a struct's members and gives its name to the encodings of variants.
-#define PARSLEYHITCH_DESCRIBE(type, ...)                    \
-  BOOST_DESCRIBE_STRUCT(type, (), (__VA_ARGS__))            \
-  constexpr std::string_view NameOf(const type*) {          \
-    return #type;                                           \
+#define PARSLEYHITCH_DESCRIBE(type, ...)           \
+  BOOST_DESCRIBE_STRUCT(type, (), (__VA_ARGS__))   \
+  constexpr std::string_view NameOf(const type*) { \
+    return #type;                                  \
   }
 
 namespace parsleyhitch::model {
@@ -78,7 +79,12 @@
                       slots)
 PARSLEYHITCH_DESCRIBE(listed_vm, spec, leaving)
 PARSLEYHITCH_DESCRIBE(guarantee, name, capacity)
-PARSLEYHITCH_DESCRIBE(workspace, id, parent, quota_accelerators, max_requests, guarantees)
+PARSLEYHITCH_DESCRIBE(workspace,
+                      id,
+                      parent,
+                      quota_accelerators,
+                      max_requests,
+                      guarantees)
 PARSLEYHITCH_DESCRIBE(service, id, owner, rank, default_deadline)
 PARSLEYHITCH_DESCRIBE(objective, service_name, target_permille, within)
 PARSLEYHITCH_DESCRIBE(manifest, version, base, workspaces, services, objectives)
@@ -109,7 +115,11 @@
                       failures,
                       last_failed,
                       ejected_until)
-PARSLEYHITCH_DESCRIBE(guarantee_status, capacity, workers, claimed_by, shortfall)
+PARSLEYHITCH_DESCRIBE(guarantee_status,
+                      capacity,
+                      workers,
+                      claimed_by,
+                      shortfall)
 PARSLEYHITCH_DESCRIBE(scoped_key, owner, key)
 PARSLEYHITCH_DESCRIBE(request_result, outcome, status, body)
 PARSLEYHITCH_DESCRIBE(request_claim, digest, by, incarnation, at, result)
@@ -215,7 +225,13 @@
                       deadline,
                       body)
 PARSLEYHITCH_DESCRIBE(caller_gone, at, call)
-PARSLEYHITCH_DESCRIBE(endpoint_answered, at, call, attempt, status, leaving, body)
+PARSLEYHITCH_DESCRIBE(endpoint_answered,
+                      at,
+                      call,
+                      attempt,
+                      status,
+                      leaving,
+                      body)
 PARSLEYHITCH_DESCRIBE(endpoint_unanswered, at, call, attempt, sent)
 
 PARSLEYHITCH_DESCRIBE(append_batch, content, timeout)
@@ -223,7 +239,14 @@
 PARSLEYHITCH_DESCRIBE(read_vm_list, timeout)
 PARSLEYHITCH_DESCRIBE(send_to_peer, to, message)
 PARSLEYHITCH_DESCRIBE(call_worker, worker, address, call, sync, timeout)
-PARSLEYHITCH_DESCRIBE(call_endpoint, address, call, attempt, target, key, body, timeout)
+PARSLEYHITCH_DESCRIBE(call_endpoint,
+                      address,
+                      call,
+                      attempt,
+                      target,
+                      key,
+                      body,
+                      timeout)
 PARSLEYHITCH_DESCRIBE(answer_caller, call, content)
 PARSLEYHITCH_DESCRIBE(wake_at, at)
 PARSLEYHITCH_DESCRIBE(write_log_line, level, message, subject)
--- a/source/wire/json_codec.h
+++ b/source/wire/json_codec.h
@@ -1,5 +1,6 @@
-// JSON for every described value. Times are integers in milliseconds under a name
-// that ends in "_ms"; a variant is an object with one member, named after its type.
+// JSON for every described value. Times are integers in milliseconds under a
+// name that ends in "_ms"; a variant is an object with one member, named after
+// its type.
 
 #ifndef PARSLEYHITCH_WIRE_JSON_CODEC_H_
 #define PARSLEYHITCH_WIRE_JSON_CODEC_H_
@@ -35,15 +36,16 @@
 template <typename T>
 json EncodeMembers(const T& value) {
   json object = json::object();
-  boost::mp11::mp_for_each<boost::mp11::mp_iota_c<member_count_v<T>>>([&](auto index) {
-    const auto& member = value.*descriptor_v<T, index>.pointer;
-    using type = member_type<T, index>;
-    if constexpr (is_optional<type>::value) {
-      if (!member)
-        return;
-    }
-    object[JsonName<T, index>()] = EncodeJson(member);
-  });
+  boost::mp11::mp_for_each<boost::mp11::mp_iota_c<member_count_v<T>>>(
+      [&](auto index) {
+        const auto& member = value.*descriptor_v<T, index>.pointer;
+        using type = member_type<T, index>;
+        if constexpr (is_optional<type>::value) {
+          if (!member)
+            return;
+        }
+        object[JsonName<T, index>()] = EncodeJson(member);
+      });
   return object;
 }
 
@@ -81,22 +83,30 @@
 
 // Reads values out of JSON, collecting every fault with its place.
 template <typename T>
-T DecodeJson(const json& source, const std::string& place, model::findings& faults);
+T DecodeJson(const json& source,
+             const std::string& place,
+             model::findings& faults);
 
-inline void Fault(model::findings& faults, const std::string& place, std::string message) {
+inline void Fault(model::findings& faults,
+                  const std::string& place,
+                  std::string message) {
   faults.push_back({.place = place, .message = std::move(message)});
 }
 
 template <typename T>
-T DecodeInteger(const json& source, const std::string& place, model::findings& faults) {
+T DecodeInteger(const json& source,
+                const std::string& place,
+                model::findings& faults) {
   if (!source.is_number_integer()) {
     Fault(faults, place, "must be an integer");
     return {};
   }
-  const bool negative = !source.is_number_unsigned() && source.get<std::int64_t>() < 0;
+  const bool negative =
+      !source.is_number_unsigned() && source.get<std::int64_t>() < 0;
   if (negative) {
     const auto wide = source.get<std::int64_t>();
-    if (std::is_unsigned_v<T> || std::cmp_less(wide, std::numeric_limits<T>::min())) {
+    if (std::is_unsigned_v<T> ||
+        std::cmp_less(wide, std::numeric_limits<T>::min())) {
       Fault(faults, place, "is too small");
       return {};
     }
@@ -111,25 +121,30 @@
 }
 
 template <typename T>
-T DecodeEnum(const json& source, const std::string& place, model::findings& faults) {
+T DecodeEnum(const json& source,
+             const std::string& place,
+             model::findings& faults) {
   T found{};
   bool known = false;
   std::string names;
-  boost::mp11::mp_for_each<boost::describe::describe_enumerators<T>>([&](auto each) {
-    const std::string name = SnakeCase(each.name);
-    names += (names.empty() ? "" : ", ") + name;
-    if (!source.is_string() || source.get_ref<const std::string&>() != name)
-      return;
-    found = each.value;
-    known = true;
-  });
+  boost::mp11::mp_for_each<boost::describe::describe_enumerators<T>>(
+      [&](auto each) {
+        const std::string name = SnakeCase(each.name);
+        names += (names.empty() ? "" : ", ") + name;
+        if (!source.is_string() || source.get_ref<const std::string&>() != name)
+          return;
+        found = each.value;
+        known = true;
+      });
   if (!known)
     Fault(faults, place, "must be one of " + names);
   return found;
 }
 
 template <typename T>
-T DecodeList(const json& source, const std::string& place, model::findings& faults) {
+T DecodeList(const json& source,
+             const std::string& place,
+             model::findings& faults) {
   T list;
   if (!source.is_array()) {
     Fault(faults, place, "must be a list");
@@ -145,7 +160,9 @@
 }
 
 template <typename T>
-T DecodeVariant(const json& source, const std::string& place, model::findings& faults) {
+T DecodeVariant(const json& source,
+                const std::string& place,
+                model::findings& faults) {
   std::optional<T> found;
   if (source.is_object() && source.size() == 1) {
     const std::string& name = source.begin().key();
@@ -154,8 +171,8 @@
           using alternative = std::remove_pointer_t<decltype(pointer)>;
           if (NameOf(static_cast<const alternative*>(nullptr)) != name)
             return;
-          found.emplace(
-              DecodeJson<alternative>(source.begin().value(), place + "/" + name, faults));
+          found.emplace(DecodeJson<alternative>(source.begin().value(),
+                                                place + "/" + name, faults));
         });
   }
   if (found)
@@ -190,7 +207,9 @@
 }
 
 template <typename T>
-T DecodeStruct(const json& source, const std::string& place, model::findings& faults) {
+T DecodeStruct(const json& source,
+               const std::string& place,
+               model::findings& faults) {
   if (!source.is_object()) {
     Fault(faults, place, "must be an object");
     return T{};
@@ -200,7 +219,9 @@
 }
 
 template <typename T>
-T DecodeJson(const json& source, const std::string& place, model::findings& faults) {
+T DecodeJson(const json& source,
+             const std::string& place,
+             model::findings& faults) {
   if constexpr (std::is_same_v<T, std::string>) {
     return DecodeText(source, place, faults);
   } else if constexpr (is_identifier<T>::value) {
--- a/source/wire/log_codec.h
+++ b/source/wire/log_codec.h
@@ -30,8 +30,8 @@
 
 std::string EncodeBatch(const model::batch& batch);
 
-// Bytes that are no batch, such as a foreign record, become a batch of no records at
-// their offset.
+// Bytes that are no batch, such as a foreign record, become a batch of no
+// records at their offset.
 model::logged_batch DecodeBatch(std::uint64_t offset, std::string_view bytes);
 
 std::string EncodeLogPage(const log_page& page);
--- a/source/wire/proto_codec.h
+++ b/source/wire/proto_codec.h
@@ -1,7 +1,7 @@
-// The protobuf encoding of every described value. Fields are numbered by their order
-// from 1; integers are varints (signed ones in zigzag form, times in milliseconds),
-// lists are repeated fields, a variant is a message with one field set. The schema is
-// `proto/parsleyhitch.proto`.
+// The protobuf encoding of every described value. Fields are numbered by their
+// order from 1; integers are varints (signed ones in zigzag form, times in
+// milliseconds), lists are repeated fields, a variant is a message with one
+// field set. The schema is `proto/parsleyhitch.proto`.
 
 #ifndef PARSLEYHITCH_WIRE_PROTO_CODEC_H_
 #define PARSLEYHITCH_WIRE_PROTO_CODEC_H_
@@ -49,8 +49,11 @@
 template <typename T>
 std::string EncodeBody(const T& value);
 
-inline void WriteBytes(CodedOutputStream& out, int number, std::string_view bytes) {
-  out.WriteTag(WireFormatLite::MakeTag(number, WireFormatLite::WIRETYPE_LENGTH_DELIMITED));
+inline void WriteBytes(CodedOutputStream& out,
+                       int number,
+                       std::string_view bytes) {
+  out.WriteTag(WireFormatLite::MakeTag(
+      number, WireFormatLite::WIRETYPE_LENGTH_DELIMITED));
   out.WriteVarint32(static_cast<std::uint32_t>(bytes.size()));
   out.WriteRaw(bytes.data(), static_cast<int>(bytes.size()));
 }
@@ -58,7 +61,8 @@
 template <typename T>
 void WriteField(CodedOutputStream& out, int number, const T& value) {
   if constexpr (is_varint_v<T>) {
-    out.WriteTag(WireFormatLite::MakeTag(number, WireFormatLite::WIRETYPE_VARINT));
+    out.WriteTag(
+        WireFormatLite::MakeTag(number, WireFormatLite::WIRETYPE_VARINT));
     out.WriteVarint64(ToVarint(value));
   } else if constexpr (std::is_same_v<T, std::string>) {
     WriteBytes(out, number, value);
@@ -83,7 +87,8 @@
     CodedOutputStream out(&stream);
     if constexpr (is_variant<T>::value) {
       const int number = static_cast<int>(value.index()) + 1;
-      std::visit([&](const auto& each) { WriteField(out, number, each); }, value);
+      std::visit([&](const auto& each) { WriteField(out, number, each); },
+                 value);
     } else {
       boost::mp11::mp_for_each<boost::mp11::mp_iota_c<member_count_v<T>>>(
           [&](auto index) {
@@ -115,12 +120,15 @@
   if constexpr (std::is_same_v<T, model::duration>) {
     return model::duration(WireFormatLite::ZigZagDecode64(raw));
   } else if constexpr (std::is_same_v<T, model::timestamp>) {
-    return model::timestamp(model::duration(WireFormatLite::ZigZagDecode64(raw)));
+    return model::timestamp(
+        model::duration(WireFormatLite::ZigZagDecode64(raw)));
   } else if constexpr (std::is_enum_v<T>) {
     T value = static_cast<T>(raw);
     bool known = false;
     boost::mp11::mp_for_each<boost::describe::describe_enumerators<T>>(
-        [&](auto each) { known = known || static_cast<std::uint64_t>(each.value) == raw; });
+        [&](auto each) {
+          known = known || static_cast<std::uint64_t>(each.value) == raw;
+        });
     damaged = damaged || !known;
     return known ? value : T{};
   } else if constexpr (std::is_signed_v<T>) {
@@ -164,7 +172,8 @@
   } else if constexpr (is_optional<type>::value) {
     if (found == fields.end())
       return {};
-    return type(ReadField<typename type::value_type>(found->second.back(), damaged));
+    return type(
+        ReadField<typename type::value_type>(found->second.back(), damaged));
   } else {
     static const T defaults{};
     if (found == fields.end())
@@ -174,7 +183,9 @@
 }
 
 template <typename T, std::size_t... I>
-T ReadMembers(const raw_fields& fields, bool& damaged, std::index_sequence<I...>) {
+T ReadMembers(const raw_fields& fields,
+              bool& damaged,
+              std::index_sequence<I...>) {
   (void)fields;
   (void)damaged;
   return T{ReadMember<T, I>(fields, damaged)...};
@@ -208,7 +219,8 @@
     const auto& [number, values] = *fields.begin();
     return ReadAlternative<T>(number, values.back(), damaged);
   } else {
-    return ReadMembers<T>(fields, damaged, std::make_index_sequence<member_count_v<T>>());
+    return ReadMembers<T>(fields, damaged,
+                          std::make_index_sequence<member_count_v<T>>());
   }
 }
 
@@ -219,8 +231,8 @@
   return detail::EncodeBody(value);
 }
 
-// The value that the bytes stand for. Damaged bytes are an error, never a guess;
-// unknown fields are skipped.
+// The value that the bytes stand for. Damaged bytes are an error, never a
+// guess; unknown fields are skipped.
 template <typename T>
 result<T> FromProto(std::string_view bytes) {
   bool damaged = false;
--- a/source/wire/proto_schema.cc
+++ b/source/wire/proto_schema.cc
@@ -51,7 +51,8 @@
       [&](auto pointer) {
         using alternative = std::remove_pointer_t<decltype(pointer)>;
         const std::string type = TypeName<alternative>(messages);
-        body += "    " + type + " " + type + "_value = " + std::to_string(++number) + ";\n";
+        body += "    " + type + " " + type +
+                "_value = " + std::to_string(++number) + ";\n";
       });
   messages[name] = body + "  }\n}\n";
   return name;
@@ -104,7 +105,8 @@
   TypeName<model::batch>(messages);
   TypeName<model::peer_message>(messages);
   std::string text =
-      "// Messages between entries and records of the platform's log. Written by\n"
+      "// Messages between entries and records of the platform's log. Written "
+      "by\n"
       "// `parsleyhitch schema`; times are in milliseconds.\n\n"
       "syntax = \"proto3\";\n\npackage parsleyhitch;\n";
   for (const auto& [name, body] : messages)
--- a/source/wire/proto_split.cc
+++ b/source/wire/proto_split.cc
@@ -6,7 +6,9 @@
 
 namespace {
 
-bool ReadBytes(CodedInputStream& in, std::string_view message, raw_field& field) {
+bool ReadBytes(CodedInputStream& in,
+               std::string_view message,
+               raw_field& field) {
   std::uint32_t size = 0;
   if (!in.ReadVarint32(&size))
     return false;
--- a/source/wire/traits.h
+++ b/source/wire/traits.h
@@ -43,17 +43,19 @@
     std::is_same_v<T, model::duration> || std::is_same_v<T, model::timestamp>;
 
 template <typename T>
-using members_of = boost::describe::describe_members<T, boost::describe::mod_public>;
+using members_of =
+    boost::describe::describe_members<T, boost::describe::mod_public>;
 
 template <typename T>
-inline constexpr std::size_t member_count_v = boost::mp11::mp_size<members_of<T>>::value;
+inline constexpr std::size_t member_count_v =
+    boost::mp11::mp_size<members_of<T>>::value;
 
 template <typename T, std::size_t I>
 inline constexpr auto descriptor_v = boost::mp11::mp_at_c<members_of<T>, I>();
 
 template <typename T, std::size_t I>
-using member_type =
-    std::remove_cvref_t<decltype(std::declval<const T&>().*descriptor_v<T, I>.pointer)>;
+using member_type = std::remove_cvref_t<decltype(std::declval<const T&>().*
+                                                 descriptor_v<T, I>.pointer)>;
 
 // The milliseconds of a duration, or of a timestamp since the epoch.
 inline std::int64_t Milliseconds(model::duration value) {
--- a/tests/replay/fake_worker_test.cc
+++ b/tests/replay/fake_worker_test.cc
@@ -1,4 +1,5 @@
-// Tests of the worker that replays and stand-ins share: its leases and its fencing.
+// Tests of the worker that replays and stand-ins share: its leases and its
+// fencing.
 
 #include "replay/fake_worker.h"
 
@@ -16,16 +17,21 @@
   replay::fake_worker worker{.accelerators = 8};
   model::timestamp now{model::duration(10000)};
 
-  model::worker_report Send(std::uint64_t as_of, std::vector<model::task_instruction> tasks) {
+  model::worker_report Send(std::uint64_t as_of,
+                            std::vector<model::task_instruction> tasks) {
     replay::fake_sync done = replay::Sync(
-        std::move(worker), {.as_of = as_of, .lease = kLease, .tasks = std::move(tasks)}, now,
+        std::move(worker),
+        {.as_of = as_of, .lease = kLease, .tasks = std::move(tasks)}, now,
         [](const auto&) { return kRunTime; });
     worker = std::move(done.worker);
     return done.report;
   }
 
   static model::task_instruction Order(model::task_order order) {
-    return {.job = model::job_id("j"), .token = 7, .accelerators = 8, .order = order};
+    return {.job = model::job_id("j"),
+            .token = 7,
+            .accelerators = 8,
+            .order = order};
   }
 };
 
@@ -40,7 +46,8 @@
 
 Test(fake_worker, run_without_a_hold_reports_stopped) {
   worker_fixture fixture;
-  const auto report = fixture.Send(1, {worker_fixture::Order(model::task_order::kRun)});
+  const auto report =
+      fixture.Send(1, {worker_fixture::Order(model::task_order::kRun)});
   cr_assert(report.tasks.front().state == model::task_state::kStopped);
 }
 
@@ -48,7 +55,8 @@
   worker_fixture fixture;
   fixture.Send(1, {worker_fixture::Order(model::task_order::kHold)});
   fixture.now += kLease + model::duration(1);
-  const auto report = fixture.Send(1, {worker_fixture::Order(model::task_order::kRun)});
+  const auto report =
+      fixture.Send(1, {worker_fixture::Order(model::task_order::kRun)});
   cr_assert(report.tasks.front().state == model::task_state::kStopped);
 }
 
@@ -62,10 +70,11 @@
 Test(fake_worker, hold_beyond_its_accelerators_is_refused) {
   worker_fixture fixture;
   fixture.Send(1, {worker_fixture::Order(model::task_order::kHold)});
-  const auto report = fixture.Send(2, {worker_fixture::Order(model::task_order::kHold),
-                                       {.job = model::job_id("k"),
-                                        .token = 8,
-                                        .accelerators = 1,
-                                        .order = model::task_order::kHold}});
+  const auto report =
+      fixture.Send(2, {worker_fixture::Order(model::task_order::kHold),
+                       {.job = model::job_id("k"),
+                        .token = 8,
+                        .accelerators = 1,
+                        .order = model::task_order::kHold}});
   cr_assert(report.tasks.back().state == model::task_state::kRefused);
 }
--- a/tests/replay/properties_test.cc
+++ b/tests/replay/properties_test.cc
@@ -72,9 +72,9 @@
         kind.of_worker ? "w-" + std::to_string(drawn.target % kWorkers) : "";
     const std::uint32_t entry = drawn.target % kEntries;
     // Slow by half a second, or three answers lost, or thirty batches kept.
-    const std::uint64_t number = kind.kind == fault_kind::kLogSlow             ? 500
-                                 : kind.kind == fault_kind::kTrimLog           ? 30
-                                                                               : 3;
+    const std::uint64_t number = kind.kind == fault_kind::kLogSlow   ? 500
+                                 : kind.kind == fault_kind::kTrimLog ? 30
+                                                                     : 3;
     faults.push_back({.at = model::duration(drawn.at),
                       .kind = kind.kind,
                       .entry = entry,
@@ -95,12 +95,14 @@
           {.at = model::duration(3000 + i * 1000),
            .entry = static_cast<std::uint32_t>(i) % kEntries,
            .name = "job-" + std::to_string(i),
-           .spec = {.owner = model::workspace_id(guaranteed ? "coop" : "laundry"),
+           .spec = {.owner =
+                        model::workspace_id(guaranteed ? "coop" : "laundry"),
                     .kind = "k",
                     .capacity = {.gang_size = guaranteed || gang ? 4U : 1U,
                                  .accelerators = gang ? 4U : 8U,
-                                 .nearness = guaranteed ? model::adjacency::kRack
-                                                        : model::adjacency::kAny},
+                                 .nearness = guaranteed
+                                                 ? model::adjacency::kRack
+                                                 : model::adjacency::kAny},
                     .declared_run_time = model::duration(2000),
                     .preemptible = !guaranteed},
            .runs = model::duration(2500)});
@@ -108,7 +110,8 @@
     // Each key comes through every entry, some at the same moment.
     for (int i = 0; i < 60; ++i) {
       const std::string key = "k" + std::to_string(i / 3);
-      requests.push_back({.at = model::duration(3000 + (i / 3) * 1200 + (i % 3) * (i % 5) * 40),
+      requests.push_back({.at = model::duration(3000 + (i / 3) * 1200 +
+                                                (i % 3) * (i % 5) * 40),
                           .entry = static_cast<std::uint32_t>(i) % kEntries,
                           .name = "log-" + std::to_string(i),
                           .target = model::service_id("log"),
@@ -124,30 +127,33 @@
   replay::scenario Build(std::uint64_t seed) const {
     const model::shape rack{
         .gang_size = 4, .accelerators = 8, .nearness = model::adjacency::kRack};
-    return {.setup = {.entries = kEntries,
-                      .seed = seed,
-                      .latency = model::duration(1),
-                      .jitter = model::duration(20),
-                      .until = model::duration(kUntil),
-                      .workers = {{.prefix = "w",
-                                   .count = kWorkers,
-                                   .failure_domain = model::failure_domain_id("fd"),
-                                   .workers_per_rack = 4,
-                                   .accelerators = 8,
-                                   .slots = 8}},
-                      .manifest = {.version = 1,
-                                   .base = 0,
-                                   .workspaces = {{.id = model::workspace_id("coop"),
-                                                   .guarantees = {{.name = "wear",
-                                                                   .capacity = rack}}},
-                                                  {.id = model::workspace_id("laundry")}},
-                                   .services = {{.id = model::service_id("log"),
-                                                 .owner = model::workspace_id("coop"),
-                                                 .default_deadline = model::duration(4000)}}},
-                      .limits = {.checkpoint_every_batches = 15}},
-            .jobs = jobs,
-            .requests = requests,
-            .faults = faults};
+    return {
+        .setup = {.entries = kEntries,
+                  .seed = seed,
+                  .latency = model::duration(1),
+                  .jitter = model::duration(20),
+                  .until = model::duration(kUntil),
+                  .workers = {{.prefix = "w",
+                               .count = kWorkers,
+                               .failure_domain = model::failure_domain_id("fd"),
+                               .workers_per_rack = 4,
+                               .accelerators = 8,
+                               .slots = 8}},
+                  .manifest =
+                      {.version = 1,
+                       .base = 0,
+                       .workspaces = {{.id = model::workspace_id("coop"),
+                                       .guarantees = {{.name = "wear",
+                                                       .capacity = rack}}},
+                                      {.id = model::workspace_id("laundry")}},
+                       .services = {{.id = model::service_id("log"),
+                                     .owner = model::workspace_id("coop"),
+                                     .default_deadline =
+                                         model::duration(4000)}}},
+                  .limits = {.checkpoint_every_batches = 15}},
+        .jobs = jobs,
+        .requests = requests,
+        .faults = faults};
   }
 };
 
@@ -155,10 +161,11 @@
   const auto count = *rc::gen::inRange<std::size_t>(1, 7);
   std::vector<drawn_failure> drawn;
   for (std::size_t i = 0; i < count; ++i) {
-    drawn.push_back({.kind = *rc::gen::inRange<std::size_t>(0, Failures().size()),
-                     .at = *rc::gen::inRange<std::int64_t>(kFaultsFrom, kFaultsUntil),
-                     .lasts = *rc::gen::inRange<std::int64_t>(50, 15000),
-                     .target = *rc::gen::inRange<std::uint32_t>(0, kWorkers)});
+    drawn.push_back(
+        {.kind = *rc::gen::inRange<std::size_t>(0, Failures().size()),
+         .at = *rc::gen::inRange<std::int64_t>(kFaultsFrom, kFaultsUntil),
+         .lasts = *rc::gen::inRange<std::int64_t>(50, 15000),
+         .target = *rc::gen::inRange<std::uint32_t>(0, kWorkers)});
   }
   return drawn;
 }
@@ -178,8 +185,9 @@
   std::string unended;
   for (const replay::call_outcome& outcome : result.outcomes) {
     const auto phases = result.phases.find(outcome.name);
-    const bool accepted = outcome.answer.kind == model::answer_kind::kAccepted &&
-                          outcome.answer.job.has_value();
+    const bool accepted =
+        outcome.answer.kind == model::answer_kind::kAccepted &&
+        outcome.answer.job.has_value();
     const bool ended = phases != result.phases.end() &&
                        (phases->second.contains(model::job_phase::kFinished) ||
                         phases->second.contains(model::job_phase::kFailed));
--- a/tests/replay/traces_test.cc
+++ b/tests/replay/traces_test.cc
@@ -43,14 +43,17 @@
         [&] { return replay::ParseScenario(text.str()); },
         [&](const replay::scenario& scenario) {
           const auto result = replay::RunScenario(scenario, {.naive = naive});
-          for (const replay::judged_outcome& row : replay::Judge(scenario, result)) {
+          for (const replay::judged_outcome& row :
+               replay::Judge(scenario, result)) {
             if (!row.held)
-              missed += path.filename().string() + ": " + row.expected + " (" + row.seen + ")\n";
+              missed += path.filename().string() + ": " + row.expected + " (" +
+                        row.seen + ")\n";
           }
           return true;
         },
         [&](const parsleyhitch::model::findings& faults) {
-          missed += path.filename().string() + ": " + faults.front().message + "\n";
+          missed +=
+              path.filename().string() + ": " + faults.front().message + "\n";
           return false;
         });
     return missed;
@@ -64,8 +67,9 @@
   }
 
   void ExpectMissedWith(const std::string& naive) const {
-    const bool any = std::ranges::any_of(
-        paths, [&](const auto& path) { return !Missed(path, {naive}).empty(); });
+    const bool any = std::ranges::any_of(paths, [&](const auto& path) {
+      return !Missed(path, {naive}).empty();
+    });
     cr_expect(any, "the naive %s breaks nothing", naive.c_str());
   }
 };
--- a/tests/report/burn_test.cc
+++ b/tests/report/burn_test.cc
@@ -10,9 +10,10 @@
 namespace {
 
 struct burn_fixture {
-  std::vector<model::objective> objectives{{.service_name = model::service_id("pickup"),
-                                            .target_permille = 990,
-                                            .within = model::duration(100)}};
+  std::vector<model::objective> objectives{
+      {.service_name = model::service_id("pickup"),
+       .target_permille = 990,
+       .within = model::duration(100)}};
   report::burn_counts counts;
   model::timestamp now{std::chrono::hours(1000)};
 
--- a/tests/scheduler/fold_test.cc
+++ b/tests/scheduler/fold_test.cc
@@ -59,11 +59,13 @@
                   .incarnation = 1,
                   .sequence = fixture.sequence,
                   .at = fixture.now,
-                  .records = {model::worker_leaving{.worker = ledger_fixture::Name(0)}}}};
+                  .records = {model::worker_leaving{
+                      .worker = ledger_fixture::Name(0)}}}};
   fixture.step = parsleyhitch::scheduler::FoldBatch(
-      {.behaviour = fixture.hooks, .limits = fixture.limits}, std::move(fixture.step),
-      batch);
-  const auto* worker = fixture.step.ledger.workers.Find(ledger_fixture::Name(0));
+      {.behaviour = fixture.hooks, .limits = fixture.limits},
+      std::move(fixture.step), batch);
+  const auto* worker =
+      fixture.step.ledger.workers.Find(ledger_fixture::Name(0));
   cr_assert(worker->phase == model::worker_phase::kLive);
   cr_assert_eq(fixture.step.ledger.next_offset, batch.offset + 1);
 }
@@ -76,9 +78,10 @@
                                               .sequence = 1,
                                               .at = fixture.now}};
   fixture.step = parsleyhitch::scheduler::FoldBatch(
-      {.behaviour = fixture.hooks, .limits = fixture.limits}, std::move(fixture.step),
-      newer);
-  cr_assert_not(fixture.Fold(model::worker_leaving{.worker = ledger_fixture::Name(0)}));
+      {.behaviour = fixture.hooks, .limits = fixture.limits},
+      std::move(fixture.step), newer);
+  cr_assert_not(
+      fixture.Fold(model::worker_leaving{.worker = ledger_fixture::Name(0)}));
 }
 
 Test(fold, placement_on_taken_workers_is_void) {
@@ -107,8 +110,9 @@
 
 Test(fold, placement_over_the_quota_is_void) {
   running_pair fixture;
-  fixture.Submit("three", ledger_fixture::Spec(
-                              "laundry", {.gang_size = 4, .accelerators = 8}, true));
+  fixture.Submit(
+      "three", ledger_fixture::Spec("laundry",
+                                    {.gang_size = 4, .accelerators = 8}, true));
   cr_assert_not(fixture.Place("three", fixture.Reserved()));
 }
 
@@ -124,9 +128,10 @@
 
 Test(fold, gang_with_a_lost_member_stops_whole_and_waits_again) {
   running_pair fixture;
-  fixture.Fold(model::worker_suspected{.worker = ledger_fixture::Name(fixture.first),
-                                       .by = model::entry_id("e"),
-                                       .witnesses = 1});
+  fixture.Fold(
+      model::worker_suspected{.worker = ledger_fixture::Name(fixture.first),
+                              .by = model::entry_id("e"),
+                              .witnesses = 1});
   cr_assert(fixture.Phase("pair") == model::job_phase::kStopping);
   fixture.Report("pair", fixture.second, model::task_state::kStopped);
   cr_assert(fixture.Phase("pair") == model::job_phase::kWaiting);
@@ -146,10 +151,11 @@
 
 Test(fold, report_with_a_stale_token_is_ignored) {
   running_pair fixture;
-  fixture.Fold(model::tasks_reported{.worker = ledger_fixture::Name(fixture.first),
-                                     .tasks = {{.job = model::job_id("pair"),
-                                                .token = 1,
-                                                .state = model::task_state::kFailed}}});
+  fixture.Fold(
+      model::tasks_reported{.worker = ledger_fixture::Name(fixture.first),
+                            .tasks = {{.job = model::job_id("pair"),
+                                       .token = 1,
+                                       .state = model::task_state::kFailed}}});
   cr_assert(fixture.Phase("pair") == model::job_phase::kRunning);
 }
 
@@ -166,7 +172,8 @@
   fixture.Fold(model::worker_suspected{.worker = ledger_fixture::Name(0),
                                        .by = model::entry_id("a"),
                                        .witnesses = 2});
-  const auto* worker = fixture.step.ledger.workers.Find(ledger_fixture::Name(0));
+  const auto* worker =
+      fixture.step.ledger.workers.Find(ledger_fixture::Name(0));
   cr_assert(worker->phase == model::worker_phase::kLive);
 }
 
@@ -178,7 +185,8 @@
     fixture.Place(job, {5});
     fixture.Report(job, 5, model::task_state::kFailed);
   }
-  const auto* worker = fixture.step.ledger.workers.Find(ledger_fixture::Name(5));
+  const auto* worker =
+      fixture.step.ledger.workers.Find(ledger_fixture::Name(5));
   cr_assert(worker->ejected_until > fixture.step.ledger.clock);
 }
 
@@ -197,10 +205,11 @@
   cr_assert_not(fixture.Fold(model::manifest_published{
       .proposed = {.version = 2,
                    .base = 1,
-                   .workspaces = {{.id = model::workspace_id("coop"),
-                                   .guarantees = {{.name = "a", .capacity = shape},
-                                                  {.name = "b", .capacity = shape},
-                                                  {.name = "c", .capacity = shape}}}}}}));
+                   .workspaces = {
+                       {.id = model::workspace_id("coop"),
+                        .guarantees = {{.name = "a", .capacity = shape},
+                                       {.name = "b", .capacity = shape},
+                                       {.name = "c", .capacity = shape}}}}}}));
 }
 
 Test(fold, claim_of_a_claimed_key_is_void) {
@@ -217,6 +226,7 @@
 Test(fold, claim_finished_as_answered_keeps_the_answer) {
   claimed_key fixture;
   cr_assert(fixture.Finish(model::request_outcome::kAnswered));
-  cr_assert(fixture.Claim()->result->outcome == model::request_outcome::kAnswered);
+  cr_assert(fixture.Claim()->result->outcome ==
+            model::request_outcome::kAnswered);
   cr_assert_not(fixture.Finish(model::request_outcome::kNotRun));
 }
--- a/tests/scheduler/guarantees_test.cc
+++ b/tests/scheduler/guarantees_test.cc
@@ -23,7 +23,8 @@
   }
 
   model::capacity UseOfFirst() const {
-    return parsleyhitch::scheduler::UseOf(step.ledger, Guarantee().workers.front());
+    return parsleyhitch::scheduler::UseOf(step.ledger,
+                                          Guarantee().workers.front());
   }
 };
 
@@ -59,7 +60,8 @@
   cr_assert_neq(fixture.Reserved().front() < 4, lost < 4);
 }
 
-Test(guarantees, both_racks_broken_reports_the_shortfall_until_a_worker_returns) {
+Test(guarantees,
+     both_racks_broken_reports_the_shortfall_until_a_worker_returns) {
   ledger_fixture fixture;
   for (const int lost : {0, 4}) {
     fixture.Fold(model::worker_suspected{.worker = ledger_fixture::Name(lost),
@@ -78,7 +80,9 @@
       .proposed = {.version = 2,
                    .base = 1,
                    .workspaces = {{.id = model::workspace_id("coop")}}}});
-  cr_assert_eq(parsleyhitch::scheduler::UseOf(fixture.step.ledger, first).reserved, 0);
+  cr_assert_eq(
+      parsleyhitch::scheduler::UseOf(fixture.step.ledger, first).reserved, 0);
   fixture.ReportAll("wear", model::task_state::kFinished);
-  cr_assert_eq(parsleyhitch::scheduler::UseOf(fixture.step.ledger, first).reserved, 0);
+  cr_assert_eq(
+      parsleyhitch::scheduler::UseOf(fixture.step.ledger, first).reserved, 0);
 }
--- a/tests/scheduler/plan_test.cc
+++ b/tests/scheduler/plan_test.cc
@@ -16,8 +16,8 @@
 
 struct plan_fixture : ledger_fixture {
   std::vector<model::record> Plan() const {
-    const scheduler::plan_rules rules{.limits = limits,
-                                      .leaves_guarantees = hooks.leaves_guarantees};
+    const scheduler::plan_rules rules{
+        .limits = limits, .leaves_guarantees = hooks.leaves_guarantees};
     return scheduler::PlanPlacements(step.ledger, now, rules);
   }
 
@@ -45,9 +45,13 @@
 
 Test(plan, small_job_with_a_partly_used_rack_goes_where_it_leaves_least) {
   plan_fixture fixture;
-  fixture.Submit("first", ledger_fixture::Spec("coop", {.gang_size = 1, .accelerators = 4}, true));
+  fixture.Submit(
+      "first",
+      ledger_fixture::Spec("coop", {.gang_size = 1, .accelerators = 4}, true));
   fixture.Place("first", {6});
-  fixture.Submit("second", ledger_fixture::Spec("coop", {.gang_size = 1, .accelerators = 4}, true));
+  fixture.Submit(
+      "second",
+      ledger_fixture::Spec("coop", {.gang_size = 1, .accelerators = 4}, true));
   const auto records = fixture.Plan();
   const auto* placed = fixture.Placement(records, "second");
   cr_assert_not_null(placed);
@@ -68,16 +72,21 @@
 Test(plan, firm_job_that_is_not_urgent_does_not_preempt_at_once) {
   plan_fixture fixture;
   fixture.FillWithSoftWork();
-  fixture.Submit("firm", ledger_fixture::Spec("laundry", {.gang_size = 1, .accelerators = 8}));
+  fixture.Submit("firm", ledger_fixture::Spec(
+                             "laundry", {.gang_size = 1, .accelerators = 8}));
   cr_assert(fixture.Plan().empty());
 }
 
 Test(plan, large_job_that_waits_keeps_long_small_jobs_off_its_workers) {
   plan_fixture fixture;
   const model::shape rack = ledger_fixture::Rack();
-  fixture.Submit("half", ledger_fixture::Spec("coop", {.gang_size = 1, .accelerators = 8}, true));
+  fixture.Submit(
+      "half",
+      ledger_fixture::Spec("coop", {.gang_size = 1, .accelerators = 8}, true));
   fixture.Place("half", {0});
-  fixture.Submit("half-2", ledger_fixture::Spec("coop", {.gang_size = 1, .accelerators = 8}, true));
+  fixture.Submit(
+      "half-2",
+      ledger_fixture::Spec("coop", {.gang_size = 1, .accelerators = 8}, true));
   fixture.Place("half-2", {4});
   fixture.Submit("large", ledger_fixture::Spec("coop", rack, true));
   const model::job_spec longer{.owner = model::workspace_id("coop"),
@@ -93,7 +102,8 @@
 
 Test(plan, job_that_failed_on_a_worker_is_not_placed_there_again) {
   plan_fixture fixture;
-  fixture.Submit("job", ledger_fixture::Spec("coop", {.gang_size = 1, .accelerators = 8}, true));
+  fixture.Submit("job", ledger_fixture::Spec(
+                            "coop", {.gang_size = 1, .accelerators = 8}, true));
   fixture.Place("job", {0});
   fixture.Report("job", 0, model::task_state::kFailed);
   const auto records = fixture.Plan();
--- a/tests/scheduler/rendezvous_test.cc
+++ b/tests/scheduler/rendezvous_test.cc
@@ -16,11 +16,13 @@
 
 struct homes_fixture {
   scheduler::hooks hooks = scheduler::DefaultHooks();
-  std::vector<model::entry_id> entries{model::entry_id("a"), model::entry_id("b"),
-                                       model::entry_id("c"), model::entry_id("d")};
+  std::vector<model::entry_id> entries{
+      model::entry_id("a"), model::entry_id("b"), model::entry_id("c"),
+      model::entry_id("d")};
 
   model::entry_id Home(int subject) const {
-    return scheduler::HomeOf(hooks, "worker-" + std::to_string(subject), entries);
+    return scheduler::HomeOf(hooks, "worker-" + std::to_string(subject),
+                             entries);
   }
 };
 
--- a/tests/settings/settings_file_test.cc
+++ b/tests/settings/settings_file_test.cc
@@ -40,15 +40,17 @@
 
 struct files_fixture {
   static model::findings SettingsFaults(const std::string& text) {
-    return wire::Handle([&] { return settings::ParseSettings(text); },
-                        [](const settings::settings&) { return model::findings(); },
-                        [](const model::findings& faults) { return faults; });
+    return wire::Handle(
+        [&] { return settings::ParseSettings(text); },
+        [](const settings::settings&) { return model::findings(); },
+        [](const model::findings& faults) { return faults; });
   }
 
   static model::findings ManifestFaults(const std::string& text) {
-    return wire::Handle([&] { return settings::ParseManifest(text); },
-                        [](const model::manifest&) { return model::findings(); },
-                        [](const model::findings& faults) { return faults; });
+    return wire::Handle(
+        [&] { return settings::ParseManifest(text); },
+        [](const model::manifest&) { return model::findings(); },
+        [](const model::findings& faults) { return faults; });
   }
 };
 
@@ -69,7 +71,8 @@
 }
 
 Test(settings_file, key_given_twice_is_found) {
-  const auto faults = files_fixture::SettingsFaults(std::string(kGood) + "entry: again\n");
+  const auto faults =
+      files_fixture::SettingsFaults(std::string(kGood) + "entry: again\n");
   cr_assert_eq(faults.size(), 1);
   cr_assert_eq(faults.front().line, 12);
 }
--- a/tests/stand_ins/journal.h
+++ b/tests/stand_ins/journal.h
@@ -51,7 +51,8 @@
 };
 PARSLEYHITCH_DESCRIBE(worker_journal, tasks, runs)
 
-inline wire::result<worker_control> DecodeWorkerControl(const std::string& text) {
+inline wire::result<worker_control> DecodeWorkerControl(
+    const std::string& text) {
   return wire::FromJson<worker_control>(text);
 }
 
--- a/tests/stand_ins/log_stand_in.cc
+++ b/tests/stand_ins/log_stand_in.cc
@@ -35,21 +35,24 @@
 
 std::uint64_t QueryNumber(const std::string& query, const std::string& name) {
   const std::size_t at = query.find(name + "=");
-  return at == std::string::npos ? 0 : std::stoull(query.substr(at + name.size() + 1));
+  return at == std::string::npos
+             ? 0
+             : std::stoull(query.substr(at + name.size() + 1));
 }
 
 class log_stand_in {
  public:
-  log_stand_in(asio::io_context& io, const std::vector<std::string>& addresses) : io_(io) {
+  log_stand_in(asio::io_context& io, const std::vector<std::string>& addresses)
+      : io_(io) {
     for (const std::string& address : addresses) {
       servers_.push_back(std::make_unique<runtime::http_server>(
           io, address, kMaxBodyBytes,
           runtime::http_handlers{
-              .call = [this, address](const wire::http_call& call,
-                                      std::uint64_t,
-                                      runtime::http_responder respond) {
-                Take(address, call, std::move(respond));
-              },
+              .call =
+                  [this, address](const wire::http_call& call, std::uint64_t,
+                                  runtime::http_responder respond) {
+                    Take(address, call, std::move(respond));
+                  },
               .closed = [](std::uint64_t) {}}));
     }
   }
@@ -78,13 +81,15 @@
       Serve(call, respond);
       return;
     }
-    auto timer =
-        std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(slow_ms_));
-    timer->async_wait([this, timer, call, respond](const auto&) { Serve(call, respond); });
+    auto timer = std::make_shared<asio::steady_timer>(
+        io_, std::chrono::milliseconds(slow_ms_));
+    timer->async_wait(
+        [this, timer, call, respond](const auto&) { Serve(call, respond); });
   }
 
   void Control(const std::string& body) {
-    const auto control = wire::ValueOf([&] { return wire::FromJson<log_control>(body); });
+    const auto control =
+        wire::ValueOf([&] { return wire::FromJson<log_control>(body); });
     if (!control)
       return;
     down_ = control->down;
@@ -105,7 +110,8 @@
     }
   }
 
-  void Serve(const wire::http_call& call, const runtime::http_responder& respond) {
+  void Serve(const wire::http_call& call,
+             const runtime::http_responder& respond) {
     if (call.path == "/append") {
       Append(call.body, respond);
       return;
@@ -119,7 +125,8 @@
     Park(from, std::chrono::milliseconds(wait_ms), respond);
   }
 
-  void Append(const std::string& bytes, const runtime::http_responder& respond) {
+  void Append(const std::string& bytes,
+              const runtime::http_responder& respond) {
     const std::uint64_t offset = log_.Append(bytes);
     for (const auto& parked : std::exchange(parked_, {})) {
       parked->answered = true;
@@ -138,7 +145,9 @@
             std::chrono::milliseconds wait,
             const runtime::http_responder& respond) {
     auto parked = std::make_shared<parked_read>(
-        parked_read{.from = from, .respond = respond, .timer = asio::steady_timer(io_, wait)});
+        parked_read{.from = from,
+                    .respond = respond,
+                    .timer = asio::steady_timer(io_, wait)});
     parked_.push_back(parked);
     parked->timer.async_wait([this, parked](const auto&) {
       if (parked->answered)
@@ -151,10 +160,11 @@
 
   void Page(std::uint64_t from, const runtime::http_responder& respond) {
     const std::uint64_t start = std::max(from, log_.first_offset);
-    respond(JsonReply(200, wire::EncodeLogPage({.first_offset = log_.first_offset,
-                                                .end_offset = log_.EndOffset(),
-                                                .from = start,
-                                                .records = log_.Read(start, kPageRecords)})));
+    respond(JsonReply(
+        200, wire::EncodeLogPage({.first_offset = log_.first_offset,
+                                  .end_offset = log_.EndOffset(),
+                                  .from = start,
+                                  .records = log_.Read(start, kPageRecords)})));
   }
 
   asio::io_context& io_;
--- a/tests/stand_ins/main.cc
+++ b/tests/stand_ins/main.cc
@@ -38,7 +38,8 @@
   } else if (FLAGS_role == "vms") {
     parsleyhitch::stand_ins::RunVmList(io, FLAGS_listen);
   } else if (FLAGS_role == "worker") {
-    parsleyhitch::stand_ins::RunWorker(io, FLAGS_listen, FLAGS_accelerators, FLAGS_task_ms);
+    parsleyhitch::stand_ins::RunWorker(io, FLAGS_listen, FLAGS_accelerators,
+                                       FLAGS_task_ms);
   } else {
     std::cerr << "unknown --role\n";
     return 2;
--- a/tests/stand_ins/vm_list_stand_in.cc
+++ b/tests/stand_ins/vm_list_stand_in.cc
@@ -1,5 +1,5 @@
-// The platform's list of live and leaving VMs over HTTP: GET /vms, POST /control with
-// the new list.
+// The platform's list of live and leaving VMs over HTTP: GET /vms, POST
+// /control with the new list.
 
 #include "stand_ins/stand_in.h"
 
--- a/tests/stand_ins/worker_stand_in.cc
+++ b/tests/stand_ins/worker_stand_in.cc
@@ -15,7 +15,8 @@
 namespace {
 
 model::timestamp Now() {
-  return std::chrono::time_point_cast<model::duration>(std::chrono::system_clock::now());
+  return std::chrono::time_point_cast<model::duration>(
+      std::chrono::system_clock::now());
 }
 
 class worker_stand_in {
@@ -39,7 +40,8 @@
                  .closed = [](std::uint64_t) {}}) {}
 
  private:
-  void Take(const wire::http_call& call, const runtime::http_responder& respond) {
+  void Take(const wire::http_call& call,
+            const runtime::http_responder& respond) {
     if (call.path == "/control") {
       Control(call.body);
       respond(JsonReply(200, "{}"));
@@ -64,16 +66,16 @@
     answers_ = control->answers;
   }
 
-  void TakeSync(const std::string& body, const runtime::http_responder& respond) {
+  void TakeSync(const std::string& body,
+                const runtime::http_responder& respond) {
     const auto sync = wire::ValueOf([&] { return wire::DecodeSync(body); });
     if (!sync) {
       respond(JsonReply(400, "{}"));
       return;
     }
-    replay::fake_sync done =
-        replay::Sync(std::move(worker_), *sync, Now(), [this](const model::job_id&) {
-          return model::duration(task_ms_);
-        });
+    replay::fake_sync done = replay::Sync(
+        std::move(worker_), *sync, Now(),
+        [this](const model::job_id&) { return model::duration(task_ms_); });
     worker_ = std::move(done.worker);
     respond(JsonReply(200, wire::EncodeReport(done.report)));
   }
@@ -90,7 +92,8 @@
     return EncodeJournal({.tasks = std::move(tasks), .runs = runs_});
   }
 
-  void TakeRequest(const wire::http_call& call, const runtime::http_responder& respond) {
+  void TakeRequest(const wire::http_call& call,
+                   const runtime::http_responder& respond) {
     if (worker_.leaving) {
       respond({.status = 503,
                .content_type = "text/plain",
@@ -103,11 +106,10 @@
                      .at = Now()});
     if (answers_ == answer_mode::kNone)
       return;
-    auto timer =
-        std::make_shared<asio::steady_timer>(io_, std::chrono::milliseconds(answer_ms_));
-    timer->async_wait([this, timer, call, respond](const auto&) {
-      respond(AnswerTo(call));
-    });
+    auto timer = std::make_shared<asio::steady_timer>(
+        io_, std::chrono::milliseconds(answer_ms_));
+    timer->async_wait(
+        [this, timer, call, respond](const auto&) { respond(AnswerTo(call)); });
   }
 
   wire::http_reply AnswerTo(const wire::http_call& call) const {
--- /dev/null
+++ b/tests/support/cluster.cc
@@ -0,0 +1,369 @@
+// Real processes on loopback.
+
+#include "support/cluster.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <optional>
+#include <stdexcept>
+#include <utility>
+
+#include "wire/json_codec.h"
+
+namespace parsleyhitch::test {
+
+namespace {
+
+constexpr model::duration kCallTimeout{20000};
+constexpr std::chrono::seconds kLongestWait{60};
+constexpr std::chrono::milliseconds kBetweenLooks{20};
+
+constexpr char kManifest[] = R"({"version":1,"base":0,
+"workspaces":[{"id":"coop","guarantees":[{"name":"wear","capacity":
+{"gang_size":4,"accelerators":8,"nearness":"rack"}}]},{"id":"laundry"}],
+"services":[{"id":"log","owner":"coop","default_deadline_ms":5000},
+{"id":"pickup","owner":"laundry","rank":"urgent","default_deadline_ms":3000}]})";
+
+// Ports that the kernel had free a moment ago, all different.
+std::vector<std::uint16_t> FreePorts(std::size_t count) {
+  asio::io_context io;
+  std::vector<asio::ip::tcp::acceptor> held;
+  std::vector<std::uint16_t> ports;
+  for (std::size_t i = 0; i < count; ++i) {
+    held.emplace_back(
+        io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    ports.push_back(held.back().local_endpoint().port());
+  }
+  return ports;
+}
+
+std::string HeaderOf(const runtime::http_response& response,
+                     const std::string& name) {
+  const auto found = response.headers.find(name);
+  return found == response.headers.end() ? std::string() : found->second;
+}
+
+reply ReplyOf(const runtime::http_outcome& outcome) {
+  const auto* response = std::get_if<runtime::http_response>(&outcome);
+  if (response == nullptr)
+    return {};
+  return {.status = response->status,
+          .run = HeaderOf(*response, "parsleyhitch-run"),
+          .body = response->body};
+}
+
+runtime::http_request HttpOf(const request& each, const std::string& address) {
+  std::vector<std::string> headers{
+      "Parsleyhitch-Workspace: " + each.workspace,
+      "Parsleyhitch-Deadline-Ms: " + std::to_string(each.deadline_ms)};
+  if (!each.key.empty()) {
+    headers.push_back("Parsleyhitch-Idempotent: false");
+    headers.push_back("Idempotency-Key: " + each.key);
+  }
+  return {
+      .method = "POST",
+      .url = "http://" + address + "/v1/services/" + each.service + "/requests",
+      .headers = std::move(headers),
+      .body = each.body,
+      .timeout = kCallTimeout,
+      .own_connection = true};
+}
+
+// The value of a field of a JSON object, at any depth, as text.
+std::string FindField(const wire::json& value, const std::string& name) {
+  if (!value.is_structured())
+    return "";
+  if (value.is_object() && value.contains(name)) {
+    const wire::json& found = value[name];
+    return found.is_string() ? found.get<std::string>() : found.dump();
+  }
+  for (const wire::json& each : value) {
+    const std::string found = FindField(each, name);
+    if (!found.empty())
+      return found;
+  }
+  return "";
+}
+
+std::string FieldOf(const reply& reply, const std::string& name) {
+  return FindField(wire::json::parse(reply.body, nullptr, false), name);
+}
+
+std::string Binary(const std::string& path) {
+  return std::string(PARSLEYHITCH_BUILD_DIR) + "/" + path;
+}
+
+}  // namespace
+
+cluster::cluster(const cluster_shape& shape)
+    : shape_(shape),
+      ports_(FreePorts(1 + 3 * shape.entries + shape.workers)),
+      folder_(std::filesystem::temp_directory_path() /
+              ("parsleyhitch-" + std::to_string(getpid()))) {
+  std::filesystem::create_directories(folder_);
+  std::string log_addresses;
+  for (std::uint32_t entry = 0; entry < shape_.entries; ++entry)
+    log_addresses += (entry == 0 ? "" : ",") + LogAddress(entry);
+  const std::string stand_ins = Binary("tests/stand_ins/stand_ins");
+  others_.push_back(
+      Spawn({stand_ins, "--role", "log", "--listen", log_addresses}));
+  others_.push_back(
+      Spawn({stand_ins, "--role", "vms", "--listen", Address(0)}));
+  std::string list;
+  for (std::uint32_t worker = 0; worker < shape_.workers; ++worker) {
+    workers_.push_back(
+        Spawn({stand_ins, "--role", "worker", "--listen", WorkerAddress(worker),
+               "--task_ms", std::to_string(shape_.task_ms)}));
+    const model::listed_vm vm{
+        .spec = {.worker = model::worker_id("w" + std::to_string(worker)),
+                 .address = WorkerAddress(worker),
+                 .failure_domain = model::failure_domain_id("fd"),
+                 .rack = model::rack_id("rack-" + std::to_string(worker / 4)),
+                 .accelerators = 8,
+                 .slots = 8}};
+    list += (worker == 0 ? "" : ",") + wire::ToJson(vm);
+  }
+  Await("the VM list", [&] {
+    return CallAddress(Address(0), "POST", "/control", "[" + list + "]")
+               .status == 200;
+  });
+  for (std::uint32_t entry = 0; entry < shape_.entries; ++entry) {
+    entries_.push_back(0);
+    StartEntry(entry);
+  }
+  for (std::uint32_t entry = 0; entry < shape_.entries; ++entry)
+    AwaitStatus(entry, "workers_live", std::to_string(shape_.workers));
+  Await("the first manifest",
+        [&] { return Call(0, "POST", "/v1/manifest", kManifest).status != 0; });
+  for (std::uint32_t entry = 0; entry < shape_.entries; ++entry)
+    AwaitStatus(entry, "manifest_version", "1");
+}
+
+cluster::~cluster() {
+  std::vector<pid_t> all = entries_;
+  all.insert(all.end(), workers_.begin(), workers_.end());
+  all.insert(all.end(), others_.begin(), others_.end());
+  for (const pid_t pid : all) {
+    if (pid == 0)
+      continue;
+    kill(pid, SIGKILL);
+    waitpid(pid, nullptr, 0);
+  }
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+void cluster::Await(const std::string& what,
+                    const std::function<bool()>& condition) const {
+  const auto end = std::chrono::steady_clock::now() + kLongestWait;
+  asio::io_context io;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > end)
+      throw std::runtime_error("did not come: " + what);
+    asio::steady_timer(io, kBetweenLooks).wait();
+  }
+}
+
+std::vector<reply> cluster::SendTogether(
+    const std::vector<request>& requests) const {
+  asio::io_context io(1);
+  runtime::http_client client(io);
+  std::vector<reply> replies(requests.size());
+  std::size_t open = requests.size();
+  for (std::size_t i = 0; i < requests.size(); ++i) {
+    client.Send(HttpOf(requests[i], EntryAddress(requests[i].entry)),
+                [&, i](const runtime::http_outcome& outcome) {
+                  replies[i] = ReplyOf(outcome);
+                  if (--open == 0)
+                    io.stop();
+                });
+  }
+  io.run();
+  return replies;
+}
+
+reply cluster::CallAddress(const std::string& address,
+                           const std::string& method,
+                           const std::string& path,
+                           const std::string& body) const {
+  asio::io_context io(1);
+  runtime::http_client client(io);
+  reply result;
+  client.Send({.method = method,
+               .url = "http://" + address + path,
+               .body = body,
+               .timeout = kCallTimeout,
+               .own_connection = true},
+              [&](const runtime::http_outcome& outcome) {
+                result = ReplyOf(outcome);
+                io.stop();
+              });
+  io.run();
+  return result;
+}
+
+reply cluster::Call(std::uint32_t entry,
+                    const std::string& method,
+                    const std::string& path,
+                    const std::string& body) const {
+  return CallAddress(EntryAddress(entry), method, path, body);
+}
+
+std::string cluster::Submit(std::uint32_t entry,
+                            const std::string& spec) const {
+  const reply accepted = Call(entry, "POST", "/v1/jobs", spec);
+  const wire::json body = wire::json::parse(accepted.body, nullptr, false);
+  if (accepted.status != 202)
+    throw std::runtime_error("not accepted: " + accepted.body);
+  return body["job"]["job"].get<std::string>();
+}
+
+std::string cluster::PhaseOf(std::uint32_t entry,
+                             const std::string& job) const {
+  return FieldOf(Call(entry, "GET", "/v1/jobs/" + job), "phase");
+}
+
+void cluster::AwaitPhase(std::uint32_t entry,
+                         const std::string& job,
+                         const std::string& phase) const {
+  Await(job + " is " + phase, [&] { return PhaseOf(entry, job) == phase; });
+}
+
+std::string cluster::StatusField(std::uint32_t entry,
+                                 const std::string& field) const {
+  return FieldOf(Call(entry, "GET", "/v1/status"), field);
+}
+
+void cluster::AwaitStatus(std::uint32_t entry,
+                          const std::string& field,
+                          const std::string& value) const {
+  Await(field + " is " + value,
+        [&] { return StatusField(entry, field) == value; });
+}
+
+void cluster::SignalEntry(std::uint32_t entry, int signal) const {
+  kill(entries_.at(entry), signal);
+}
+
+void cluster::SignalWorker(std::uint32_t worker, int signal) const {
+  kill(workers_.at(worker), signal);
+}
+
+int cluster::AwaitExit(std::uint32_t entry) {
+  int status = 0;
+  Await("the exit of an entry", [&] {
+    return waitpid(entries_.at(entry), &status, WNOHANG) == entries_.at(entry);
+  });
+  entries_.at(entry) = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+void cluster::StartEntry(std::uint32_t entry) {
+  if (entries_.at(entry) != 0) {
+    kill(entries_.at(entry), SIGKILL);
+    waitpid(entries_.at(entry), nullptr, 0);
+  }
+  const std::string path =
+      (folder_ / ("entry-" + std::to_string(entry) + ".yaml")).string();
+  std::ofstream(path) << ConfigOf(entry);
+  entries_.at(entry) =
+      Spawn({Binary("source/parsleyhitchd/parsleyhitchd"), "--config", path});
+}
+
+void cluster::ControlLog(const std::string& control) const {
+  CallAddress(LogAddress(0), "POST", "/control", control);
+}
+
+void cluster::ControlVmList(const std::string& control) const {
+  CallAddress(Address(0), "POST", "/control", control);
+}
+
+void cluster::ControlWorker(std::uint32_t worker,
+                            const std::string& control) const {
+  CallAddress(WorkerAddress(worker), "POST", "/control", control);
+}
+
+void cluster::ControlWorkers(const std::string& control) const {
+  for (std::uint32_t worker = 0; worker < shape_.workers; ++worker)
+    ControlWorker(worker, control);
+}
+
+stand_ins::worker_journal cluster::Journal(std::uint32_t worker) const {
+  const reply journal =
+      CallAddress(WorkerAddress(worker), "GET", "/journal", "");
+  auto decoded = wire::ValueOf(
+      [&] { return wire::FromJson<stand_ins::worker_journal>(journal.body); });
+  return decoded ? *decoded : stand_ins::worker_journal{};
+}
+
+std::uint64_t cluster::RunsOf(const std::string& key) const {
+  std::uint64_t runs = 0;
+  for (std::uint32_t worker = 0; worker < shape_.workers; ++worker) {
+    for (const stand_ins::journal_run& run : Journal(worker).runs)
+      runs += run.key == key ? 1 : 0;
+  }
+  return runs;
+}
+
+std::string cluster::Address(std::uint32_t index) const {
+  return "127.0.0.1:" + std::to_string(ports_.at(index));
+}
+
+std::string cluster::EntryAddress(std::uint32_t entry) const {
+  return Address(1 + entry);
+}
+
+std::string cluster::LogAddress(std::uint32_t entry) const {
+  return Address(1 + 2 * shape_.entries + entry);
+}
+
+std::string cluster::WorkerAddress(std::uint32_t worker) const {
+  return Address(1 + 3 * shape_.entries + worker);
+}
+
+std::string cluster::ConfigOf(std::uint32_t entry) const {
+  std::string text =
+      "entry: entry-" + std::to_string(entry) +
+      "\nfailure_domain: fd\nhttp_listen: " + EntryAddress(entry) +
+      "\npeer_listen: " + Address(1 + shape_.entries + entry) +
+      "\nlog_address: " + LogAddress(entry) +
+      "\nvm_list_address: " + Address(0) + "\npeers:\n";
+  for (std::uint32_t peer = 0; peer < shape_.entries; ++peer) {
+    if (peer != entry) {
+      text += "  - entry: entry-" + std::to_string(peer) +
+              "\n    address: " + Address(1 + shape_.entries + peer) + "\n";
+    }
+  }
+  return text + "limits:\n  checkpoint_every_batches: 20\n";
+}
+
+pid_t cluster::Spawn(const std::vector<std::string>& arguments) const {
+  std::vector<char*> raw;
+  raw.reserve(arguments.size() + 1);
+  for (const std::string& argument : arguments)
+    raw.push_back(const_cast<char*>(argument.c_str()));
+  raw.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  const std::string log = (folder_ / "log").string();
+  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
+  pid_t pid = 0;
+  const int error =
+      posix_spawn(&pid, raw.front(), &actions, nullptr, raw.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0)
+    throw std::runtime_error("can't start " + arguments.front());
+  return pid;
+}
+
+}  // namespace parsleyhitch::test
--- a/tests/support/ledger_fixture.h
+++ b/tests/support/ledger_fixture.h
@@ -12,8 +12,9 @@
 
 namespace parsleyhitch::test {
 
-// Workers "w0".."w3" with 8 accelerators each on "rack-0", "w4".."w7" on "rack-1";
-// workspaces "coop" with a guarantee of 4 x 8 on one rack, and "laundry".
+// Workers "w0".."w3" with 8 accelerators each on "rack-0", "w4".."w7" on
+// "rack-1"; workspaces "coop" with a guarantee of 4 x 8 on one rack, and
+// "laundry".
 struct ledger_fixture {
   model::limits limits;
   scheduler::hooks hooks = scheduler::DefaultHooks();
@@ -41,16 +42,18 @@
   }
 
   static model::shape Rack() {
-    return {.gang_size = 4, .accelerators = 8, .nearness = model::adjacency::kRack};
+    return {
+        .gang_size = 4, .accelerators = 8, .nearness = model::adjacency::kRack};
   }
 
   static model::manifest Manifest() {
-    return {.version = 1,
-            .base = 0,
-            .workspaces = {{.id = model::workspace_id("coop"),
-                            .guarantees = {{.name = "wear", .capacity = Rack()}}},
-                           {.id = model::workspace_id("laundry"),
-                            .quota_accelerators = 40}}};
+    return {
+        .version = 1,
+        .base = 0,
+        .workspaces = {
+            {.id = model::workspace_id("coop"),
+             .guarantees = {{.name = "wear", .capacity = Rack()}}},
+            {.id = model::workspace_id("laundry"), .quota_accelerators = 40}}};
   }
 
   static model::job_spec Spec(const std::string& owner,
@@ -73,8 +76,9 @@
                     .sequence = ++sequence,
                     .at = now,
                     .records = {std::move(record)}}};
-    step = scheduler::FoldBatch({.behaviour = hooks, .limits = limits},
-                                {.ledger = std::move(step.ledger), .changes = {}}, batch);
+    step = scheduler::FoldBatch(
+        {.behaviour = hooks, .limits = limits},
+        {.ledger = std::move(step.ledger), .changes = {}}, batch);
     for (const scheduler::change& change : step.changes) {
       if (const auto* verdict = std::get_if<scheduler::record_verdict>(&change))
         return verdict->accepted;
@@ -90,14 +94,16 @@
     std::vector<model::worker_id> workers;
     for (const int number : numbers)
       workers.push_back(Name(number));
-    return Fold(model::job_placed{.job = model::job_id(job), .workers = workers});
+    return Fold(
+        model::job_placed{.job = model::job_id(job), .workers = workers});
   }
 
   void Report(const std::string& job, int number, model::task_state state) {
     const model::fence token = Placed(job)->token;
     Fold(model::tasks_reported{
         .worker = Name(number),
-        .tasks = {{.job = model::job_id(job), .token = token, .state = state}}});
+        .tasks = {
+            {.job = model::job_id(job), .token = token, .state = state}}});
   }
 
   void ReportAll(const std::string& job, model::task_state state) {
@@ -106,7 +112,8 @@
     for (const model::member& member : members) {
       Fold(model::tasks_reported{
           .worker = member.worker,
-          .tasks = {{.job = model::job_id(job), .token = token, .state = state}}});
+          .tasks = {
+              {.job = model::job_id(job), .token = token, .state = state}}});
     }
   }
 
--- a/tests/wire/api_test.cc
+++ b/tests/wire/api_test.cc
@@ -11,28 +11,33 @@
 
 struct api_fixture {
   static model::findings Faults(const wire::http_call& call) {
-    return wire::Handle([&] { return wire::ParseCall(call, model::timestamp(), 1); },
-                        [](const wire::api_request&) { return model::findings(); },
-                        [](const model::findings& faults) { return faults; });
+    return wire::Handle(
+        [&] { return wire::ParseCall(call, model::timestamp(), 1); },
+        [](const wire::api_request&) { return model::findings(); },
+        [](const model::findings& faults) { return faults; });
   }
 };
 
 }  // namespace
 
 Test(api, unknown_path_is_refused) {
-  cr_assert_eq(api_fixture::Faults({.method = "GET", .path = "/nothing"}).size(), 1);
+  cr_assert_eq(
+      api_fixture::Faults({.method = "GET", .path = "/nothing"}).size(), 1);
 }
 
 Test(api, body_that_is_not_json_is_refused) {
   cr_assert_eq(
-      api_fixture::Faults({.method = "POST", .path = "/v1/jobs", .body = "{"}).size(), 1);
+      api_fixture::Faults({.method = "POST", .path = "/v1/jobs", .body = "{"})
+          .size(),
+      1);
 }
 
 Test(api, bad_headers_of_a_request_are_found_together) {
-  const auto faults = api_fixture::Faults(
-      {.method = "POST",
-       .path = "/v1/services/s/requests",
-       .headers = {{"parsleyhitch-deadline-ms", "soon"}, {"parsleyhitch-idempotent", "no"}}});
+  const auto faults =
+      api_fixture::Faults({.method = "POST",
+                           .path = "/v1/services/s/requests",
+                           .headers = {{"parsleyhitch-deadline-ms", "soon"},
+                                       {"parsleyhitch-idempotent", "no"}}});
   cr_assert_eq(faults.size(), 2);
 }
 
@@ -48,9 +53,10 @@
 }
 
 Test(api, endpoint_answer_is_passed_on_whole) {
-  const wire::http_reply reply = wire::ReplyTo({.kind = model::answer_kind::kAnswered,
-                                                .endpoint_status = 418,
-                                                .body = std::string("a\0b", 3)});
+  const wire::http_reply reply =
+      wire::ReplyTo({.kind = model::answer_kind::kAnswered,
+                     .endpoint_status = 418,
+                     .body = std::string("a\0b", 3)});
   cr_assert_eq(reply.status, 418);
   cr_assert_eq(reply.body.size(), 3);
 }
--- a/tests/wire/codec_test.cc
+++ b/tests/wire/codec_test.cc
@@ -26,19 +26,21 @@
       .sequence = 9,
       .at = model::timestamp(model::duration(-5)),
       .records = {
-          model::job_submitted{.job = model::job_id("j"),
-                               .spec = {.owner = model::workspace_id("w"),
-                                        .kind = "k",
-                                        .capacity = {.gang_size = 2,
-                                                     .accelerators = 4,
-                                                     .nearness = model::adjacency::kRack},
-                                        .declared_run_time = model::duration(100),
-                                        .priority = -3,
-                                        .preemptible = true}},
-          model::request_finished{.owner = model::workspace_id("w"),
-                                  .key = model::idempotency_key("k"),
-                                  .by = model::entry_id("e"),
-                                  .result = {.status = 200, .body = "\xff\x00\x01"}},
+          model::job_submitted{
+              .job = model::job_id("j"),
+              .spec = {.owner = model::workspace_id("w"),
+                       .kind = "k",
+                       .capacity = {.gang_size = 2,
+                                    .accelerators = 4,
+                                    .nearness = model::adjacency::kRack},
+                       .declared_run_time = model::duration(100),
+                       .priority = -3,
+                       .preemptible = true}},
+          model::request_finished{
+              .owner = model::workspace_id("w"),
+              .key = model::idempotency_key("k"),
+              .by = model::entry_id("e"),
+              .result = {.status = 200, .body = "\xff\x00\x01"}},
           model::checkpoint_chunk{
               .by = model::entry_id("e"),
               .count = 1,
@@ -64,7 +66,8 @@
   const codec_fixture fixture;
   const std::string bytes = wire::EncodeBatch(fixture.batch);
   for (std::size_t size = 0; size < bytes.size(); ++size) {
-    const auto logged = wire::DecodeBatch(0, std::string_view(bytes).substr(0, size));
+    const auto logged =
+        wire::DecodeBatch(0, std::string_view(bytes).substr(0, size));
     cr_assert_not(logged.content == fixture.batch);
   }
 }
@@ -73,9 +76,10 @@
   cr_assert(rc::check("damaged bytes", [] {
     const codec_fixture fixture;
     std::string bytes = wire::EncodeBatch(fixture.batch);
-    const auto damage = *rc::gen::container<std::vector<std::pair<std::size_t, char>>>(
-        rc::gen::pair(rc::gen::inRange<std::size_t>(0, bytes.size()),
-                      rc::gen::arbitrary<char>()));
+    const auto damage =
+        *rc::gen::container<std::vector<std::pair<std::size_t, char>>>(
+            rc::gen::pair(rc::gen::inRange<std::size_t>(0, bytes.size()),
+                          rc::gen::arbitrary<char>()));
     for (const auto& [at, value] : damage)
       bytes[at] = value;
     (void)wire::DecodeBatch(0, bytes);
@@ -91,7 +95,8 @@
 }
 
 Test(proto_codec, schema_file_is_in_step_with_the_codec) {
-  std::ifstream file(std::string(PARSLEYHITCH_SOURCE_DIR) + "/proto/parsleyhitch.proto");
+  std::ifstream file(std::string(PARSLEYHITCH_SOURCE_DIR) +
+                     "/proto/parsleyhitch.proto");
   std::stringstream text;
   text << file.rdbuf();
   cr_assert(text.str() == wire::ProtoSchema(),
@@ -101,10 +106,12 @@
 Test(json_codec, step_with_bytes_that_are_not_text_is_kept) {
   const codec_fixture fixture;
   const wire::recorded_step step{
-      .event = model::log_read{.batches = {{.offset = 2, .content = fixture.batch}}},
-      .effects = {model::append_batch{.content = fixture.batch}, model::stop_process{}}};
-  const auto decoded =
-      wire::ValueOf([&] { return wire::DecodeRecordedStep(wire::EncodeRecordedStep(step)); });
+      .event =
+          model::log_read{.batches = {{.offset = 2, .content = fixture.batch}}},
+      .effects = {model::append_batch{.content = fixture.batch},
+                  model::stop_process{}}};
+  const auto decoded = wire::ValueOf(
+      [&] { return wire::DecodeRecordedStep(wire::EncodeRecordedStep(step)); });
   cr_assert(decoded.has_value());
   cr_assert(*decoded == step);
 }
@@ -112,9 +119,10 @@
 Test(json_codec, every_fault_of_a_job_is_found_with_its_place) {
   const std::string text =
       R"({"owner":1,"capacity":{"gang_size":-1,"nearness":"moon"},"priority":99999999999,"extra":0})";
-  const auto faults = wire::Handle([&] { return wire::FromJson<model::job_spec>(text); },
-                                   [](const model::job_spec&) { return model::findings(); },
-                                   [](const model::findings& found) { return found; });
+  const auto faults =
+      wire::Handle([&] { return wire::FromJson<model::job_spec>(text); },
+                   [](const model::job_spec&) { return model::findings(); },
+                   [](const model::findings& found) { return found; });
   cr_assert_eq(faults.size(), 5);
 }
 
