--- /dev/null
+++ b/source/parsleyhitch/burn_command.h
@@ -0,0 +1,14 @@
+// parsleyhitch burn: service-level burn, live or of a trace.
+
+#ifndef PARSLEYHITCH_PARSLEYHITCH_BURN_COMMAND_H_
+#define PARSLEYHITCH_PARSLEYHITCH_BURN_COMMAND_H_
+
+#include "parsleyhitch/commands.h"
+
+namespace parsleyhitch {
+
+int RunBurn(const command_input& input);
+
+}  // namespace parsleyhitch
+
+#endif  // PARSLEYHITCH_PARSLEYHITCH_BURN_COMMAND_H_
--- a/source/parsleyhitch/commands.cc
+++ b/source/parsleyhitch/commands.cc
@@ -5,12 +5,12 @@
 #include <iostream>
 #include <optional>
 
+#include "parsleyhitch/burn_command.h"
 #include "parsleyhitch/calls.h"
 #include "parsleyhitch/check.h"
 #include "parsleyhitch/exit_codes.h"
 #include "parsleyhitch/output.h"
 #include "parsleyhitch/replay_command.h"
-#include "report/burn.h"
 #include "settings/manifest_file.h"
 #include "settings/yaml_source.h"
 #include "wire/json_codec.h"
@@ -99,24 +99,6 @@
                        .body = arguments[2]});
 }
 
-int RunBurn(const command_input& input) {
-  std::vector<std::vector<report::burn_line>> reports;
-  for (const std::string& address : input.entries) {
-    const runtime::http_outcome outcome =
-        CallEntry(address, {.method = "GET", .path = "/v1/burn"});
-    if (const auto* response = std::get_if<runtime::http_response>(&outcome))
-      reports.push_back(report::DecodeBurn(response->body));
-  }
-  if (reports.empty()) {
-    std::cerr << "no entry can be reached\n";
-    return kExitUnreachable;
-  }
-  const std::vector<report::burn_line> sum = report::SumBurn(reports);
-  std::cout << (input.json ? report::EncodeBurn(sum) + "\n"
-                           : report::BurnTable(sum));
-  return kExitOk;
-}
-
 int RunSchema(const command_input&) {
   std::cout << wire::ProtoSchema();
   return kExitOk;
@@ -139,8 +121,8 @@
       {"cancel", "cancel JOB", "Cancels a job.", RunCancel},
       {"drain", "drain --entry ADDRESS", "Shuts one entry down gracefully.",
        RunDrain},
-      {"burn", "burn", "Reports service-level burn over all entries given.",
-       RunBurn},
+      {"burn", "burn [--trace FILE --html FILE]",
+       "Reports service-level burn over all entries given.", RunBurn},
       {"replay", "replay TRACE...",
        "Runs traces or recordings through the reducer and checks their stated "
        "outcomes.",
--- a/source/parsleyhitch/commands.h
+++ b/source/parsleyhitch/commands.h
@@ -15,6 +15,9 @@
   // "ip:port" of each entry to try, in order.
   const std::vector<std::string> entries;
   const bool json = false;
+  // Burn of a trace instead of live entries, and the page to write.
+  const std::string trace;
+  const std::string html;
   // A replay is measured beside this policy; empty for none.
   const std::string compare;
   // Hooks that a replay replaces by naive ones.
--- a/source/parsleyhitch/main.cc
+++ b/source/parsleyhitch/main.cc
@@ -11,6 +11,8 @@
 
 DEFINE_string(entry, "127.0.0.1:7400", "entries, with commas between them");
 DEFINE_string(format, "table", "table or json");
+DEFINE_string(trace, "", "burn: of this trace instead of live entries");
+DEFINE_string(html, "", "burn: also write this page");
 DEFINE_string(compare,
               "",
               "replay: also run this policy (baseline) and compare");
@@ -67,6 +69,8 @@
   return found->run({.arguments = {arguments.begin() + 1, arguments.end()},
                      .entries = SplitByComma(FLAGS_entry),
                      .json = FLAGS_format == "json",
+                     .trace = FLAGS_trace,
+                     .html = FLAGS_html,
                      .compare = FLAGS_compare,
                      .naive = SplitByComma(FLAGS_naive)});
 }
--- a/source/replay/policy_report.cc
+++ b/source/replay/policy_report.cc
@@ -154,6 +154,24 @@
   return measures;
 }
 
+std::vector<report::observation> Observations(const scenario& scenario,
+                                              const run_result& result) {
+  std::vector<report::observation> observations;
+  const auto outcomes = ByName(result);
+  for (const request_arrival& request : scenario.requests) {
+    const auto found = outcomes.find(request.name);
+    if (found == outcomes.end())
+      continue;
+    const call_outcome& outcome = *found->second;
+    observations.push_back(
+        {.service = request.target,
+         .at = outcome.answered,
+         .latency = outcome.answered - outcome.arrived,
+         .whole_answer = outcome.answer.kind == model::answer_kind::kAnswered});
+  }
+  return observations;
+}
+
 policy_comparison Compare(const std::string& trace, const scenario& scenario) {
   return {.trace = trace,
           .workload = scenario.workload,
--- a/source/replay/policy_report.h
+++ b/source/replay/policy_report.h
@@ -11,6 +11,7 @@
 
 #include "replay/scenario.h"
 #include "replay/stage.h"
+#include "report/burn.h"
 
 namespace parsleyhitch::replay {
 
@@ -19,6 +20,10 @@
 
 policy_measures Measure(const scenario& scenario, const run_result& result);
 
+// The ends of the run's requests, for the service-level burn.
+std::vector<report::observation> Observations(const scenario& scenario,
+                                              const run_result& result);
+
 // One trace under both policies.
 struct policy_comparison {
   const std::string trace;
