--- /dev/null
+++ b/bench/entry_cost.cc
@@ -0,0 +1,98 @@
+// What a whole entry process costs: at rest, and for each request, with real
+// processes on loopback. Reads the processor time and the wakeups that the
+// kernel counted.
+
+#include <unistd.h>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+
+#include "support/cluster.h"
+
+namespace parsleyhitch::bench {
+
+namespace {
+
+constexpr std::chrono::seconds kAtRest{15};
+constexpr int kRounds = 40;
+constexpr int kRequestsPerRound = 50;
+constexpr double kPercent = 100.0;
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+// The processor time of a process so far, in seconds (proc(5), stat, fields 14
+// and 15).
+double ProcessorSeconds(pid_t pid) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+  std::string skipped;
+  for (int field = 1; field <= 13; ++field)
+    file >> skipped;
+  double user = 0;
+  double system = 0;
+  file >> user >> system;
+  return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+// A counter of /proc/PID/status.
+std::uint64_t StatusValue(pid_t pid, const std::string& name) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+  std::string line;
+  while (std::getline(file, line)) {
+    if (line.starts_with(name + ":"))
+      return std::stoull(line.substr(name.size() + 1));
+  }
+  return 0;
+}
+
+void MeasureAtRest(const test::cluster& site) {
+  const pid_t pid = site.EntryPid(0);
+  const double before = ProcessorSeconds(pid);
+  const std::uint64_t wakes = StatusValue(pid, "voluntary_ctxt_switches");
+  asio::io_context io;
+  asio::steady_timer(io, kAtRest).wait();
+  const auto seconds = static_cast<double>(kAtRest.count());
+  const double used = ProcessorSeconds(pid) - before;
+  const std::uint64_t woken =
+      StatusValue(pid, "voluntary_ctxt_switches") - wakes;
+  std::cout << "at rest, % of a core: " << kPercent * used / seconds << "\n"
+            << "at rest, wakeups a second: "
+            << static_cast<double>(woken) / seconds << "\n"
+            << "resident kB: " << StatusValue(pid, "VmRSS") << "\n";
+}
+
+void MeasureRequests(const test::cluster& site) {
+  const pid_t pid = site.EntryPid(0);
+  const double before = ProcessorSeconds(pid);
+  int answered = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<test::request> requests(kRequestsPerRound,
+                                        {.entry = 0,
+                                         .service = "pickup",
+                                         .workspace = "laundry",
+                                         .body = "gate"});
+    for (const test::reply& reply : site.SendTogether(requests))
+      answered += reply.status == 200 ? 1 : 0;
+  }
+  const double used = ProcessorSeconds(pid) - before;
+  std::cout << "requests answered: " << answered << " of "
+            << kRounds * kRequestsPerRound << "\n"
+            << "processor time of a request, us: "
+            << kMicrosecondsPerSecond * used / (kRounds * kRequestsPerRound)
+            << "\n";
+}
+
+}  // namespace
+
+}  // namespace parsleyhitch::bench
+
+int main() {
+  const parsleyhitch::test::cluster site({.entries = 3, .workers = 12});
+  parsleyhitch::bench::MeasureAtRest(site);
+  parsleyhitch::bench::MeasureRequests(site);
+  return 0;
+}
--- a/source/model/effect.h
+++ b/source/model/effect.h
@@ -18,7 +18,7 @@
 namespace parsleyhitch::model {
 
 struct append_batch {
-  const batch content;
+  const batch content{};
   const duration timeout{0};
   bool operator==(const append_batch&) const = default;
 };
@@ -39,7 +39,7 @@
 
 struct send_to_peer {
   const entry_id to;
-  const peer_message message;
+  const peer_message message{};
   bool operator==(const send_to_peer&) const = default;
 };
 
@@ -47,7 +47,7 @@
   const worker_id worker;
   const std::string address;
   const std::uint64_t call = 0;
-  const worker_sync sync;
+  const worker_sync sync{};
   const duration timeout{0};
   bool operator==(const call_worker&) const = default;
 };
@@ -65,7 +65,7 @@
 
 struct answer_caller {
   const call_number call = 0;
-  const answer content;
+  const answer content{};
   bool operator==(const answer_caller&) const = default;
 };
 
--- a/source/model/event.h
+++ b/source/model/event.h
@@ -38,7 +38,7 @@
   // The oldest offset still kept and the one the next append will get.
   const std::uint64_t first_offset = 0;
   const std::uint64_t end_offset = 0;
-  const std::vector<logged_batch> batches;
+  const std::vector<logged_batch> batches{};
   bool operator==(const log_read&) const = default;
 };
 
@@ -63,7 +63,7 @@
 
 struct vm_list_read {
   const timestamp at;
-  const std::vector<listed_vm> vms;
+  const std::vector<listed_vm> vms{};
   bool operator==(const vm_list_read&) const = default;
 };
 
@@ -74,7 +74,7 @@
 
 struct peer_heard {
   const timestamp at;
-  const peer_message message;
+  const peer_message message{};
   bool operator==(const peer_heard&) const = default;
 };
 
@@ -82,7 +82,7 @@
   const timestamp at;
   const worker_id worker;
   const std::uint64_t call = 0;
-  const worker_report report;
+  const worker_report report{};
   bool operator==(const worker_answered&) const = default;
 };
 
@@ -96,7 +96,7 @@
 struct job_requested {
   const timestamp at;
   const call_number call = 0;
-  const job_spec spec;
+  const job_spec spec{};
   const timestamp deadline;
   bool operator==(const job_requested&) const = default;
 };
@@ -119,7 +119,7 @@
 struct manifest_offered {
   const timestamp at;
   const call_number call = 0;
-  const manifest proposed;
+  const manifest proposed{};
   const timestamp deadline;
   bool operator==(const manifest_offered&) const = default;
 };
--- a/source/model/job.h
+++ b/source/model/job.h
@@ -55,7 +55,7 @@
 };
 
 struct job_status {
-  const job_spec spec;
+  const job_spec spec{};
   const job_phase phase = job_phase::kWaiting;
   const stop_reason reason = stop_reason::kNone;
   // Placements that failed in a member; bounded by limits::max_attempts.
@@ -105,7 +105,7 @@
   const bool firm = false;
   // The guaranteed shape that this placement claims, if any.
   const std::optional<guarantee_id> claims;
-  const std::vector<member> members;
+  const std::vector<member> members{};
 
   bool operator==(const placement&) const = default;
 };
--- a/source/model/ledger_values.h
+++ b/source/model/ledger_values.h
@@ -20,7 +20,7 @@
 struct worker_status {
   const worker_spec spec;
   const worker_phase phase = worker_phase::kLive;
-  const std::vector<entry_id> suspected_by;
+  const std::vector<entry_id> suspected_by{};
   // Members failed on this worker since the last that did not.
   const std::uint32_t failures = 0;
   // The job that failed here last; it is not placed here again meanwhile.
@@ -46,7 +46,7 @@
 // `claimed_by` while claimed, short when neither.
 struct guarantee_status {
   const shape capacity;
-  const std::vector<worker_id> workers;
+  const std::vector<worker_id> workers{};
   const std::optional<job_id> claimed_by;
   const std::string shortfall;
 
--- a/source/model/manifest.h
+++ b/source/model/manifest.h
@@ -32,7 +32,7 @@
   const std::uint32_t quota_accelerators = 0;
   // Requests admitted side by side at one entry; 0 for no bound.
   const std::uint32_t max_requests = 0;
-  const std::vector<guarantee> guarantees;
+  const std::vector<guarantee> guarantees{};
 
   bool operator==(const workspace&) const = default;
 };
@@ -62,9 +62,9 @@
 struct manifest {
   const std::uint64_t version = 0;
   const std::uint64_t base = 0;
-  const std::vector<workspace> workspaces;
-  const std::vector<service> services;
-  const std::vector<objective> objectives;
+  const std::vector<workspace> workspaces{};
+  const std::vector<service> services{};
+  const std::vector<objective> objectives{};
 
   bool operator==(const manifest&) const = default;
 };
--- a/source/model/message.h
+++ b/source/model/message.h
@@ -28,7 +28,7 @@
   const bool draining = false;
   // Workers that the sender sees leaving; told at once, before the log tells
   // it.
-  const std::vector<worker_id> leaving;
+  const std::vector<worker_id> leaving{};
   // Has folded the log to its end; one that has not takes no part in routing.
   const bool ready = false;
   bool operator==(const heartbeat&) const = default;
@@ -37,7 +37,7 @@
 // Batches passed on to a peer that can't read the log.
 struct batches_relayed {
   const entry_id from;
-  const std::vector<logged_batch> batches;
+  const std::vector<logged_batch> batches{};
   bool operator==(const batches_relayed&) const = default;
 };
 
@@ -59,7 +59,7 @@
 struct worker_sync {
   const std::uint64_t as_of = 0;
   const duration lease{0};
-  const std::vector<task_instruction> tasks;
+  const std::vector<task_instruction> tasks{};
   bool operator==(const worker_sync&) const = default;
 };
 
@@ -68,7 +68,7 @@
   // False when the sync was fenced off as older than one already seen.
   const bool accepted = false;
   const bool leaving = false;
-  const std::vector<task_report> tasks;
+  const std::vector<task_report> tasks{};
   bool operator==(const worker_report&) const = default;
 };
 
@@ -93,7 +93,7 @@
   const job_phase phase = job_phase::kWaiting;
   const stop_reason reason = stop_reason::kNone;
   const std::uint32_t failed_attempts = 0;
-  const std::vector<member> members;
+  const std::vector<member> members{};
   bool operator==(const job_view&) const = default;
 };
 
@@ -130,8 +130,8 @@
   const std::uint64_t accelerators_reserved = 0;
   const std::uint64_t accelerators_total = 0;
   const std::uint64_t requests_open = 0;
-  const std::vector<guarantee_view> guarantees;
-  const std::vector<peer_view> peers;
+  const std::vector<guarantee_view> guarantees{};
+  const std::vector<peer_view> peers{};
   bool operator==(const status_view&) const = default;
 };
 
@@ -139,7 +139,7 @@
 struct answer {
   const answer_kind kind = answer_kind::kAnswered;
   const run_state ran = run_state::kNotApplicable;
-  const findings faults;
+  const findings faults{};
   // Zero when there is no use in a retry.
   const duration retry_after{0};
   const std::optional<job_view> job;
--- a/source/model/record.h
+++ b/source/model/record.h
@@ -22,7 +22,7 @@
 // Accepted when `proposed.base` is the version in force and the version is
 // higher.
 struct manifest_published {
-  const manifest proposed;
+  const manifest proposed{};
   bool operator==(const manifest_published&) const = default;
 };
 
@@ -59,14 +59,14 @@
 
 struct job_submitted {
   const job_id job;
-  const job_spec spec;
+  const job_spec spec{};
   bool operator==(const job_submitted&) const = default;
 };
 
 // A claim on capacity: accepted if it is still feasible at its position.
 struct job_placed {
   const job_id job;
-  const std::vector<worker_id> workers;
+  const std::vector<worker_id> workers{};
   bool operator==(const job_placed&) const = default;
 };
 
@@ -93,7 +93,7 @@
 // present placement are stale and ignored.
 struct tasks_reported {
   const worker_id worker;
-  const std::vector<task_report> tasks;
+  const std::vector<task_report> tasks{};
   bool operator==(const tasks_reported&) const = default;
 };
 
@@ -182,7 +182,7 @@
   const std::uint64_t upto = 0;
   const std::uint32_t index = 0;
   const std::uint32_t count = 0;
-  const std::vector<checkpoint_part> parts;
+  const std::vector<checkpoint_part> parts{};
   bool operator==(const checkpoint_chunk&) const = default;
 };
 
@@ -209,14 +209,14 @@
   const std::uint64_t incarnation = 0;
   const std::uint64_t sequence = 0;
   const timestamp at;
-  const std::vector<record> records;
+  const std::vector<record> records{};
   bool operator==(const batch&) const = default;
 };
 
 // A batch at its offset.
 struct logged_batch {
   const std::uint64_t offset = 0;
-  const batch content;
+  const batch content{};
   bool operator==(const logged_batch&) const = default;
 };
 
--- a/source/parsleyhitch/calls.h
+++ b/source/parsleyhitch/calls.h
@@ -14,7 +14,7 @@
 struct entry_call {
   const std::string method;
   const std::string path;
-  const std::vector<std::string> headers;
+  const std::vector<std::string> headers{};
   const std::string body;
 };
 
--- a/source/parsleyhitch/check.cc
+++ b/source/parsleyhitch/check.cc
@@ -19,7 +19,7 @@
   if (!text)
     return kExitUsage;
   const auto on_good = [&](const auto&) {
-    std::cout << (json ? "[]" : path + ": no findings") << "\n";
+    std::cout << (json ? "[]" : path) << (json ? "\n" : ": no findings\n");
     return kExitOk;
   };
   const auto on_faults = [&](const model::findings& faults) {
--- a/source/parsleyhitch/commands.h
+++ b/source/parsleyhitch/commands.h
@@ -11,9 +11,9 @@
 
 // What a command is given: its arguments after the name, and the flags.
 struct command_input {
-  const std::vector<std::string> arguments;
+  const std::vector<std::string> arguments{};
   // "ip:port" of each entry to try, in order.
-  const std::vector<std::string> entries;
+  const std::vector<std::string> entries{};
   const bool json = false;
   // Burn of a trace instead of live entries, and the page to write.
   const std::string trace;
@@ -21,7 +21,7 @@
   // A replay is measured beside this policy; empty for none.
   const std::string compare;
   // Hooks that a replay replaces by naive ones.
-  const std::vector<std::string> naive;
+  const std::vector<std::string> naive{};
 };
 
 struct command {
--- a/source/parsleyhitch/output.cc
+++ b/source/parsleyhitch/output.cc
@@ -3,8 +3,10 @@
 #include "parsleyhitch/output.h"
 
 #include <fstream>
+#include <initializer_list>
 #include <iostream>
 #include <sstream>
+#include <string_view>
 
 #include "wire/json_codec.h"
 
@@ -12,10 +14,17 @@
 
 namespace {
 
+std::string Join(std::initializer_list<std::string_view> parts) {
+  std::string text;
+  for (const std::string_view part : parts)
+    text += part;
+  return text;
+}
+
 void PrintRows(const wire::json& value, const std::string& path) {
   if (value.is_object()) {
     for (const auto& [name, each] : value.items())
-      PrintRows(each, path.empty() ? name : path + "." + name);
+      PrintRows(each, path.empty() ? name : Join({path, ".", name}));
     return;
   }
   if (value.is_array()) {
--- a/source/replay/scenario.h
+++ b/source/replay/scenario.h
@@ -39,10 +39,10 @@
   const model::duration vm_list_lag{0};
   // The run ends here.
   const model::duration until{0};
-  const std::vector<worker_group> workers;
+  const std::vector<worker_group> workers{};
   // Published as the first version, when the entries are up.
-  const model::manifest manifest;
-  const model::limits limits;
+  const model::manifest manifest{};
+  const model::limits limits{};
   bool operator==(const setup&) const = default;
 };
 
@@ -50,7 +50,7 @@
   const model::duration at{0};
   const std::uint32_t entry = 0;
   const std::string name;
-  const model::job_spec spec;
+  const model::job_spec spec{};
   // What the job really runs.
   const model::duration runs{0};
   bool operator==(const job_arrival&) const = default;
@@ -84,7 +84,7 @@
   const model::duration at{0};
   const std::uint32_t entry = 0;
   const std::string name;
-  const model::manifest proposed;
+  const model::manifest proposed{};
   bool operator==(const manifest_arrival&) const = default;
 };
 
@@ -175,13 +175,13 @@
 struct scenario {
   // The generator's workload that the trace stands for, if any.
   const std::string workload;
-  const replay::setup setup;
-  const std::vector<job_arrival> jobs;
-  const std::vector<job_cancel> cancels;
-  const std::vector<request_arrival> requests;
-  const std::vector<manifest_arrival> manifests;
-  const std::vector<fault> faults;
-  const std::vector<expectation> expectations;
+  const replay::setup setup{};
+  const std::vector<job_arrival> jobs{};
+  const std::vector<job_cancel> cancels{};
+  const std::vector<request_arrival> requests{};
+  const std::vector<manifest_arrival> manifests{};
+  const std::vector<fault> faults{};
+  const std::vector<expectation> expectations{};
 };
 
 }  // namespace parsleyhitch::replay
--- a/source/replay/stage.h
+++ b/source/replay/stage.h
@@ -63,7 +63,7 @@
 struct run_options {
   const policy_choice policy = policy_choice::kProduct;
   // Hooks of invariants that are replaced by naive ones; by the hook's name.
-  const std::vector<std::string> naive;
+  const std::vector<std::string> naive{};
 };
 
 run_result RunScenario(const scenario& scenario, const run_options& options);
--- a/source/report/burn.cc
+++ b/source/report/burn.cc
@@ -122,6 +122,7 @@
     const std::vector<model::objective>& objectives,
     model::timestamp now) {
   std::vector<burn_line> lines;
+  lines.reserve(objectives.size());
   for (const model::objective& each : objectives) {
     lines.push_back(
         LineOf(each.service_name, each.target_permille, each.within,
--- a/source/runtime/http_client.h
+++ b/source/runtime/http_client.h
@@ -22,7 +22,7 @@
   // "http://ip:port/path".
   const std::string url;
   // "Name: value" lines.
-  const std::vector<std::string> headers;
+  const std::vector<std::string> headers{};
   const std::string body;
   const model::duration timeout{0};
   // A request that must not be repeated goes over a connection of its own:
@@ -34,7 +34,7 @@
 struct http_response {
   const std::uint32_t status = 0;
   // Names in lower case.
-  const std::map<std::string, std::string> headers;
+  const std::map<std::string, std::string> headers{};
   const std::string body;
 };
 
--- a/source/scheduler/entry_state.h
+++ b/source/scheduler/entry_state.h
@@ -55,7 +55,7 @@
 };
 
 struct pending_record {
-  const model::record content;
+  const model::record content{};
   const waiter waits;
   bool operator==(const pending_record&) const = default;
 };
--- a/source/scheduler/fold.h
+++ b/source/scheduler/fold.h
@@ -25,14 +25,14 @@
   const std::uint64_t sequence = 0;
   const std::uint32_t index = 0;
   const bool accepted = false;
-  const model::findings faults;
+  const model::findings faults{};
   bool operator==(const record_verdict&) const = default;
 };
 
 // The tasks of a job on these workers changed.
 struct job_changed {
   const model::job_id job;
-  const std::vector<model::worker_id> workers;
+  const std::vector<model::worker_id> workers{};
   bool operator==(const job_changed&) const = default;
 };
 
--- a/source/scheduler/reduce.h
+++ b/source/scheduler/reduce.h
@@ -19,7 +19,7 @@
 struct environment {
   const model::entry_id me;
   // The other entries.
-  const std::vector<model::entry_id> peers;
+  const std::vector<model::entry_id> peers{};
   const model::limits limits;
   const hooks behaviour;
 };
--- a/source/scheduler/request_queue.cc
+++ b/source/scheduler/request_queue.cc
@@ -120,6 +120,8 @@
   const endpoint_load load = *step.state.requests.endpoints.Find(worker);
   const bool urgent = request.rank == model::importance::kUrgent;
   const std::uint32_t attempt = progress.attempt + 1;
+  const std::uint64_t turn = step.state.requests.next_turn++;
+  const model::duration timeout = request.deadline - step.state.now;
   if (attempt == 1) {
     step.state.requests.retry_budget =
         EarnRetry(environment, step.state.requests.retry_budget);
@@ -134,7 +136,7 @@
                  {.in_flight = load.in_flight + 1,
                   .failures = load.failures,
                   .ejected_until = load.ejected_until,
-                  .turn = step.state.requests.next_turn++});
+                  .turn = turn});
   step = SetProgress(std::move(step), call,
                      {.phase = request_phase::kCalling,
                       .attempt = attempt,
@@ -143,15 +145,13 @@
                       .claimed = progress.claimed});
   const std::string address =
       step.state.ledger.workers.Find(worker)->spec.address;
-  return Emit(
-      std::move(step),
-      model::call_endpoint{.address = address,
-                           .call = call,
-                           .attempt = attempt,
-                           .target = request.target,
-                           .key = request.key,
-                           .body = request.body,
-                           .timeout = request.deadline - step.state.now});
+  return Emit(std::move(step), model::call_endpoint{.address = address,
+                                                    .call = call,
+                                                    .attempt = attempt,
+                                                    .target = request.target,
+                                                    .key = request.key,
+                                                    .body = request.body,
+                                                    .timeout = timeout});
 }
 
 // Failures in a row hold an endpoint back, for longer each time.
--- a/source/settings/settings.h
+++ b/source/settings/settings.h
@@ -29,7 +29,7 @@
   // "ip:port" for callers and operators, and for the other entries.
   const std::string http_listen;
   const std::string peer_listen;
-  const std::vector<peer_address> peers;
+  const std::vector<peer_address> peers{};
   // "ip:port" of the platform's log and VM list.
   const std::string log_address;
   const std::string vm_list_address;
--- a/source/wire/api.h
+++ b/source/wire/api.h
@@ -21,7 +21,7 @@
   const std::string path;
   // What follows "?", if anything.
   const std::string query;
-  const std::map<std::string, std::string> headers;
+  const std::map<std::string, std::string> headers{};
   const std::string body;
   bool operator==(const http_call&) const = default;
 };
@@ -29,7 +29,7 @@
 struct http_reply {
   const std::uint32_t status = 0;
   const std::string content_type;
-  const std::map<std::string, std::string> headers;
+  const std::map<std::string, std::string> headers{};
   const std::string body;
   bool operator==(const http_reply&) const = default;
 };
--- a/source/wire/json_codec.h
+++ b/source/wire/json_codec.h
@@ -93,6 +93,14 @@
   faults.push_back({.place = place, .message = std::move(message)});
 }
 
+// The place of a member or element.
+inline std::string Under(const std::string& place, std::string_view name) {
+  std::string under = place;
+  under += '/';
+  under += name;
+  return under;
+}
+
 template <typename T>
 T DecodeInteger(const json& source,
                 const std::string& place,
@@ -130,7 +138,8 @@
   boost::mp11::mp_for_each<boost::describe::describe_enumerators<T>>(
       [&](auto each) {
         const std::string name = SnakeCase(each.name);
-        names += (names.empty() ? "" : ", ") + name;
+        names += names.empty() ? "" : ", ";
+        names += name;
         if (!source.is_string() || source.get_ref<const std::string&>() != name)
           return;
         found = each.value;
@@ -153,7 +162,7 @@
   std::size_t index = 0;
   for (const json& each : source) {
     list.push_back(DecodeJson<typename T::value_type>(
-        each, place + "/" + std::to_string(index), faults));
+        each, Under(place, std::to_string(index)), faults));
     ++index;
   }
   return list;
@@ -172,7 +181,7 @@
           if (NameOf(static_cast<const alternative*>(nullptr)) != name)
             return;
           found.emplace(DecodeJson<alternative>(source.begin().value(),
-                                                place + "/" + name, faults));
+                                                Under(place, name), faults));
         });
   }
   if (found)
@@ -190,7 +199,7 @@
   const auto found = source.find(name);
   if (found == source.end() || found->is_null())
     return defaults.*descriptor_v<T, I>.pointer;
-  return DecodeJson<member_type<T, I>>(*found, place + "/" + name, faults);
+  return DecodeJson<member_type<T, I>>(*found, Under(place, name), faults);
 }
 
 template <typename T, std::size_t... I>
@@ -201,7 +210,7 @@
   const std::set<std::string> known{JsonName<T, I>()...};
   for (const auto& [name, value] : source.items()) {
     if (!known.contains(name))
-      Fault(faults, place + "/" + name, "is not a known field");
+      Fault(faults, Under(place, name), "is not a known field");
   }
   return T{DecodeMember<T, I>(source, place, faults)...};
 }
--- a/source/wire/log_codec.h
+++ b/source/wire/log_codec.h
@@ -18,7 +18,7 @@
   const std::uint64_t first_offset = 0;
   const std::uint64_t end_offset = 0;
   const std::uint64_t from = 0;
-  const std::vector<std::string> records;
+  const std::vector<std::string> records{};
   bool operator==(const log_page&) const = default;
 };
 
--- a/source/wire/proto_schema.cc
+++ b/source/wire/proto_schema.cc
@@ -41,7 +41,7 @@
 
 template <typename T>
 std::string DescribeOneof(schema& messages) {
-  const std::string name = OneofName<T>();
+  std::string name = OneofName<T>();
   if (messages.contains(name))
     return name;
   messages[name] = "";
@@ -60,7 +60,7 @@
 
 template <typename T>
 std::string DescribeMessage(schema& messages) {
-  const std::string name(NameOf(static_cast<const T*>(nullptr)));
+  std::string name(NameOf(static_cast<const T*>(nullptr)));
   if (messages.contains(name))
     return name;
   messages[name] = "";
--- a/source/wire/trace_codec.h
+++ b/source/wire/trace_codec.h
@@ -18,7 +18,7 @@
 // The first line of a recording: what the entry was given at construction.
 struct recording_head {
   const model::entry_id entry;
-  const std::vector<model::entry_id> peers;
+  const std::vector<model::entry_id> peers{};
   const bool baseline = false;
   const model::limits limits;
   bool operator==(const recording_head&) const = default;
@@ -26,8 +26,8 @@
 
 // Every other line: an event, and the effects that it led to.
 struct recorded_step {
-  const model::event event;
-  const model::effects effects;
+  const model::event event{};
+  const model::effects effects{};
   bool operator==(const recorded_step&) const = default;
 };
 
--- a/tests/stand_ins/journal.h
+++ b/tests/stand_ins/journal.h
@@ -46,8 +46,8 @@
 PARSLEYHITCH_DESCRIBE(journal_run, key, body, at)
 
 struct worker_journal {
-  const std::vector<journal_task> tasks;
-  const std::vector<journal_run> runs;
+  const std::vector<journal_task> tasks{};
+  const std::vector<journal_run> runs{};
 };
 PARSLEYHITCH_DESCRIBE(worker_journal, tasks, runs)
 
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -74,6 +74,7 @@
                    const std::string& field,
                    const std::string& value) const;
 
+  pid_t EntryPid(std::uint32_t entry) const { return entries_.at(entry); }
   void SignalEntry(std::uint32_t entry, int signal) const;
   void SignalWorker(std::uint32_t worker, int signal) const;
   // Waits until the entry's process has ended; its exit code.
