Give each test process ports that no connection can take

Cause: two of ten runs of the process tests beside a build hung until they were killed. Test clusters took ports from the range of outgoing connections, and those of a test beside them, after letting go of them. Ruled out so far: the tests' own waits, which end after 60 s. Change: a block for each process below that range; stand-ins end with the test that started them.

--- a/source/model/identifier.h
+++ b/source/model/identifier.h
@@ -22,7 +22,7 @@
   auto operator<=>(const identifier&) const = default;
 
  private:
-  std::string value_;
+  std::string value_{};
 };
 
 using entry_id = identifier<struct entry_tag>;
--- a/source/replay/stage_platform.cc
+++ b/source/replay/stage_platform.cc
@@ -122,8 +122,9 @@
   if (entries[entry].cut_from_peers || entries[peer].cut_from_peers)
     return;
   const std::uint64_t incarnation = entries[peer].incarnation;
-  After(Latency(), [=, this, message = effect.message] {
-    Post(peer, incarnation, [message](model::timestamp at) -> model::event {
+  const model::peer_message message = effect.message;
+  After(Latency(), [=, this] {
+    Post(peer, incarnation, [=](model::timestamp at) -> model::event {
       return model::peer_heard{.at = at, .message = message};
     });
   });
--- a/source/wire/api.cc
+++ b/source/wire/api.cc
@@ -45,6 +45,7 @@
 std::optional<model::duration> DeadlineHeader(const http_call& call,
                                               model::findings& faults) {
   constexpr char kName[] = "parsleyhitch-deadline-ms";
+  constexpr char kPlace[] = "header parsleyhitch-deadline-ms";
   const std::string text = Header(call, kName);
   if (text.empty())
     return {};
@@ -53,8 +54,8 @@
       std::from_chars(text.data(), text.data() + text.size(), value);
   const bool whole = error == std::errc() && end == text.data() + text.size();
   if (!whole || value <= 0 || value > kMaxCallDeadline.count()) {
-    faults.push_back({.place = std::string("header ") + kName,
-                      .message = "must be an integer from 1 to 3600000"});
+    faults.push_back(
+        {.place = kPlace, .message = "must be an integer from 1 to 3600000"});
     return {};
   }
   return model::duration(value);
@@ -95,10 +96,10 @@
 
 bool ParseIdempotent(const http_call& call, model::findings& faults) {
   constexpr char kName[] = "parsleyhitch-idempotent";
+  constexpr char kPlace[] = "header parsleyhitch-idempotent";
   const std::string text = Header(call, kName);
   if (!text.empty() && text != "true" && text != "false") {
-    faults.push_back({.place = std::string("header ") + kName,
-                      .message = "must be true or false"});
+    faults.push_back({.place = kPlace, .message = "must be true or false"});
   }
   return text != "false";
 }
--- a/tests/stand_ins/main.cc
+++ b/tests/stand_ins/main.cc
@@ -1,6 +1,7 @@
 // stand_ins --role log|vms|worker --listen ip:port[,ip:port...]
 
 #include <gflags/gflags.h>
+#include <sys/prctl.h>
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -29,6 +30,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // A stand-in ends with the test that started it, also when that is killed.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   asio::io_context io(1);
   asio::signal_set signals(io, SIGTERM, SIGINT);
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -33,16 +33,40 @@
 "services":[{"id":"log","owner":"coop","default_deadline_ms":5000},
 {"id":"pickup","owner":"laundry","rank":"urgent","default_deadline_ms":3000}]})";
 
-// Ports that the kernel had free a moment ago, all different.
-std::vector<std::uint16_t> FreePorts(std::size_t count) {
+// True when every port of the block can be listened at now.
+bool AreFree(std::uint16_t first, std::size_t count) {
   asio::io_context io;
   std::vector<asio::ip::tcp::acceptor> held;
-  std::vector<std::uint16_t> ports;
   for (std::size_t i = 0; i < count; ++i) {
-    held.emplace_back(
-        io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-    ports.push_back(held.back().local_endpoint().port());
+    const auto port = static_cast<std::uint16_t>(first + i);
+    held.emplace_back(io);
+    asio::error_code error;
+    held.back().open(asio::ip::tcp::v4(), error);
+    held.back().set_option(asio::socket_base::reuse_address(true), error);
+    held.back().bind({asio::ip::address_v4::loopback(), port}, error);
+    if (error)
+      return false;
   }
+  return true;
+}
+
+// A block of ports below those that the kernel gives to outgoing connections
+// (ip(7), ip_local_port_range), and another for each test process: a port that
+// was merely free a moment ago may be taken by a connection or by a test beside
+// this one.
+std::vector<std::uint16_t> FreePorts(std::size_t count) {
+  constexpr std::uint32_t kFirstPort = 10000;
+  constexpr std::uint32_t kBlocks = 400;
+  constexpr std::uint32_t kBlockPorts = 50;
+  auto block = static_cast<std::uint32_t>(getpid()) % kBlocks;
+  auto first = static_cast<std::uint16_t>(kFirstPort + block * kBlockPorts);
+  while (!AreFree(first, count)) {
+    block = (block + 1) % kBlocks;
+    first = static_cast<std::uint16_t>(kFirstPort + block * kBlockPorts);
+  }
+  std::vector<std::uint16_t> ports;
+  for (std::size_t i = 0; i < count; ++i)
+    ports.push_back(static_cast<std::uint16_t>(first + i));
   return ports;
 }
 
