Let clang parse what the linter reads, and mend its last findings

Cause: clang holds a constant member of a type with a defaulted constructor to be uninitialized (CWG 253), so the linter stopped at files it could not parse.

--- a/source/model/identifier.h
+++ b/source/model/identifier.h
@@ -13,7 +13,8 @@
 template <typename Tag>
 class identifier {
  public:
-  identifier() = default;
+  // Provided here, so that a constant member needs no initializer (CWG 253).
+  identifier() {}
   explicit identifier(std::string value) : value_(std::move(value)) {}
 
   const std::string& value() const { return value_; }
@@ -22,7 +23,7 @@
   auto operator<=>(const identifier&) const = default;
 
  private:
-  std::string value_{};
+  std::string value_;
 };
 
 using entry_id = identifier<struct entry_tag>;
--- a/source/settings/yaml_source.cc
+++ b/source/settings/yaml_source.cc
@@ -9,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "wire/json_codec.h"
+
 namespace parsleyhitch::settings {
 
 namespace {
@@ -50,7 +52,7 @@
     json object = json::object();
     for (const auto& pair : node) {
       const std::string key = pair.first.Scalar();
-      const std::string at = place + "/" + key;
+      const std::string at = wire::detail::Under(place, key);
       if (object.contains(key)) {
         const text_position position = PositionOf(pair.first.Mark());
         source_.faults.push_back({.place = at,
@@ -67,7 +69,8 @@
   json ConvertList(const YAML::Node& node, const std::string& place) {
     json list = json::array();
     for (const auto& each : node)
-      list.push_back(Convert(each, place + "/" + std::to_string(list.size())));
+      list.push_back(Convert(
+          each, wire::detail::Under(place, std::to_string(list.size()))));
     return list;
   }
 
