Note the phases of a job whose caller is told late

The entry that took the job was frozen once its record was out; the others ran it to its end, and the stage, which learned the job's name only from the answer, missed its phases. Ruled out: the reducers (the job had ended in every ledger).

--- a/source/replay/stage.cc
+++ b/source/replay/stage.cc
@@ -168,11 +168,9 @@
 
 void stage::NotePhase(const model::ledger& ledger, const model::job_id& job) {
   const model::job_status* status = ledger.jobs.Find(job);
-  const auto name = names_by_job.find(job);
-  if (status == nullptr || name == names_by_job.end())
+  if (status == nullptr)
     return;
-  const bool first =
-      result.phases[name->second].emplace(status->phase, now).second;
+  const bool first = phases_by_job[job].emplace(status->phase, now).second;
   if (first && status->phase == model::job_phase::kStopping &&
       status->reason == model::stop_reason::kPreempted) {
     ++result.preemptions;
@@ -288,6 +286,8 @@
   }
   stage.RunUntil(kRunStart + scenario.setup.until);
   detail::SeeAgreement(stage);
+  for (const auto& [name, job] : stage.jobs_by_name)
+    stage.result.phases[name] = stage.phases_by_job[job];
   stage.watch.Finish(stage.now);
   stage.result.breaches = std::vector<breach>(stage.watch.breaches());
   return std::move(stage.result);
--- a/source/replay/stage_state.h
+++ b/source/replay/stage_state.h
@@ -140,6 +140,8 @@
   std::vector<traced_call> calls;
   std::map<std::string, model::job_id> jobs_by_name;
   std::map<model::job_id, std::string> names_by_job;
+  // A job may run before its caller, at a frozen entry, is told its name.
+  std::map<model::job_id, phase_times> phases_by_job;
   std::map<std::string, model::duration> run_times;
   // Accelerators of all members together.
   std::map<std::string, std::uint64_t> sizes;
