--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -133,6 +133,16 @@
       ports_(FreePorts(1 + 3 * shape.entries + shape.workers)),
       folder_(std::filesystem::temp_directory_path() /
               ("parsleyhitch-" + std::to_string(getpid()))) {
+  try {
+    Start();
+  } catch (...) {
+    // No destructor runs for a cluster that was not completed.
+    EndAll();
+    throw;
+  }
+}
+
+void cluster::Start() {
   std::filesystem::create_directories(folder_);
   std::string log_addresses;
   for (std::uint32_t entry = 0; entry < shape_.entries; ++entry)
@@ -173,6 +183,10 @@
 }
 
 cluster::~cluster() {
+  EndAll();
+}
+
+void cluster::EndAll() const {
   std::vector<pid_t> all = entries_;
   all.insert(all.end(), workers_.begin(), workers_.end());
   all.insert(all.end(), others_.begin(), others_.end());
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -94,6 +94,8 @@
   std::uint32_t workers() const { return shape_.workers; }
 
  private:
+  void Start();
+  void EndAll() const;
   std::string Address(std::uint32_t index) const;
   std::string EntryAddress(std::uint32_t entry) const;
   std::string WorkerAddress(std::uint32_t worker) const;
