--- a/source/model/effect.h
+++ b/source/model/effect.h
@@ -99,7 +99,6 @@
 };
 
 struct stop_process {
-  const std::uint32_t exit_code = 0;
   bool operator==(const stop_process&) const = default;
 };
 
--- a/source/model/finding.h
+++ b/source/model/finding.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace parsleyhitch::model {
@@ -23,6 +24,13 @@
 
 using findings = std::vector<finding>;
 
+// A list of one finding.
+inline findings OneFinding(std::string place, std::string message) {
+  findings found;
+  found.push_back({.place = std::move(place), .message = std::move(message)});
+  return found;
+}
+
 }  // namespace parsleyhitch::model
 
 #endif  // PARSLEYHITCH_MODEL_FINDING_H_
--- a/source/parsleyhitch/main.cc
+++ b/source/parsleyhitch/main.cc
@@ -4,10 +4,10 @@
 
 #include <algorithm>
 #include <iostream>
-#include <sstream>
 
 #include "parsleyhitch/commands.h"
 #include "parsleyhitch/exit_codes.h"
+#include "settings/comma_list.h"
 
 DEFINE_string(entry, "127.0.0.1:7400", "entries, with commas between them");
 DEFINE_string(format, "table", "table or json");
@@ -39,15 +39,6 @@
   return kExitOk;
 }
 
-std::vector<std::string> SplitByComma(const std::string& text) {
-  std::vector<std::string> parts;
-  std::stringstream stream(text);
-  std::string part;
-  while (std::getline(stream, part, ','))
-    parts.push_back(part);
-  return parts;
-}
-
 int Main(const std::vector<std::string>& arguments) {
   if (arguments.empty())
     return FLAGS_help ? PrintUsage() : (PrintUsage(), kExitUsage);
@@ -67,12 +58,12 @@
     return kExitUsage;
   }
   return found->run({.arguments = {arguments.begin() + 1, arguments.end()},
-                     .entries = SplitByComma(FLAGS_entry),
+                     .entries = settings::SplitByComma(FLAGS_entry),
                      .json = FLAGS_format == "json",
                      .trace = FLAGS_trace,
                      .html = FLAGS_html,
                      .compare = FLAGS_compare,
-                     .naive = SplitByComma(FLAGS_naive)});
+                     .naive = settings::SplitByComma(FLAGS_naive)});
 }
 
 }  // namespace
--- a/source/replay/stage.h
+++ b/source/replay/stage.h
@@ -54,7 +54,6 @@
   // Sums of samples of the largest number of whole free workers in one rack.
   std::uint64_t largest_rack_sum = 0;
   std::uint64_t samples = 0;
-  std::uint64_t void_records = 0;
 };
 
 // Placement policy of all entries.
--- a/source/scheduler/fold.cc
+++ b/source/scheduler/fold.cc
@@ -97,9 +97,8 @@
 }
 
 record_step Refuse(fold_step step, std::string place, std::string message) {
-  model::findings faults;
-  faults.push_back({.place = std::move(place), .message = std::move(message)});
-  return {.step = std::move(step), .faults = std::move(faults)};
+  return {.step = std::move(step),
+          .faults = model::OneFinding(std::move(place), std::move(message))};
 }
 
 record_step FoldRecord(const fold_rules& rules,
--- a/source/scheduler/fold_jobs.cc
+++ b/source/scheduler/fold_jobs.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "scheduler/capacity.h"
+#include "scheduler/ejection.h"
 #include "scheduler/fold.h"
 #include "scheduler/guarantees.h"
 #include "scheduler/job_rules.h"
@@ -226,13 +227,6 @@
   return step;
 }
 
-bool AllAtLeast(const model::placement& placed, model::task_state wanted) {
-  return std::ranges::all_of(placed.members, [&](const auto& each) {
-    return each.state == wanted || each.state == model::task_state::kRunning ||
-           each.state == model::task_state::kFinished;
-  });
-}
-
 // Moves the gang on after a member's state changed: one decision for the whole.
 fold_step AdvanceGang(const fold_rules& rules,
                       fold_step step,
@@ -292,13 +286,10 @@
   const model::placement* placed = ledger.placements.Find(report.job);
   if (placed == nullptr || placed->token != report.token)
     return nullptr;
-  for (const model::member& each : placed->members) {
-    if (each.worker != worker)
-      continue;
-    const bool news = !IsOver(each.state) && each.state < report.state;
-    return news ? &each : nullptr;
-  }
-  return nullptr;
+  const model::member* member = MemberOn(*placed, worker);
+  const bool news = member != nullptr && !IsOver(member->state) &&
+                    member->state < report.state;
+  return news ? member : nullptr;
 }
 
 // A worker that fails job after job is held back for longer each time.
@@ -306,17 +297,13 @@
                           model::ledger ledger,
                           const model::worker_id& worker,
                           const model::job_id& job) {
-  constexpr std::uint32_t kMaxDoublings = 16;
   const model::worker_status old = *ledger.workers.Find(worker);
   const std::uint32_t failures = old.failures + 1;
-  model::timestamp until = old.ejected_until;
-  if (failures >= rules.limits.worker_failures_to_eject) {
-    const std::uint32_t beyond =
-        failures - rules.limits.worker_failures_to_eject;
-    const model::duration hold =
-        rules.limits.eject_base * (1U << std::min(beyond, kMaxDoublings));
-    until = ledger.clock + std::min(hold, rules.limits.eject_max);
-  }
+  const model::duration hold = EjectionHold(
+      rules.limits, failures, rules.limits.worker_failures_to_eject);
+  const bool ejected = hold > model::duration::zero();
+  const model::timestamp until =
+      ejected ? ledger.clock + hold : old.ejected_until;
   return PutWorker(std::move(ledger), {.spec = old.spec,
                                        .phase = old.phase,
                                        .suspected_by = old.suspected_by,
--- a/source/scheduler/guarantees.cc
+++ b/source/scheduler/guarantees.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "scheduler/job_rules.h"
 #include "scheduler/manifest_rules.h"
 #include "scheduler/plan_search.h"
 
@@ -17,12 +18,25 @@
 constexpr char kNoRoom[] =
     "no adjacent workers with room beside firm work and other guarantees";
 
+// Reserves the shape's accelerators on each of its workers, or lets them go.
+enum class reservation_change { kTake, kGiveBack };
+
+model::ledger ChangeReservation(model::ledger ledger,
+                                const model::shape& shape,
+                                const std::vector<model::worker_id>& workers,
+                                reservation_change kind) {
+  const auto amount = static_cast<std::int32_t>(shape.accelerators);
+  const std::int32_t change =
+      kind == reservation_change::kTake ? amount : -amount;
+  for (const model::worker_id& worker : workers)
+    ledger = ChangeUse(std::move(ledger), worker, use_kind::kReserved, change);
+  return ledger;
+}
+
 model::ledger ReleaseReservation(model::ledger ledger,
                                  const model::guarantee_status& status) {
-  const auto amount = static_cast<std::int32_t>(status.capacity.accelerators);
-  for (const model::worker_id& worker : status.workers)
-    ledger = ChangeUse(std::move(ledger), worker, use_kind::kReserved, -amount);
-  return ledger;
+  return ChangeReservation(std::move(ledger), status.capacity, status.workers,
+                           reservation_change::kGiveBack);
 }
 
 fold_step MarkShort(fold_step step,
@@ -45,28 +59,19 @@
       FindReservable(step.ledger, shape);
   if (workers.empty())
     return MarkShort(std::move(step), id, shape);
-  for (const model::worker_id& worker : workers) {
-    step.ledger = ChangeUse(std::move(step.ledger), worker, use_kind::kReserved,
-                            static_cast<std::int32_t>(shape.accelerators));
-  }
+  step.ledger = ChangeReservation(std::move(step.ledger), shape, workers,
+                                  reservation_change::kTake);
   step.ledger.short_guarantees.erase(id);
   step.ledger.guarantees.Put(id, {.capacity = shape, .workers = workers});
   return step;
 }
 
-bool HasMemberOn(const model::placement& placed,
-                 const model::worker_id& worker) {
-  return std::ranges::any_of(placed.members, [&](const model::member& each) {
-    return each.worker == worker;
-  });
-}
-
 // What the claiming job left of the shape, and so stayed reserved.
 std::uint32_t LeftoverOn(const model::worker_id& worker,
                          const model::guarantee_status& status,
                          const model::placement& placed) {
   const std::uint32_t used =
-      HasMemberOn(placed, worker) ? placed.accelerators : 0;
+      MemberOn(placed, worker) != nullptr ? placed.accelerators : 0;
   return status.capacity.accelerators - used;
 }
 
@@ -248,10 +253,8 @@
     const model::placement placed = *ledger.placements.Find(*status.claimed_by);
     return ChangeLeftover(std::move(ledger), status, placed, 1);
   }
-  const auto amount = static_cast<std::int32_t>(status.capacity.accelerators);
-  for (const model::worker_id& worker : status.workers)
-    ledger = ChangeUse(std::move(ledger), worker, use_kind::kReserved, amount);
-  return ledger;
+  return ChangeReservation(std::move(ledger), status.capacity, status.workers,
+                           reservation_change::kTake);
 }
 
 fold_step Unclaim(fold_step step,
--- a/source/scheduler/hooks.cc
+++ b/source/scheduler/hooks.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "scheduler/job_rules.h"
 #include "scheduler/plan.h"
 
 namespace parsleyhitch::scheduler {
@@ -51,11 +52,7 @@
 
 // A member is started only when the whole gang is held or further.
 bool WholeGangIsHeld(const model::placement& placed, const model::member&) {
-  return std::ranges::all_of(placed.members, [](const model::member& each) {
-    return each.state == model::task_state::kHeld ||
-           each.state == model::task_state::kRunning ||
-           each.state == model::task_state::kFinished;
-  });
+  return AllAtLeast(placed, model::task_state::kHeld);
 }
 
 bool IsAwaitedAttempt(const attempt_view& view) {
--- a/source/scheduler/job_rules.cc
+++ b/source/scheduler/job_rules.cc
@@ -88,6 +88,20 @@
          state == model::task_state::kStopped;
 }
 
+bool AllAtLeast(const model::placement& placed, model::task_state wanted) {
+  return std::ranges::all_of(placed.members, [&](const auto& each) {
+    return each.state == wanted || each.state == model::task_state::kRunning ||
+           each.state == model::task_state::kFinished;
+  });
+}
+
+const model::member* MemberOn(const model::placement& placed,
+                              const model::worker_id& worker) {
+  const auto found =
+      std::ranges::find(placed.members, worker, &model::member::worker);
+  return found == placed.members.end() ? nullptr : &*found;
+}
+
 bool IsEnd(model::job_phase phase) {
   return phase == model::job_phase::kFinished ||
          phase == model::job_phase::kFailed ||
--- a/source/scheduler/job_rules.h
+++ b/source/scheduler/job_rules.h
@@ -14,6 +14,13 @@
 // True when the member runs no more and holds nothing.
 bool IsOver(model::task_state state);
 
+// True when every member is in the state, or runs, or has finished.
+bool AllAtLeast(const model::placement& placed, model::task_state wanted);
+
+// The gang's member on the worker; null when there is none.
+const model::member* MemberOn(const model::placement& placed,
+                              const model::worker_id& worker);
+
 // True in the phases from which no job returns.
 bool IsEnd(model::job_phase phase);
 
--- a/source/scheduler/reduce.cc
+++ b/source/scheduler/reduce.cc
@@ -76,7 +76,7 @@
     case alarm_kind::kRetryRequest:
       return RetryRequest(environment, std::move(step), due.call);
     case alarm_kind::kReadmitEndpoint:
-      return ReadmitEndpoint(environment, std::move(step), due.worker);
+      return RefreshEndpoint(environment, std::move(step), due.worker);
     case alarm_kind::kPlan:
       step.state.calls.plan_due = true;
       step.state.calls.plan_alarm = model::timestamp();
--- a/source/scheduler/reduce_jobs.cc
+++ b/source/scheduler/reduce_jobs.cc
@@ -15,12 +15,6 @@
 
 constexpr char kPlannerSubject[] = "planner";
 
-model::findings One(std::string place, std::string message) {
-  model::findings found;
-  found.push_back({.place = std::move(place), .message = std::move(message)});
-  return found;
-}
-
 model::answer Invalid(model::findings faults) {
   return {.kind = model::answer_kind::kInvalid,
           .ran = model::run_state::kNotRun,
@@ -30,13 +24,13 @@
 model::answer Conflict(std::string place, std::string message) {
   return {.kind = model::answer_kind::kConflict,
           .ran = model::run_state::kNotRun,
-          .faults = One(std::move(place), std::move(message))};
+          .faults = model::OneFinding(std::move(place), std::move(message))};
 }
 
 model::answer Unavailable(const environment& environment, std::string why) {
   return {.kind = model::answer_kind::kUnavailable,
           .ran = model::run_state::kNotRun,
-          .faults = One("", std::move(why)),
+          .faults = model::OneFinding("", std::move(why)),
           .retry_after = environment.limits.retry_after};
 }
 
@@ -187,7 +181,7 @@
   if (!step.state.ledger.jobs.Contains(event.job)) {
     return Answer(std::move(step), event.call,
                   {.kind = model::answer_kind::kNotFound,
-                   .faults = One("/job", "no such job")});
+                   .faults = model::OneFinding("/job", "no such job")});
   }
   step = Append(std::move(step), model::job_cancelled{.job = event.job},
                 {.kind = waiter_kind::kCancel, .call = event.call});
@@ -201,7 +195,7 @@
   if (!step.state.ledger.jobs.Contains(event.job)) {
     return Answer(std::move(step), event.call,
                   {.kind = model::answer_kind::kNotFound,
-                   .faults = One("/job", "no such job")});
+                   .faults = model::OneFinding("/job", "no such job")});
   }
   model::answer found{.kind = model::answer_kind::kFound,
                       .job = ViewOf(step.state.ledger, event.job)};
@@ -263,12 +257,12 @@
   std::optional<model::job_view> view;
   if (submitted)
     view.emplace(model::job_view{.job = job});
-  return CloseCall(
-      std::move(step), call,
-      {.kind = model::answer_kind::kDeadline,
-       .ran = model::run_state::kOutcomeUnknown,
-       .faults = One("", "the log has not confirmed the record yet"),
-       .job = view});
+  return CloseCall(std::move(step), call,
+                   {.kind = model::answer_kind::kDeadline,
+                    .ran = model::run_state::kOutcomeUnknown,
+                    .faults = model::OneFinding(
+                        "", "the log has not confirmed the record yet"),
+                    .job = view});
 }
 
 step PlanIfDue(const environment& environment, step step) {
--- a/source/scheduler/reduce_parts.h
+++ b/source/scheduler/reduce_parts.h
@@ -87,7 +87,6 @@
                     model::call_number);
 step OnRequestDeadline(const environment&, step, model::call_number);
 step RetryRequest(const environment&, step, model::call_number);
-step ReadmitEndpoint(const environment&, step, const model::worker_id&);
 step RefreshEndpoint(const environment&, step, const model::worker_id&);
 step DispatchRequests(const environment&, step);
 
--- a/source/scheduler/reduce_requests.cc
+++ b/source/scheduler/reduce_requests.cc
@@ -238,11 +238,9 @@
                         model::answer_kind kind,
                         std::string why) {
   const dispatch_view view{.ambiguous_attempts = progress.ambiguous_attempts};
-  model::findings faults;
-  faults.push_back({.message = std::move(why)});
   return {.kind = kind,
           .ran = environment.behaviour.refusal_state(view),
-          .faults = std::move(faults),
+          .faults = model::OneFinding("", std::move(why)),
           .retry_after = environment.limits.retry_after};
 }
 
--- a/source/scheduler/reduce_workers.cc
+++ b/source/scheduler/reduce_workers.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "scheduler/job_rules.h"
 #include "scheduler/reduce_parts.h"
 #include "scheduler/rendezvous.h"
 
@@ -52,19 +53,6 @@
              : model::task_order::kHold;
 }
 
-bool IsOpen(model::task_state state) {
-  return state == model::task_state::kPending ||
-         state == model::task_state::kHeld ||
-         state == model::task_state::kRunning;
-}
-
-const model::member* MemberOn(const model::placement& placed,
-                              const model::worker_id& worker) {
-  const auto found =
-      std::ranges::find(placed.members, worker, &model::member::worker);
-  return found == placed.members.end() ? nullptr : &*found;
-}
-
 model::worker_sync SyncFor(const environment& environment,
                            const entry_state& state,
                            const model::worker_id& worker) {
@@ -74,7 +62,7 @@
     for (const model::job_id& id : *jobs) {
       const model::placement& placed = *state.ledger.placements.Find(id);
       const model::member* member = MemberOn(placed, worker);
-      if (member == nullptr || !IsOpen(member->state))
+      if (member == nullptr || IsOver(member->state))
         continue;
       const model::job_status& job = *state.ledger.jobs.Find(id);
       tasks.push_back(
@@ -156,7 +144,7 @@
     if (placed == nullptr || placed->token != report.token)
       continue;
     const model::member* member = MemberOn(*placed, worker);
-    if (member == nullptr || !IsOpen(member->state) ||
+    if (member == nullptr || IsOver(member->state) ||
         report.state <= member->state)
       continue;
     const reported_task* told =
--- a/source/scheduler/request_claims.cc
+++ b/source/scheduler/request_claims.cc
@@ -43,12 +43,9 @@
 }
 
 model::answer KeyConflict() {
-  model::findings faults;
-  faults.push_back(
-      {.place = "/key", .message = "was used for another request"});
   return {.kind = model::answer_kind::kConflict,
           .ran = model::run_state::kNotRun,
-          .faults = std::move(faults)};
+          .faults = model::OneFinding("/key", "was used for another request")};
 }
 
 // The key is claimed: answered by the result, or waits for it.
--- a/source/scheduler/request_queue.cc
+++ b/source/scheduler/request_queue.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "scheduler/ejection.h"
 #include "scheduler/requests.h"
 
 namespace parsleyhitch::scheduler::detail {
@@ -159,16 +160,13 @@
                         const entry_state& state,
                         const endpoint_load& load,
                         bool succeeded) {
-  constexpr std::uint32_t kMaxDoublings = 16;
   const std::uint32_t failures = succeeded ? 0 : load.failures + 1;
-  model::timestamp until = load.ejected_until;
-  if (failures >= environment.limits.endpoint_failures_to_eject) {
-    const std::uint32_t beyond =
-        failures - environment.limits.endpoint_failures_to_eject;
-    const model::duration hold =
-        environment.limits.eject_base * (1U << std::min(beyond, kMaxDoublings));
-    until = state.now + std::min(hold, environment.limits.eject_max);
-  }
+  const model::duration hold =
+      EjectionHold(environment.limits, failures,
+                   environment.limits.endpoint_failures_to_eject);
+  const bool ejected = hold > model::duration::zero();
+  const model::timestamp until =
+      ejected ? state.now + hold : load.ejected_until;
   return {.in_flight = load.in_flight - 1,
           .failures = failures,
           .ejected_until = until,
@@ -250,12 +248,6 @@
                                     .worker = ended.worker});
 }
 
-step ReadmitEndpoint(const environment& environment,
-                     step step,
-                     const model::worker_id& worker) {
-  return RefreshEndpoint(environment, std::move(step), worker);
-}
-
 step RefreshEndpoint(const environment& environment,
                      step step,
                      const model::worker_id& worker) {
--- a/source/wire/api.cc
+++ b/source/wire/api.cc
@@ -235,9 +235,7 @@
                        path[1] == "services" && path[3] == "requests";
   if (post && service)
     return ParseRequest(context, path[2]);
-  model::findings faults;
-  faults.push_back({.place = call.path, .message = "no such call"});
-  return boost::leaf::new_error(std::move(faults));
+  return boost::leaf::new_error(model::OneFinding(call.path, "no such call"));
 }
 
 http_reply ReplyToFaults(const model::findings& faults) {
--- a/source/wire/base.cc
+++ b/source/wire/base.cc
@@ -11,9 +11,7 @@
 namespace parsleyhitch::wire {
 
 boost::leaf::error_id Malformed(std::string message) {
-  model::findings faults;
-  faults.push_back({.message = std::move(message)});
-  return boost::leaf::new_error(std::move(faults));
+  return boost::leaf::new_error(model::OneFinding("", std::move(message)));
 }
 
 namespace detail {
--- a/source/wire/describe.h
+++ b/source/wire/describe.h
@@ -252,7 +252,7 @@
 PARSLEYHITCH_DESCRIBE(write_log_line, level, message, subject)
 PARSLEYHITCH_DESCRIBE(observe_request, target, latency, whole_answer)
 PARSLEYHITCH_DESCRIBE(count_metric, name, increment)
-PARSLEYHITCH_DESCRIBE(stop_process, exit_code)
+PARSLEYHITCH_DESCRIBE(stop_process)
 
 PARSLEYHITCH_DESCRIBE(limits,
                       append_interval,
--- a/tests/stand_ins/main.cc
+++ b/tests/stand_ins/main.cc
@@ -7,8 +7,8 @@
 #include <asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
-#include <sstream>
 
+#include "settings/comma_list.h"
 #include "stand_ins/stand_in.h"
 
 DEFINE_string(role, "", "log, vms or worker");
@@ -16,19 +16,6 @@
 DEFINE_uint32(accelerators, 8, "accelerators of a worker");
 DEFINE_int64(task_ms, 1000, "run time of a worker's tasks");
 
-namespace {
-
-std::vector<std::string> SplitByComma(const std::string& text) {
-  std::vector<std::string> parts;
-  std::stringstream stream(text);
-  std::string part;
-  while (std::getline(stream, part, ','))
-    parts.push_back(part);
-  return parts;
-}
-
-}  // namespace
-
 int main(int argc, char** argv) {
   // A stand-in ends with the test that started it, also when that is killed.
   prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -37,7 +24,8 @@
   asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&](const auto&, int) { io.stop(); });
   if (FLAGS_role == "log") {
-    parsleyhitch::stand_ins::RunLog(io, SplitByComma(FLAGS_listen));
+    parsleyhitch::stand_ins::RunLog(
+        io, parsleyhitch::settings::SplitByComma(FLAGS_listen));
   } else if (FLAGS_role == "vms") {
     parsleyhitch::stand_ins::RunVmList(io, FLAGS_listen);
   } else if (FLAGS_role == "worker") {
