--- /dev/null
+++ b/source/dispatch/demands.cc
@@ -0,0 +1,193 @@
+// Ranks follow a job's priority; within a workspace's guarantee, its jobs of
+// priority 0 rank first, in the order of their acceptance.
+
+#include "dispatch/demands.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "dispatch/parts.h"
+
+namespace parsleyhitch::dispatch {
+
+namespace {
+
+using ranks = std::map<work::job_id, rank>;
+
+// The most accelerators that the job's steps need at a time.
+std::int64_t AcceleratorsOf(const work::submission& content) {
+  std::int64_t most = 0;
+  for (const work::step_spec& step : content.request.steps) {
+    most = std::max<std::int64_t>(
+        most, std::int64_t{step.tasks} * step.need.accelerators);
+  }
+  return most;
+}
+
+std::map<work::workspace_id, std::int64_t> Guarantees(const context& ctx) {
+  std::map<work::workspace_id, std::int64_t> guaranteed;
+  const work::published_catalog* held = ctx.state.in_force.Get();
+  if (held == nullptr)
+    return guaranteed;
+  for (const work::workspace& each : held->content.workspaces)
+    guaranteed[each.id] = each.guaranteed_accelerators;
+  return guaranteed;
+}
+
+rank RankOf(std::uint32_t priority) {
+  if (priority == 0)
+    return rank::kUrgent;
+  return priority == 1 ? rank::kFirm : rank::kBackground;
+}
+
+ranks RankJobs(const context& ctx) {
+  std::map<work::workspace_id, std::int64_t> left = Guarantees(ctx);
+  std::vector<std::pair<std::uint64_t, work::job_id>> by_age;
+  ranks found;
+  for (const auto& [id, job] : ctx.state.mine.jobs) {
+    found[id] = RankOf(job.content.Get()->priority);
+    if (found[id] == rank::kUrgent && !work::IsClosed(job.phase))
+      by_age.emplace_back(job.accepted, id);
+  }
+  std::ranges::sort(by_age);
+  for (const auto& [accepted, id] : by_age) {
+    const work::submission& content =
+        *ctx.state.mine.jobs.Find(id)->content.Get();
+    std::int64_t& rest = left[content.owner];
+    const std::int64_t needed = AcceleratorsOf(content);
+    if (needed > rest)
+      continue;
+    rest -= needed;
+    found[id] = rank::kGuaranteed;
+  }
+  return found;
+}
+
+// Units some task of which still runs where nobody placed it.
+std::set<work::unit_id> UnitsWithStrays(const context& ctx) {
+  std::set<work::unit_id> found;
+  for (const auto& [id, each] : ctx.state.mine.strays) {
+    const live_job* job = ctx.state.mine.jobs.Find(id.task.job);
+    if (job != nullptr)
+      found.insert(UnitOf(*job, id.task));
+  }
+  return found;
+}
+
+// Time beyond the work itself that the objective leaves.
+duration SlackOf(const work::submission& content,
+                 const work::step_spec& step) {
+  const std::int64_t beyond =
+      std::max<std::int64_t>(0, std::int64_t{content.stretch_permille} - 1000);
+  return step.estimate * beyond / 1000 + content.target_latency;
+}
+
+}  // namespace
+
+std::vector<waiting_unit> WaitingUnits(const context& ctx) {
+  const ranks ranked = RankJobs(ctx);
+  const std::set<work::unit_id> blocked = UnitsWithStrays(ctx);
+  std::vector<waiting_unit> waiting;
+  for (const auto& [id, each] : ctx.state.mine.units) {
+    if (each.phase != unit_phase::kWaiting || blocked.contains(id))
+      continue;
+    const live_job& job = *ctx.state.mine.jobs.Find(id.job);
+    if (work::IsClosed(job.phase))
+      continue;
+    const work::step_spec& step = StepOf(job, id);
+    const duration waited = ctx.now() - job.content.Get()->submitted_at;
+    waiting.push_back({.unit = id,
+                       .importance = ranked.at(id.job),
+                       .accepted = job.accepted,
+                       .members = MembersOf(step),
+                       .accelerators = step.need.accelerators,
+                       .slack = SlackOf(*job.content.Get(), step) - waited,
+                       .waited = waited});
+  }
+  std::ranges::sort(waiting, ctx.env.behaviour.goes_first);
+  return waiting;
+}
+
+placement::demand DemandOf(const context& ctx, const waiting_unit& waiting) {
+  const live_job& job = *ctx.state.mine.jobs.Find(waiting.unit.job);
+  const work::step_spec& step = StepOf(job, waiting.unit);
+  const duration patience = SlackOf(*job.content.Get(), step) *
+                            ctx.limits().near_patience_permille / 1000;
+  placement::demand asked{.service = job.content.Get()->service,
+                          .members = waiting.members,
+                          .need = NeedOf(step),
+                          .required_label = step.required_label,
+                          .same_rack = step.same_rack,
+                          .data_rack = step.data_rack,
+                          .accepts_far = waiting.waited >= patience,
+                          .max_per_worker = step.max_per_worker};
+  if (step.max_per_worker == 0)
+    return asked;
+  const auto& units = ctx.state.mine.units;
+  for (auto at = units.From({.job = waiting.unit.job});
+       at != units.end() && at->first.job == waiting.unit.job; ++at) {
+    const bool sibling = at->first.occurrence == waiting.unit.occurrence &&
+                         at->first.step == waiting.unit.step;
+    if (!sibling)
+      continue;
+    for (const member& one : at->second.members) {
+      if (one.state != member_state::kEnded)
+        asked.siblings[one.worker] += 1;
+    }
+  }
+  return asked;
+}
+
+std::vector<placement::victim> VictimsFor(const context& ctx,
+                                          rank importance) {
+  const ranks ranked = RankJobs(ctx);
+  std::vector<placement::victim> victims;
+  for (const auto& [id, each] : ctx.state.mine.units) {
+    if (each.phase != unit_phase::kPlaced)
+      continue;
+    const rank theirs = ranked.at(id.job);
+    if (!ctx.env.behaviour.may_preempt(importance, theirs))
+      continue;
+    const live_job& job = *ctx.state.mine.jobs.Find(id.job);
+    const work::step_spec& step = StepOf(job, id);
+    placement::victim found{.unit = id, .need = NeedOf(step)};
+    bool stopping = false;
+    for (const member& one : each.members) {
+      stopping = stopping || one.stopping;
+      if (one.state != member_state::kEnded)
+        found.workers.push_back(one.worker);
+    }
+    if (stopping || found.workers.empty())
+      continue;
+    found.cost = ctx.env.behaviour.stop_cost(
+        {.members = static_cast<std::uint32_t>(each.members.size()),
+         .cpu_millis = step.need.cpu_millis,
+         .ran = ctx.now() - each.since,
+         .checkpointed = step.checkpointed,
+         .importance = theirs});
+    victims.push_back(std::move(found));
+  }
+  return victims;
+}
+
+placement::board FreeBoard(const context& ctx) {
+  placement::board board;
+  for (const auto& [worker, row] : ctx.state.mine.workers) {
+    if (!TakesWork(ctx, row))
+      continue;
+    const worker_load* load = ctx.state.mine.loads.Find(worker);
+    const worker_load carried = load == nullptr ? worker_load() : *load;
+    board.slots[worker] = {.service = row.listed().service,
+                           .rack = row.listed().rack,
+                           .labels = row.listed().labels,
+                           .free = row.listed().capacity - carried.used,
+                           .leaving = carried.leaving};
+  }
+  for (const auto& [id, each] : ctx.state.mine.strays)
+    board.Take(id.worker, each.need);
+  return board;
+}
+
+}  // namespace parsleyhitch::dispatch
--- /dev/null
+++ b/source/dispatch/environment.h
@@ -0,0 +1,30 @@
+// What a reducer is told once, at its start: who it is, its limits, and the
+// behaviour that varies.
+
+#ifndef PARSLEYHITCH_DISPATCH_ENVIRONMENT_H_
+#define PARSLEYHITCH_DISPATCH_ENVIRONMENT_H_
+
+#include <string>
+
+#include "dispatch/hooks.h"
+#include "work/limits.h"
+#include "work/record.h"
+
+namespace parsleyhitch::dispatch {
+
+struct environment {
+  work::entry_id me;
+  // "ip:port" at which other entries reach this one.
+  std::string peer_address;
+  // Thousandths of a core.
+  std::uint32_t cpu_millis = 1000;
+  // On a rack away from its data, or on several racks where one is needed, a
+  // task takes so many thousandths of its time.
+  std::uint32_t far_permille = 3000;
+  work::limits limits;
+  hooks behaviour;
+};
+
+}  // namespace parsleyhitch::dispatch
+
+#endif  // PARSLEYHITCH_DISPATCH_ENVIRONMENT_H_
--- /dev/null
+++ b/source/dispatch/hooks.cc
@@ -0,0 +1,48 @@
+// The product's policy and its baseline.
+
+#include "dispatch/hooks.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace parsleyhitch::dispatch {
+
+namespace {
+
+// A checkpointed task loses at most what it did since its last checkpoint: half
+// the interval of 2 s that the users' sheets state, on average.
+constexpr work::duration kCheckpointLoss{1000};
+
+bool ByRankThenAge(const waiting_unit& a, const waiting_unit& b) {
+  return std::tie(a.importance, a.accepted, a.unit) <
+         std::tie(b.importance, b.accepted, b.unit);
+}
+
+bool ByAge(const waiting_unit& a, const waiting_unit& b) {
+  return std::tie(a.accepted, a.unit) < std::tie(b.accepted, b.unit);
+}
+
+std::uint64_t LostWork(const running_unit& unit) {
+  const work::duration lost =
+      unit.checkpointed ? std::min(unit.ran, kCheckpointLoss) : unit.ran;
+  const auto cores = static_cast<std::uint64_t>(unit.cpu_millis) * unit.members;
+  return cores * static_cast<std::uint64_t>(lost.count()) / 1000;
+}
+
+}  // namespace
+
+hooks DefaultHooks() {
+  return {.goes_first = ByRankThenAge,
+          .stop_cost = LostWork,
+          .may_preempt = [](rank waiting, rank running) {
+            return waiting <= rank::kUrgent && waiting < running;
+          }};
+}
+
+hooks BaselineHooks() {
+  return {.goes_first = ByAge,
+          .stop_cost = LostWork,
+          .may_preempt = [](rank, rank) { return false; }};
+}
+
+}  // namespace parsleyhitch::dispatch
--- a/source/model/value_table.h
+++ b/source/model/value_table.h
@@ -40,6 +40,9 @@
 
   void Erase(const Key& key) { entries_.erase(key); }
 
+  // The entries from `key` on.
+  auto From(const Key& key) const { return entries_.lower_bound(key); }
+
   std::size_t size() const { return entries_.size(); }
   bool empty() const { return entries_.empty(); }
   auto begin() const { return entries_.begin(); }
--- a/source/parsleyhitchd/main.cc
+++ b/source/parsleyhitchd/main.cc
@@ -5,11 +5,14 @@
 #include <exception>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <sstream>
 #include <string>
 
+#include "runtime/dispatch_process.h"
 #include "runtime/entry_process.h"
 #include "runtime/json_log.h"
+#include "settings/dispatch_settings.h"
 #include "settings/settings_file.h"
 
 DEFINE_string(config, "", "settings file (YAML)");
@@ -31,32 +34,72 @@
   }
 }
 
-int Run(const settings::settings& settings) {
-  runtime::StartJsonLog(settings.entry.value());
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file)
+    return {};
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// Runs the entry; what keeps it from starting goes into the log.
+template <typename Start>
+int RunLogged(const std::string& entry, Start start) {
+  runtime::StartJsonLog(entry);
   try {
-    runtime::RunEntry(settings, FLAGS_record);
+    start();
   } catch (const std::exception& error) {
-    runtime::WriteJsonLog({.level = model::severity::kWarning,
-                           .message = "can't start",
-                           .subject = error.what()});
+    runtime::WriteJsonLog(model::write_log_line{
+        .level = model::severity::kWarning,
+        .message = "can't start",
+        .subject = error.what()});
     return kExitFailure;
   }
   return kExitOk;
 }
 
+int RunEntry(const settings::settings& settings) {
+  return RunLogged(settings.entry.value(),
+                   [&] { runtime::RunEntry(settings, FLAGS_record); });
+}
+
+std::optional<settings::dispatch_settings> Reread() {
+  const std::optional<std::string> text = ReadFile(FLAGS_config);
+  if (!text)
+    return {};
+  return wire::Handle(
+      [&] { return settings::ParseDispatchSettings(*text); },
+      [](settings::dispatch_settings read) {
+        return std::optional<settings::dispatch_settings>(std::move(read));
+      },
+      [](const model::findings& faults) {
+        PrintFindings(FLAGS_config, faults);
+        return std::optional<settings::dispatch_settings>();
+      });
+}
+
+int RunDispatcher(const settings::dispatch_settings& settings) {
+  return RunLogged(settings.entry.value(),
+                   [&] { runtime::RunDispatcher(settings, Reread); });
+}
+
 int Main() {
-  std::ifstream file(FLAGS_config);
-  if (!file) {
+  const std::optional<std::string> text = ReadFile(FLAGS_config);
+  if (!text) {
     std::cerr << "can't read --config '" << FLAGS_config << "'\n";
     return kExitUsage;
   }
-  std::stringstream text;
-  text << file.rdbuf();
-  return wire::Handle([&] { return settings::ParseSettings(text.str()); }, Run,
-                      [&](const model::findings& faults) {
-                        PrintFindings(FLAGS_config, faults);
-                        return kExitFindings;
-                      });
+  const auto report = [](const model::findings& faults) {
+    PrintFindings(FLAGS_config, faults);
+    return kExitFindings;
+  };
+  if (settings::LooksLikeDispatchSettings(*text)) {
+    return wire::Handle([&] { return settings::ParseDispatchSettings(*text); },
+                        RunDispatcher, report);
+  }
+  return wire::Handle([&] { return settings::ParseSettings(*text); }, RunEntry,
+                      report);
 }
 
 }  // namespace
--- /dev/null
+++ b/source/platform/json_fields.cc
@@ -0,0 +1,129 @@
+// Typed access to JSON.
+
+#include "platform/json_fields.h"
+
+#include <cmath>
+#include <utility>
+
+namespace parsleyhitch::platform {
+
+namespace {
+
+constexpr double kPermille = 1000.0;
+// Beyond this, doubles no longer tell whole numbers apart.
+constexpr double kLargest = 9007199254740992.0;
+
+const nlohmann::json& EmptyObject() {
+  static const nlohmann::json kEmpty = nlohmann::json::object();
+  return kEmpty;
+}
+
+}  // namespace
+
+nlohmann::json ParseJson(std::string_view text) {
+  return nlohmann::json::parse(text, nullptr, false);
+}
+
+json_fields::json_fields(const nlohmann::json& object,
+                         std::string place,
+                         model::findings& faults)
+    : object_(object.is_object() ? object : EmptyObject()),
+      place_(std::move(place)),
+      faults_(faults) {
+  if (!object.is_object())
+    faults_.push_back({.place = place_, .message = "must be an object"});
+}
+
+const nlohmann::json* json_fields::Find(const char* name) const {
+  const auto found = object_.find(name);
+  return found == object_.end() || found->is_null() ? nullptr : &*found;
+}
+
+void json_fields::Fault(const char* name, std::string message) const {
+  faults_.push_back(
+      {.place = place_ + "/" + name, .message = std::move(message)});
+}
+
+bool json_fields::Has(const char* name) const {
+  return Find(name) != nullptr;
+}
+
+std::string json_fields::Text(const char* name) const {
+  const nlohmann::json* found = Find(name);
+  if (found == nullptr)
+    return {};
+  if (found->is_string())
+    return found->get<std::string>();
+  Fault(name, "must be a string");
+  return {};
+}
+
+std::string json_fields::RequiredText(const char* name) const {
+  std::string text = Text(name);
+  if (text.empty())
+    Fault(name, "must be a string that is not empty");
+  return text;
+}
+
+std::uint64_t json_fields::Number(const char* name,
+                                  std::uint64_t absent) const {
+  const nlohmann::json* found = Find(name);
+  if (found == nullptr)
+    return absent;
+  const bool valid = found->is_number() && found->get<double>() >= 0 &&
+                     found->get<double>() <= kLargest;
+  if (valid)
+    return found->is_number_float()
+               ? static_cast<std::uint64_t>(found->get<double>())
+               : found->get<std::uint64_t>();
+  Fault(name, "must be a number of at least 0");
+  return absent;
+}
+
+std::uint64_t json_fields::Permille(const char* name,
+                                    std::uint64_t absent) const {
+  const nlohmann::json* found = Find(name);
+  if (found == nullptr)
+    return absent;
+  if (found->is_number() && found->get<double>() >= 0)
+    return static_cast<std::uint64_t>(
+        std::lround(found->get<double>() * kPermille));
+  Fault(name, "must be a number of at least 0");
+  return absent;
+}
+
+bool json_fields::Flag(const char* name) const {
+  const nlohmann::json* found = Find(name);
+  if (found == nullptr)
+    return false;
+  if (found->is_boolean())
+    return found->get<bool>();
+  Fault(name, "must be true or false");
+  return false;
+}
+
+void json_fields::ForEach(
+    const char* name,
+    const std::function<void(const nlohmann::json& element,
+                             const std::string& place)>& visit) const {
+  const nlohmann::json* found = Find(name);
+  if (found == nullptr)
+    return;
+  if (!found->is_array()) {
+    Fault(name, "must be a list");
+    return;
+  }
+  std::size_t index = 0;
+  for (const nlohmann::json& each : *found) {
+    visit(each, place_ + "/" + name + "/" + std::to_string(index));
+    ++index;
+  }
+}
+
+json_fields json_fields::Object(const char* name) const {
+  const nlohmann::json* found = Find(name);
+  return {found == nullptr ? EmptyObject() : *found, place_ + "/" + name,
+          faults_};
+}
+
+}  // namespace parsleyhitch::platform
--- /dev/null
+++ b/source/platform/store_calls.cc
@@ -0,0 +1,291 @@
+// Topics: the operators' and the workers' are the platform's, the third one is
+// ours.
+
+#include "platform/store_calls.h"
+
+#include <curl/curl.h>
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "platform/catalog_codec.h"
+#include "platform/store_codec.h"
+#include "platform/worker_codec.h"
+#include "records/record_key.h"
+#include "wire/work_codec.h"
+
+namespace parsleyhitch::platform {
+
+namespace {
+
+constexpr char kRecordsTopic[] = "keyed.parsleyhitch";
+constexpr char kOperatorTopic[] = "keyed.op";
+constexpr char kWorkersTopic[] = "keyed.servers";
+constexpr char kConfigurationKey[] = "config";
+
+constexpr std::uint32_t kOk = 200;
+constexpr std::uint32_t kNotFound = 404;
+constexpr std::uint32_t kConflict = 409;
+constexpr std::uint32_t kTrimmed = 410;
+constexpr std::uint32_t kConditionFailed = 412;
+constexpr std::uint32_t kServerError = 500;
+constexpr std::uint32_t kBadGateway = 502;
+constexpr std::uint32_t kGatewayTimeout = 504;
+
+std::string TopicOf(work::feed source) {
+  switch (source) {
+    case work::feed::kRecords:
+      return kRecordsTopic;
+    case work::feed::kCatalog:
+      return kOperatorTopic;
+    case work::feed::kWorkers:
+      break;
+  }
+  return kWorkersTopic;
+}
+
+std::string Escaped(const std::string& text) {
+  char* escaped =
+      curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size()));
+  if (escaped == nullptr)
+    return {};
+  std::string result(escaped);
+  curl_free(escaped);
+  return result;
+}
+
+std::string Url(const std::string& store,
+                const char* path,
+                const std::string& topic) {
+  return "http://" + store + path + "?topic=" + topic + "&part=0";
+}
+
+const wire::http_response* ResponseOf(const wire::http_outcome& outcome) {
+  return std::get_if<wire::http_response>(&outcome);
+}
+
+// The value of a record; nothing when it was dropped, is none of ours to read,
+// or can't be read, which is reported.
+std::optional<work::feed_value> ValueOf(work::feed source,
+                                        const keyed_record& record,
+                                        model::findings& skipped) {
+  if (record.value.empty())
+    return {};
+  const std::string place =
+      TopicOf(source) + "/" + std::to_string(record.offset) + "/" + record.key;
+  const auto decode = [&](auto attempt) -> std::optional<work::feed_value> {
+    return wire::Handle(
+        attempt,
+        [](auto value) {
+          return std::optional<work::feed_value>(std::move(value));
+        },
+        [&](const model::findings& faults) {
+          for (const model::finding& each : faults) {
+            skipped.push_back(
+                {.place = place + each.place, .message = each.message});
+          }
+          return std::optional<work::feed_value>();
+        });
+  };
+  switch (source) {
+    case work::feed::kRecords:
+      return decode([&] { return wire::DecodeRecord(record.value); });
+    case work::feed::kCatalog:
+      if (record.key != kConfigurationKey)
+        return {};
+      return decode([&] { return DecodeCatalog(record.value); });
+    case work::feed::kWorkers:
+      break;
+  }
+  return decode([&] { return DecodeWorker(record.key, record.value); });
+}
+
+std::vector<work::feed_item> ItemsOf(work::feed source,
+                                     const std::vector<keyed_record>& records,
+                                     model::findings& skipped) {
+  std::vector<work::feed_item> items;
+  items.reserve(records.size());
+  for (const keyed_record& each : records) {
+    items.push_back({.offset = each.offset,
+                     .key = each.key,
+                     .value = ValueOf(source, each, skipped)});
+  }
+  return items;
+}
+
+work::append_outcome AppendOutcome(const wire::http_outcome& outcome) {
+  const wire::http_response* response = ResponseOf(outcome);
+  if (response == nullptr) {
+    return std::get<wire::http_failure>(outcome).sent
+               ? work::append_outcome::kUnknown
+               : work::append_outcome::kRefused;
+  }
+  switch (response->status) {
+    case kOk:
+      return work::append_outcome::kStored;
+    case kConflict:
+      return DecodeReason(response->body) == "fenced"
+                 ? work::append_outcome::kFenced
+                 : work::append_outcome::kOutOfSequence;
+    case kConditionFailed:
+      return work::append_outcome::kOutOfSequence;
+    case kServerError:
+    case kBadGateway:
+    case kGatewayTimeout:
+      return work::append_outcome::kUnknown;
+    default:
+      return work::append_outcome::kRefused;
+  }
+}
+
+work::feed_unread Unread(work::call_number call,
+                         work::feed source,
+                         const wire::http_outcome& outcome,
+                         work::timestamp at) {
+  const wire::http_response* response = ResponseOf(outcome);
+  const bool trimmed = response != nullptr && response->status == kTrimmed;
+  return {.at = at,
+          .call = call,
+          .source = source,
+          .why = trimmed ? work::read_failure::kTrimmed
+                         : work::read_failure::kUnavailable};
+}
+
+decoded_event DecodePage(const work::read_feed& effect,
+                         const wire::http_response& response,
+                         work::timestamp at) {
+  return wire::Handle(
+      [&] { return DecodeLogPage(response.body, effect.from); },
+      [&](const log_page& page) -> decoded_event {
+        model::findings skipped;
+        auto items = ItemsOf(effect.source, page.records, skipped);
+        return {.event =
+                    work::feed_read{
+                        .at = at,
+                        .call = effect.call,
+                        .source = effect.source,
+                        .next = effect.from + page.records.size(),
+                        .items = std::move(items)},
+                .skipped = std::move(skipped)};
+      },
+      [&](const model::findings& faults) -> decoded_event {
+        return {.event = work::feed_unread{.at = at,
+                                           .call = effect.call,
+                                           .source = effect.source},
+                .skipped = faults};
+      });
+}
+
+decoded_event DecodeNewest(const work::read_newest& effect,
+                           const wire::http_response& response,
+                           work::timestamp at) {
+  return wire::Handle(
+      [&] { return DecodeNewestPage(response.body); },
+      [&](const newest_page& page) -> decoded_event {
+        model::findings skipped;
+        const bool more = page.has_more && !page.records.empty();
+        std::string more_after = more ? page.records.back().key : std::string();
+        auto items = ItemsOf(effect.source, page.records, skipped);
+        return {.event = work::newest_read{.at = at,
+                                           .call = effect.call,
+                                           .source = effect.source,
+                                           .end = page.end,
+                                           .items = std::move(items),
+                                           .more_after = std::move(more_after)},
+                .skipped = std::move(skipped)};
+      },
+      [&](const model::findings& faults) -> decoded_event {
+        return {.event = work::feed_unread{.at = at,
+                                           .call = effect.call,
+                                           .source = effect.source},
+                .skipped = faults};
+      });
+}
+
+}  // namespace
+
+wire::http_request RequestFor(const std::string& store,
+                              const work::append_records& effect) {
+  std::string body;
+  for (const work::record& each : effect.records)
+    body += EncodeKeyed(records::KeyOf(each), wire::EncodeRecord(each));
+  return {.method = "POST",
+          .url = Url(store, "/log-append", kRecordsTopic) +
+                 "&producer=" + Escaped(effect.writer) +
+                 "&epoch=" + std::to_string(effect.epoch) +
+                 "&sequence=" + std::to_string(effect.sequence),
+          .headers = {"Content-Type: application/octet-stream"},
+          .body = std::move(body),
+          .timeout = effect.timeout};
+}
+
+wire::http_request RequestFor(const std::string& store,
+                              const work::read_feed& effect) {
+  return {.method = "GET",
+          .url = Url(store, "/log-read", TopicOf(effect.source)) +
+                 "&from=" + std::to_string(effect.from) +
+                 "&waitMs=" + std::to_string(effect.wait.count()),
+          .timeout = effect.timeout};
+}
+
+wire::http_request RequestFor(const std::string& store,
+                              const work::read_newest& effect) {
+  // The field names the key after which the page starts.
+  const std::string after =
+      effect.after.empty() ? "" : "&dependsOn=" + Escaped(effect.after);
+  return {.method = "GET",
+          .url = Url(store, "/log-newest", TopicOf(effect.source)) + after,
+          .timeout = effect.timeout};
+}
+
+decoded_event EventOf(const work::append_records& effect,
+                      const wire::http_outcome& outcome,
+                      work::timestamp at) {
+  work::append_outcome meaning = AppendOutcome(outcome);
+  std::uint64_t end = 0;
+  if (meaning == work::append_outcome::kStored) {
+    const auto decoded = wire::ValueOf(
+        [&] { return DecodeEnd(ResponseOf(outcome)->body); });
+    end = decoded.value_or(0);
+    if (!decoded)
+      meaning = work::append_outcome::kUnknown;
+  }
+  model::findings notes;
+  const wire::http_response* response = ResponseOf(outcome);
+  if (response != nullptr && response->status != kOk) {
+    notes = model::OneFinding("append",
+                              std::to_string(response->status) + " " +
+                                  response->body.substr(0, 200));
+  }
+  return {.event = work::append_answered{.at = at,
+                                         .call = effect.call,
+                                         .outcome = meaning,
+                                         .end = end},
+          .skipped = std::move(notes)};
+}
+
+decoded_event EventOf(const work::read_feed& effect,
+                      const wire::http_outcome& outcome,
+                      work::timestamp at) {
+  const wire::http_response* response = ResponseOf(outcome);
+  if (response != nullptr && response->status == kOk)
+    return DecodePage(effect, *response, at);
+  return {.event = Unread(effect.call, effect.source, outcome, at)};
+}
+
+decoded_event EventOf(const work::read_newest& effect,
+                      const wire::http_outcome& outcome,
+                      work::timestamp at) {
+  const wire::http_response* response = ResponseOf(outcome);
+  if (response != nullptr && response->status == kOk)
+    return DecodeNewest(effect, *response, at);
+  // A topic that nobody has written to yet.
+  if (response != nullptr && response->status == kNotFound) {
+    return {.event = work::newest_read{
+                .at = at, .call = effect.call, .source = effect.source}};
+  }
+  return {.event = Unread(effect.call, effect.source, outcome, at)};
+}
+
+}  // namespace parsleyhitch::platform
--- /dev/null
+++ b/source/platform/worker_codec.cc
@@ -0,0 +1,204 @@
+// Lists are rows of values by position.
+
+#include "platform/worker_codec.h"
+
+#include <array>
+#include <charconv>
+#include <utility>
+#include <vector>
+
+#include "platform/json_fields.h"
+
+namespace parsleyhitch::platform {
+
+namespace {
+
+// Of an entry's labels, the second one is the worker's rack.
+constexpr std::size_t kRackLabel = 1;
+
+std::vector<std::string> DecodeLabels(const json_fields& entry) {
+  std::vector<std::string> labels;
+  entry.ForEach("labels",
+                [&](const nlohmann::json& each, const std::string&) {
+                  if (each.is_string())
+                    labels.push_back(each.get<std::string>());
+                  else
+                    entry.Fault("labels", "must be strings");
+                });
+  return labels;
+}
+
+work::resources DecodeCapacity(const json_fields& capacity) {
+  return {.cpu_millis = static_cast<std::int64_t>(capacity.Number("cpu")),
+          .memory_mb = static_cast<std::int64_t>(capacity.Number("memMb")),
+          .accelerators = static_cast<std::int64_t>(capacity.Number("gpu"))};
+}
+
+std::optional<work::run_end_kind> EndKindOf(std::string_view name) {
+  if (name == "done")
+    return work::run_end_kind::kDone;
+  if (name == "failed")
+    return work::run_end_kind::kFailed;
+  if (name == "stopped")
+    return work::run_end_kind::kStopped;
+  if (name == "lapsed")
+    return work::run_end_kind::kLapsed;
+  if (name == "broken")
+    return work::run_end_kind::kBroken;
+  if (name == "alone")
+    return work::run_end_kind::kAlone;
+  return {};
+}
+
+std::uint64_t NumberAt(const nlohmann::json& row, std::size_t column) {
+  const bool has = row.size() > column && row[column].is_number() &&
+                   row[column].get<double>() >= 0;
+  return has ? static_cast<std::uint64_t>(row[column].get<double>()) : 0;
+}
+
+std::string TextAt(const nlohmann::json& row, std::size_t column) {
+  const bool has = row.size() > column && row[column].is_string();
+  return has ? row[column].get<std::string>() : std::string();
+}
+
+// A row is [task, attempt, checkpoint, percent, usage].
+void DecodeRunning(const nlohmann::json& row,
+                   const std::string& place,
+                   std::vector<work::running_task>& running,
+                   model::findings& faults) {
+  const auto task =
+      row.is_array() ? ParseTaskName(TextAt(row, 0)) : std::nullopt;
+  if (!task) {
+    faults.push_back({.place = place, .message = "must name a task"});
+    return;
+  }
+  running.push_back({.task = *task,
+                     .attempt = NumberAt(row, 1),
+                     .checkpoint = TextAt(row, 2),
+                     .percent = static_cast<std::uint32_t>(NumberAt(row, 3))});
+}
+
+// A row is [number, task, attempt, how, checkpoint].
+void DecodeEnded(const nlohmann::json& row,
+                 const std::string& place,
+                 std::vector<work::ended_task>& ended,
+                 model::findings& faults) {
+  const auto task =
+      row.is_array() ? ParseTaskName(TextAt(row, 1)) : std::nullopt;
+  const auto how = row.is_array() ? EndKindOf(TextAt(row, 3)) : std::nullopt;
+  if (!task || !how) {
+    faults.push_back(
+        {.place = place, .message = "must name a task and how it ended"});
+    return;
+  }
+  ended.push_back({.number = NumberAt(row, 0),
+                   .task = *task,
+                   .attempt = NumberAt(row, 2),
+                   .how = *how,
+                   .checkpoint = TextAt(row, 4)});
+}
+
+std::optional<std::uint32_t> ParseNumber(std::string_view text) {
+  std::uint32_t value = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size())
+    return {};
+  return value;
+}
+
+}  // namespace
+
+wire::result<work::worker_entry> DecodeWorker(const std::string& key,
+                                              std::string_view text) {
+  const nlohmann::json source = ParseJson(text);
+  if (source.is_discarded())
+    return wire::Malformed("is not valid JSON");
+  model::findings faults;
+  const json_fields entry(source, "", faults);
+  std::vector<std::string> labels = DecodeLabels(entry);
+  const std::string state = entry.Text("state");
+  const bool draining = state == "draining";
+  if (state != "ready" && !draining)
+    entry.Fault("state", "must be ready or draining");
+  std::string service = entry.RequiredText("service");
+  std::string address = entry.RequiredText("address");
+  const work::resources capacity = DecodeCapacity(entry.Object("capacity"));
+  // The time of the worker's start tells its lives apart.
+  const std::uint64_t life = entry.Number("born");
+  if (!faults.empty())
+    return boost::leaf::new_error(std::move(faults));
+  work::rack_id rack(labels.size() > kRackLabel ? labels[kRackLabel] : "");
+  return work::worker_entry{.worker = work::worker_id(key),
+                            .service = work::service_id(std::move(service)),
+                            .address = std::move(address),
+                            .rack = std::move(rack),
+                            .labels = std::move(labels),
+                            .capacity = capacity,
+                            .draining = draining,
+                            .life = life};
+}
+
+wire::result<held_worker> DecodeLists(std::string_view body) {
+  const nlohmann::json source = ParseJson(body);
+  if (source.is_discarded())
+    return wire::Malformed("is not valid JSON");
+  model::findings faults;
+  const json_fields top(source, "", faults);
+  std::vector<work::running_task> running;
+  std::vector<work::ended_task> ended;
+  top.ForEach("running",
+              [&](const nlohmann::json& row, const std::string& place) {
+                DecodeRunning(row, place, running, faults);
+              });
+  top.ForEach("finished",
+              [&](const nlohmann::json& row, const std::string& place) {
+                DecodeEnded(row, place, ended, faults);
+              });
+  const work::duration clock(top.Number("clockMs"));
+  const std::uint64_t life = top.Number("born");
+  if (!faults.empty())
+    return boost::leaf::new_error(std::move(faults));
+  return held_worker{.clock = clock,
+                     .listing = {.life = life,
+                                 .running = std::move(running),
+                                 .ended = std::move(ended)}};
+}
+
+std::optional<work::duration> DecodeClock(std::string_view body) {
+  const nlohmann::json source = ParseJson(body);
+  if (!source.is_object())
+    return {};
+  model::findings faults;
+  const json_fields top(source, "", faults);
+  if (!top.Has("clockMs"))
+    return {};
+  return work::duration(top.Number("clockMs"));
+}
+
+std::string TaskName(const work::task_id& task) {
+  return task.job.value() + "." + std::to_string(task.occurrence) + "." +
+         std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
+std::optional<work::task_id> ParseTaskName(std::string_view name) {
+  std::array<std::uint32_t, 3> numbers{};
+  for (std::size_t i = numbers.size(); i > 0; --i) {
+    const std::size_t dot = name.rfind('.');
+    if (dot == std::string_view::npos)
+      return {};
+    const auto number = ParseNumber(name.substr(dot + 1));
+    if (!number)
+      return {};
+    numbers[i - 1] = *number;
+    name = name.substr(0, dot);
+  }
+  if (name.empty())
+    return {};
+  return work::task_id{.job = work::job_id(std::string(name)),
+                       .occurrence = numbers[0],
+                       .step = numbers[1],
+                       .index = numbers[2]};
+}
+
+}  // namespace parsleyhitch::platform
--- /dev/null
+++ b/source/records/ledger.cc
@@ -0,0 +1,109 @@
+// Folding, one function a kind of record.
+
+#include "records/ledger.h"
+
+#include <utility>
+
+namespace parsleyhitch::records {
+
+namespace {
+
+job_entry EntryOf(const ledger& folded, const work::job_id& job) {
+  const job_entry* known = folded.jobs.Find(job);
+  return known == nullptr ? job_entry() : *known;
+}
+
+void FoldInto(ledger& folded,
+              std::uint64_t offset,
+              const work::job_submitted& record) {
+  const work::job_id& job = record.content.job;
+  job_entry entry = EntryOf(folded, job);
+  // A repeated submission changes nothing.
+  if (entry.content.Get() != nullptr)
+    return;
+  entry.content.Put(record.content);
+  entry.accepted = offset;
+  folded.jobs.Put(job, std::move(entry));
+}
+
+void FoldInto(ledger& folded,
+              std::uint64_t,
+              const work::job_cancelled& record) {
+  job_entry entry = EntryOf(folded, record.job);
+  entry.cancelled = true;
+  folded.jobs.Put(record.job, std::move(entry));
+}
+
+void FoldInto(ledger& folded,
+              std::uint64_t offset,
+              const work::job_progressed& record) {
+  job_entry entry = EntryOf(folded, record.job);
+  if (entry.progress.Get() != nullptr && entry.progressed >= offset)
+    return;
+  entry.progress.Put(record);
+  entry.progressed = offset;
+  folded.jobs.Put(record.job, std::move(entry));
+}
+
+void FoldInto(ledger& folded,
+              std::uint64_t offset,
+              const work::member_joined& record) {
+  const member_entry* known = folded.members.Find(record.entry);
+  if (known != nullptr && known->joined >= offset)
+    return;
+  folded.members.Put(record.entry, {.content = record, .joined = offset});
+}
+
+void FoldInto(ledger& folded,
+              std::uint64_t,
+              const work::leader_elected& record) {
+  if (record.epoch <= folded.epoch)
+    return;
+  folded.epoch = record.epoch;
+  folded.leader = record.entry;
+}
+
+}  // namespace
+
+ledger Fold(ledger folded, std::uint64_t offset, const work::record& record) {
+  std::visit([&](const auto& each) { FoldInto(folded, offset, each); }, record);
+  return folded;
+}
+
+std::optional<work::job_id> JobOf(const work::record& record) {
+  if (const auto* submitted = std::get_if<work::job_submitted>(&record))
+    return submitted->content.job;
+  if (const auto* cancelled = std::get_if<work::job_cancelled>(&record))
+    return cancelled->job;
+  if (const auto* progressed = std::get_if<work::job_progressed>(&record))
+    return progressed->job;
+  return {};
+}
+
+const job_entry* FindJob(const ledger& folded, const work::job_id& job) {
+  const job_entry* found = folded.jobs.Find(job);
+  const bool accepted = found != nullptr && found->content.Get() != nullptr;
+  return accepted ? found : nullptr;
+}
+
+work::job_phase PhaseOf(const job_entry& job) {
+  const work::job_progressed* progress = job.progress.Get();
+  const work::job_phase phase =
+      progress == nullptr ? work::job_phase::kQueued : progress->phase;
+  if (!work::IsClosed(phase) && job.cancelled)
+    return work::job_phase::kCancelled;
+  return phase;
+}
+
+std::uint64_t CountWaiting(const ledger& folded, const work::queue_id& queue) {
+  std::uint64_t waiting = 0;
+  for (const auto& [id, job] : folded.jobs) {
+    const work::submission* content = job.content.Get();
+    const bool queued = content != nullptr && content->queue == queue &&
+                        PhaseOf(job) == work::job_phase::kQueued;
+    waiting += queued ? 1 : 0;
+  }
+  return waiting;
+}
+
+}  // namespace parsleyhitch::records
--- /dev/null
+++ b/source/records/record_key.cc
@@ -0,0 +1,35 @@
+// One prefix for each kind of record.
+
+#include "records/record_key.h"
+
+namespace parsleyhitch::records {
+
+namespace {
+
+std::string Key(const work::job_submitted& record) {
+  return "submitted/" + record.content.job.value();
+}
+
+std::string Key(const work::job_cancelled& record) {
+  return "cancelled/" + record.job.value();
+}
+
+std::string Key(const work::job_progressed& record) {
+  return "progress/" + record.job.value();
+}
+
+std::string Key(const work::member_joined& record) {
+  return "member/" + record.entry.value();
+}
+
+std::string Key(const work::leader_elected&) {
+  return "leader";
+}
+
+}  // namespace
+
+std::string KeyOf(const work::record& record) {
+  return std::visit([](const auto& each) { return Key(each); }, record);
+}
+
+}  // namespace parsleyhitch::records
--- a/source/report/metrics.cc
+++ b/source/report/metrics.cc
@@ -15,26 +15,30 @@
                                                250, 1000, 5000, 10000, 60000};
 constexpr double kMillisecondsPerSecond = 1000.0;
 
-std::string HistogramLines(const std::string& service,
+// The lines of one histogram; `label` is its label's name and value.
+std::string HistogramLines(const std::string& metric,
+                           const std::string& label,
                            const latency_histogram& values) {
   std::string text;
-  const std::string name = std::string(kPrefix) + "request_seconds";
+  const std::string name = kPrefix + metric;
   for (const std::int64_t bound : kBounds) {
-    text +=
-        fmt::format("{}_bucket{{service=\"{}\",le=\"{}\"}} {}\n", name, service,
-                    static_cast<double>(bound) / kMillisecondsPerSecond,
-                    values.CountUpTo(model::duration(bound)));
+    text += fmt::format("{}_bucket{{{},le=\"{}\"}} {}\n", name, label,
+                        static_cast<double>(bound) / kMillisecondsPerSecond,
+                        values.CountUpTo(model::duration(bound)));
   }
-  text += fmt::format("{}_bucket{{service=\"{}\",le=\"+Inf\"}} {}\n", name,
-                      service, values.count());
+  text += fmt::format("{}_bucket{{{},le=\"+Inf\"}} {}\n", name, label,
+                      values.count());
   text += fmt::format(
-      "{}_sum{{service=\"{}\"}} {}\n", name, service,
+      "{}_sum{{{}}} {}\n", name, label,
       static_cast<double>(values.sum().count()) / kMillisecondsPerSecond);
-  text += fmt::format("{}_count{{service=\"{}\"}} {}\n", name, service,
-                      values.count());
+  text += fmt::format("{}_count{{{}}} {}\n", name, label, values.count());
   return text;
 }
 
+std::string Label(const char* name, const std::string& value) {
+  return fmt::format("{}=\"{}\"", name, value);
+}
+
 }  // namespace
 
 metrics Add(metrics metrics, const model::count_metric& counted) {
@@ -50,6 +54,16 @@
   return metrics;
 }
 
+metrics Add(metrics metrics, const work::count_metric& counted) {
+  metrics.counters[counted.name + "_total"] += counted.increment;
+  return metrics;
+}
+
+metrics Add(metrics metrics, const work::observe_latency& observed) {
+  metrics.durations[observed.name].Add(observed.value);
+  return metrics;
+}
+
 std::string Exposition(const metrics& metrics) {
   std::string text;
   for (const auto& [name, value] : metrics.counters)
@@ -58,7 +72,12 @@
   if (!metrics.latencies.empty())
     text += fmt::format("# TYPE {}request_seconds histogram\n", kPrefix);
   for (const auto& [service, values] : metrics.latencies)
-    text += HistogramLines(service.value(), values);
+    text += HistogramLines("request_seconds", Label("service", service.value()),
+                           values);
+  if (!metrics.durations.empty())
+    text += fmt::format("# TYPE {}duration_seconds histogram\n", kPrefix);
+  for (const auto& [what, values] : metrics.durations)
+    text += HistogramLines("duration_seconds", Label("of", what), values);
   return text;
 }
 
--- a/source/report/metrics.h
+++ b/source/report/metrics.h
@@ -10,17 +10,23 @@
 
 #include "model/effect.h"
 #include "report/latency.h"
+#include "work/effect.h"
 
 namespace parsleyhitch::report {
 
 struct metrics {
   std::map<std::string, std::uint64_t> counters;
   std::map<model::service_id, latency_histogram> latencies;
+  // Of the dispatcher's calls and waits, by name.
+  std::map<std::string, latency_histogram> durations;
 };
 
 metrics Add(metrics metrics, const model::count_metric& counted);
 metrics Add(metrics metrics, const model::observe_request& observed);
 
+metrics Add(metrics metrics, const work::count_metric& counted);
+metrics Add(metrics metrics, const work::observe_latency& observed);
+
 // The Prometheus text exposition format, version 0.0.4.
 std::string Exposition(const metrics& metrics);
 
--- a/source/runtime/entry_process.cc
+++ b/source/runtime/entry_process.cc
@@ -15,12 +15,14 @@
 
 #include "report/burn.h"
 #include "report/metrics.h"
-#include "runtime/entry_loop.h"
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
 #include "runtime/json_log.h"
+#include "runtime/monotonic_clock.h"
 #include "runtime/peer_socket.h"
 #include "runtime/performers.h"
+#include "runtime/reducer_loop.h"
+#include "scheduler/reduce.h"
 #include "wire/api.h"
 #include "wire/peer_codec.h"
 #include "wire/trace_codec.h"
@@ -41,21 +43,7 @@
                                 : scheduler::DefaultHooks()};
 }
 
-// Time that follows the system's at the start and never goes back.
-class monotonic_clock {
- public:
-  model::timestamp Now() const {
-    const auto passed = std::chrono::steady_clock::now() - start_;
-    return std::chrono::time_point_cast<model::duration>(system_start_ +
-                                                         passed);
-  }
-
- private:
-  std::chrono::steady_clock::time_point start_ =
-      std::chrono::steady_clock::now();
-  std::chrono::system_clock::time_point system_start_ =
-      std::chrono::system_clock::now();
-};
+using entry_loop = reducer_loop<model::event, scheduler::step>;
 
 // One call that waits for its answer.
 struct open_responder {
@@ -72,7 +60,6 @@
         client_(io_),
         peers_(io_,
                settings.peer_listen,
-               settings.peers,
                [this](const std::string& bytes) { ReceiveFromPeer(bytes); }),
         server_(std::in_place,
                 io_,
@@ -99,7 +86,10 @@
                    [this](model::event event) { loop_.Post(std::move(event)); },
                .incarnation = static_cast<std::uint64_t>(
                    clock_.Now().time_since_epoch().count())},
-        loop_(environment_, MakeHooks(record_path)) {}
+        loop_(MakeHooks(record_path)) {
+    for (const settings::peer_address& peer : settings.peers)
+      peers_.Connect(peer.address);
+  }
 
   void Run() {
     signals_.async_wait([this](const asio::error_code& error, int) {
@@ -113,8 +103,12 @@
   }
 
  private:
-  loop_hooks MakeHooks(const std::string& record_path) {
-    loop_hooks hooks;
+  entry_loop::hooks MakeHooks(const std::string& record_path) {
+    entry_loop::hooks hooks;
+    hooks.reduce = [this](scheduler::entry_state state,
+                          const model::event& event) {
+      return scheduler::Reduce(environment_, std::move(state), event);
+    };
     hooks.perform = [this](const model::effect& effect) {
       std::visit([this](const auto& each) { Do(each); }, effect);
     };
--- a/source/runtime/http_server.cc
+++ b/source/runtime/http_server.cc
@@ -48,6 +48,7 @@
 struct server_state {
   http_handlers handlers;
   std::uint64_t unwritten = 0;
+  bool closing = false;
   std::function<void()> when_written;
   std::unique_ptr<server> http;
 };
@@ -95,6 +96,8 @@
                          reply.content_type);
   for (const auto& [name, value] : reply.headers)
     response.append_header(name, value);
+  if (state->closing)
+    response.connection_close();
   response.set_body(reply.body);
   ++state->unwritten;
   response.done([state](const auto&) { NoteWritten(state); });
@@ -153,6 +156,10 @@
   state_->http->close_sync();
 }
 
+void http_server::CloseAfterReplies() {
+  state_->closing = true;
+}
+
 void http_server::WhenWritten(std::function<void()> done) {
   if (state_->unwritten == 0) {
     done();
--- a/source/runtime/http_server.h
+++ b/source/runtime/http_server.h
@@ -40,6 +40,9 @@
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
 
+  // From now on each reply closes its connection.
+  void CloseAfterReplies();
+
   // Calls back, on the loop, once every reply handed over has been written.
   void WhenWritten(std::function<void()> done);
 
--- a/source/runtime/json_log.h
+++ b/source/runtime/json_log.h
@@ -1,4 +1,4 @@
-// The log of a process: one JSON object a line, on standard error.
+// The log of a process: one JSON object a line, on standard output.
 
 #ifndef PARSLEYHITCH_RUNTIME_JSON_LOG_H_
 #define PARSLEYHITCH_RUNTIME_JSON_LOG_H_
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "model/effect.h"
+#include "work/effect.h"
 
 namespace parsleyhitch::runtime {
 
@@ -14,6 +15,9 @@
 
 void WriteJsonLog(const model::write_log_line& line);
 
+// Lines beyond the budget of their decision are counted and left out.
+void WriteJsonLog(const work::write_log& line);
+
 }  // namespace parsleyhitch::runtime
 
 #endif  // PARSLEYHITCH_RUNTIME_JSON_LOG_H_
--- a/source/runtime/peer_socket.cc
+++ b/source/runtime/peer_socket.cc
@@ -19,7 +19,8 @@
 
   zmq::context_t context{1};
   zmq::socket_t incoming;
-  std::map<model::entry_id, zmq::socket_t> outgoing;
+  // By address.
+  std::map<std::string, zmq::socket_t> outgoing;
   asio::posix::stream_descriptor readable;
   std::function<void(const std::string&)> received;
 };
@@ -27,6 +28,19 @@
 namespace {
 
 constexpr int kQueuedMessages = 64;
+// A connection that has gone silent without a reset is closed and made anew
+// (zmq_setsockopt(3), ZMQ_HEARTBEAT_*).
+constexpr int kPingIntervalMs = 500;
+constexpr int kPingTimeoutMs = 1500;
+constexpr int kConnectTimeoutMs = 1000;
+constexpr int kReconnectMs = 100;
+constexpr int kReconnectMaxMs = 500;
+
+void DetectSilence(zmq::socket_t& socket) {
+  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::heartbeat_ivl, kPingIntervalMs);
+  socket.set(zmq::sockopt::heartbeat_timeout, kPingTimeoutMs);
+}
 
 void Drain(peer_sockets& sockets) {
   zmq::message_t message;
@@ -50,21 +64,11 @@
 
 peer_socket::peer_socket(asio::io_context& io,
                          const std::string& listen,
-                         const std::vector<settings::peer_address>& peers,
                          std::function<void(const std::string& bytes)> received)
     : sockets_(std::make_shared<detail::peer_sockets>(io)) {
   sockets_->received = std::move(received);
-  sockets_->incoming.set(zmq::sockopt::linger, 0);
+  detail::DetectSilence(sockets_->incoming);
   sockets_->incoming.bind("tcp://" + listen);
-  for (const settings::peer_address& peer : peers) {
-    zmq::socket_t socket(sockets_->context, zmq::socket_type::push);
-    socket.set(zmq::sockopt::linger, 0);
-    socket.set(zmq::sockopt::sndhwm, detail::kQueuedMessages);
-    // Nothing is queued for a peer that is not connected.
-    socket.set(zmq::sockopt::immediate, true);
-    socket.connect("tcp://" + peer.address);
-    sockets_->outgoing.emplace(peer.entry, std::move(socket));
-  }
   sockets_->readable.assign(sockets_->incoming.get(zmq::sockopt::fd));
   detail::WaitForMessages(sockets_);
   // Messages that came before the watch began raise no edge.
@@ -75,12 +79,25 @@
   sockets_->readable.release();
 }
 
-bool peer_socket::Send(const model::entry_id& to, const std::string& bytes) {
-  const auto found = sockets_->outgoing.find(to);
-  if (found == sockets_->outgoing.end())
-    return false;
-  const auto sent =
-      found->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+void peer_socket::Connect(const std::string& address) {
+  if (sockets_->outgoing.contains(address))
+    return;
+  zmq::socket_t socket(sockets_->context, zmq::socket_type::push);
+  detail::DetectSilence(socket);
+  socket.set(zmq::sockopt::sndhwm, detail::kQueuedMessages);
+  socket.set(zmq::sockopt::connect_timeout, detail::kConnectTimeoutMs);
+  socket.set(zmq::sockopt::reconnect_ivl, detail::kReconnectMs);
+  socket.set(zmq::sockopt::reconnect_ivl_max, detail::kReconnectMaxMs);
+  // Nothing is queued for a peer that is not connected.
+  socket.set(zmq::sockopt::immediate, true);
+  socket.connect("tcp://" + address);
+  sockets_->outgoing.emplace(address, std::move(socket));
+}
+
+bool peer_socket::Send(const std::string& address, const std::string& bytes) {
+  Connect(address);
+  const auto sent = sockets_->outgoing.at(address).send(
+      zmq::buffer(bytes), zmq::send_flags::dontwait);
   return sent.has_value();
 }
 
--- a/source/runtime/peer_socket.h
+++ b/source/runtime/peer_socket.h
@@ -9,10 +9,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <vector>
-
-#include "model/identifier.h"
-#include "settings/settings.h"
 
 namespace parsleyhitch::runtime {
 
@@ -22,18 +18,20 @@
 
 class peer_socket {
  public:
-  // Listens at "ip:port" and connects to each peer. Throws std::exception when
-  // it can't listen.
+  // Listens at "ip:port". Throws std::exception when it can't.
   peer_socket(asio::io_context& io,
               const std::string& listen,
-              const std::vector<settings::peer_address>& peers,
               std::function<void(const std::string& bytes)> received);
   ~peer_socket();
   peer_socket(const peer_socket&) = delete;
   peer_socket& operator=(const peer_socket&) = delete;
 
-  // False when the message was dropped.
-  bool Send(const model::entry_id& to, const std::string& bytes);
+  // Starts connecting to the peer at "ip:port", unless that was done already.
+  void Connect(const std::string& address);
+
+  // False when the message was dropped: the peer is not connected, or its
+  // queue is full.
+  bool Send(const std::string& address, const std::string& bytes);
 
  private:
   std::shared_ptr<detail::peer_sockets> sockets_;
--- a/source/runtime/performers.cc
+++ b/source/runtime/performers.cc
@@ -149,7 +149,10 @@
 }
 
 void Perform(const performer_tools& tools, const model::send_to_peer& effect) {
-  tools.peers.Send(effect.to, wire::EncodePeerMessage(effect.message));
+  for (const settings::peer_address& peer : tools.settings.peers) {
+    if (peer.entry == effect.to)
+      tools.peers.Send(peer.address, wire::EncodePeerMessage(effect.message));
+  }
 }
 
 void Perform(const performer_tools& tools, const model::call_worker& effect) {
--- /dev/null
+++ b/source/settings/dispatch_settings.cc
@@ -0,0 +1,102 @@
+// The settings file in YAML, and the rules that bind its values.
+
+#include "settings/dispatch_settings.h"
+
+#include <utility>
+
+#include "settings/address.h"
+#include "settings/yaml_source.h"
+#include "wire/json_codec.h"
+#include "wire/work_describe.h"
+
+namespace parsleyhitch::settings {
+
+PARSLEYHITCH_DESCRIBE(dispatch_settings,
+                      entry,
+                      failure_domain,
+                      callers_listen,
+                      probes_listen,
+                      peers_listen,
+                      metrics_listen,
+                      store_address,
+                      cpu_share,
+                      shutdown_grace_s,
+                      longest_lease,
+                      task_stop,
+                      max_body_bytes,
+                      limits)
+
+namespace {
+
+constexpr std::uint32_t kMaxBodyBytes = 4194304;
+
+void Require(model::findings& faults,
+             bool holds,
+             const char* place,
+             const char* message) {
+  if (!holds)
+    faults.push_back({.place = place, .message = message});
+}
+
+void CheckLimits(model::findings& faults, const dispatch_settings& settings) {
+  const work::limits& limits = settings.limits;
+  Require(faults, limits.read_timeout > limits.read_wait,
+          "/limits/read_timeout_ms", "must be above read_wait_ms");
+  Require(faults, limits.lease <= settings.longest_lease, "/limits/lease_ms",
+          "must be at most longest_lease_ms");
+  Require(faults, limits.lease > limits.hold_wait + 2 * limits.order_timeout,
+          "/limits/lease_ms",
+          "must be above hold_wait_ms and twice order_timeout_ms");
+  Require(faults, limits.lapse_margin > settings.task_stop,
+          "/limits/lapse_margin_ms", "must be above task_stop_ms");
+  Require(faults, limits.leader_silent > 2 * limits.heartbeat_interval,
+          "/limits/leader_silent_ms",
+          "must be above twice heartbeat_interval_ms");
+  Require(faults, limits.tick > model::duration(0), "/limits/tick_ms",
+          "must be above 0");
+  Require(faults, limits.max_batch_records > 0, "/limits/max_batch_records",
+          "must be above 0");
+}
+
+void Check(model::findings& faults, const dispatch_settings& settings) {
+  Require(faults, !settings.entry.empty(), "/entry", "must not be empty");
+  Require(faults, !settings.failure_domain.empty(), "/failure_domain",
+          "must not be empty");
+  CheckAddress(faults, "/callers_listen", settings.callers_listen);
+  CheckAddress(faults, "/probes_listen", settings.probes_listen);
+  CheckAddress(faults, "/peers_listen", settings.peers_listen);
+  CheckAddress(faults, "/metrics_listen", settings.metrics_listen);
+  CheckAddress(faults, "/store_address", settings.store_address);
+  Require(faults, settings.cpu_share > 0, "/cpu_share", "must be above 0");
+  Require(faults, settings.shutdown_grace_s > 0, "/shutdown_grace_s",
+          "must be above 0");
+  Require(faults,
+          settings.max_body_bytes > 0 &&
+              settings.max_body_bytes <= kMaxBodyBytes,
+          "/max_body_bytes", "must be from 1 to 4194304");
+  CheckLimits(faults, settings);
+}
+
+}  // namespace
+
+wire::result<dispatch_settings> ParseDispatchSettings(
+    const std::string& text) {
+  const yaml_source source = ReadYaml(text);
+  model::findings faults = source.faults;
+  if (!faults.empty())
+    return boost::leaf::new_error(std::move(faults));
+  dispatch_settings parsed =
+      wire::detail::DecodeJson<dispatch_settings>(source.content, "", faults);
+  Check(faults, parsed);
+  if (!faults.empty())
+    return boost::leaf::new_error(Locate(source, faults));
+  return parsed;
+}
+
+bool LooksLikeDispatchSettings(const std::string& text) {
+  const yaml_source source = ReadYaml(text);
+  return source.content.is_object() &&
+         source.content.contains("store_address");
+}
+
+}  // namespace parsleyhitch::settings
--- a/source/settings/settings_file.cc
+++ b/source/settings/settings_file.cc
@@ -2,11 +2,10 @@
 
 #include "settings/settings_file.h"
 
-#include <asio/ip/address.hpp>
-#include <charconv>
 #include <set>
 #include <utility>
 
+#include "settings/address.h"
 #include "settings/yaml_source.h"
 #include "wire/json_codec.h"
 
@@ -30,27 +29,6 @@
 
 constexpr std::uint32_t kMaxBodyBytes = 4194304;
 
-bool IsIpAndPort(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos)
-    return false;
-  asio::error_code error;
-  (void)asio::ip::make_address(text.substr(0, colon), error);
-  std::uint16_t port = 0;
-  const char* first = text.data() + colon + 1;
-  const char* last = text.data() + text.size();
-  const auto [end, parse_error] = std::from_chars(first, last, port);
-  return !error && parse_error == std::errc() && end == last && port != 0;
-}
-
-void CheckAddress(model::findings& faults,
-                  const std::string& place,
-                  const std::string& address) {
-  if (!IsIpAndPort(address))
-    faults.push_back(
-        {.place = place, .message = "must be an IP address and a port"});
-}
-
 void CheckPeers(model::findings& faults, const settings& settings) {
   std::set<model::entry_id> names{settings.entry};
   for (std::size_t i = 0; i < settings.peers.size(); ++i) {
--- a/source/wire/json_codec.h
+++ b/source/wire/json_codec.h
@@ -248,6 +248,10 @@
     return source.is_boolean() && source.get<bool>();
   } else if constexpr (std::is_integral_v<T>) {
     return DecodeInteger<T>(source, place, faults);
+  } else if constexpr (std::is_floating_point_v<T>) {
+    if (!source.is_number())
+      Fault(faults, place, "must be a number");
+    return source.is_number() ? source.get<T>() : T{};
   } else if constexpr (is_optional<T>::value) {
     return T(DecodeJson<typename T::value_type>(source, place, faults));
   } else if constexpr (is_vector<T>::value) {
--- /dev/null
+++ b/source/wire/work_describe.h
@@ -0,0 +1,138 @@
+// The fields of records, messages and settings of the dispatcher, for the
+// generic codecs. Add fields at the end.
+
+#ifndef PARSLEYHITCH_WIRE_WORK_DESCRIBE_H_
+#define PARSLEYHITCH_WIRE_WORK_DESCRIBE_H_
+
+#include "wire/describe.h"
+#include "work/limits.h"
+#include "work/peer_message.h"
+#include "work/record.h"
+
+namespace parsleyhitch::work {
+
+BOOST_DESCRIBE_ENUM(job_phase,
+                    kQueued,
+                    kRunning,
+                    kCompleted,
+                    kFailed,
+                    kCancelled)
+BOOST_DESCRIBE_ENUM(call_verb, kSubmit, kRead, kCancel)
+BOOST_DESCRIBE_ENUM(answer_kind,
+                    kAccepted,
+                    kState,
+                    kWaiting,
+                    kInvalid,
+                    kNoKey,
+                    kNoQueue,
+                    kNoJob,
+                    kNotRun,
+                    kNotSettled)
+
+PARSLEYHITCH_DESCRIBE(resources, cpu_millis, memory_mb, accelerators)
+PARSLEYHITCH_DESCRIBE(step_spec,
+                      tasks,
+                      need,
+                      estimate,
+                      after,
+                      gang,
+                      same_rack,
+                      checkpointed,
+                      duplicates_allowed,
+                      endless,
+                      fills_idle,
+                      required_label,
+                      data_rack,
+                      max_per_worker,
+                      may_be_away)
+PARSLEYHITCH_DESCRIBE(schedule, first_due, interval, occurrences)
+PARSLEYHITCH_DESCRIBE(job_request, spec, steps, when)
+PARSLEYHITCH_DESCRIBE(submission,
+                      job,
+                      queue,
+                      service,
+                      owner,
+                      priority,
+                      max_attempts,
+                      stretch_permille,
+                      target_latency,
+                      submitted_at,
+                      request)
+PARSLEYHITCH_DESCRIBE(unit_progress,
+                      occurrence,
+                      step,
+                      index,
+                      done,
+                      failures,
+                      attempt,
+                      checkpoint,
+                      workers)
+
+PARSLEYHITCH_DESCRIBE(job_submitted, content)
+PARSLEYHITCH_DESCRIBE(job_cancelled, job)
+PARSLEYHITCH_DESCRIBE(job_progressed, job, phase, units)
+PARSLEYHITCH_DESCRIBE(member_joined, entry, address, cpu_millis, incarnation)
+PARSLEYHITCH_DESCRIBE(leader_elected, entry, epoch)
+
+PARSLEYHITCH_DESCRIBE(client_call,
+                      verb,
+                      host,
+                      path,
+                      key,
+                      patience,
+                      request,
+                      faults)
+PARSLEYHITCH_DESCRIBE(client_answer, kind, phase, waiting, faults, retry_after)
+PARSLEYHITCH_DESCRIBE(leader_heartbeat,
+                      epoch,
+                      address,
+                      number,
+                      catalog_version,
+                      store_reached,
+                      resigning)
+PARSLEYHITCH_DESCRIBE(heartbeat_reply, epoch, address, number, catalog_version)
+PARSLEYHITCH_DESCRIBE(catalog_wanted, address, held_version)
+PARSLEYHITCH_DESCRIBE(catalog_offered, version, content)
+PARSLEYHITCH_DESCRIBE(call_relayed, call, address, content)
+PARSLEYHITCH_DESCRIBE(call_settled, call, answer)
+PARSLEYHITCH_DESCRIBE(peer_message, from, content)
+
+PARSLEYHITCH_DESCRIBE(limits,
+                      tick,
+                      read_wait,
+                      read_timeout,
+                      read_retry,
+                      follower_read_pause,
+                      worker_list_interval,
+                      append_timeout,
+                      append_retry,
+                      append_pause,
+                      progress_pause,
+                      max_batch_records,
+                      store_silent,
+                      heartbeat_interval,
+                      leader_silent,
+                      election_stagger,
+                      authority,
+                      stall,
+                      settle_timeout,
+                      lease,
+                      clock_drift_permille,
+                      hold_wait,
+                      order_timeout,
+                      order_retry,
+                      lapse_margin,
+                      unlisted_gone,
+                      shun_base,
+                      shun_max,
+                      plan_pause,
+                      attempts_per_epoch,
+                      near_patience_permille,
+                      default_patience,
+                      answer_margin,
+                      retry_after,
+                      relay_after)
+
+}  // namespace parsleyhitch::work
+
+#endif  // PARSLEYHITCH_WIRE_WORK_DESCRIBE_H_
--- /dev/null
+++ b/source/work/catalog.h
@@ -0,0 +1,63 @@
+// The operators' configuration: queues, the services that run their tasks, and
+// the workspaces that own jobs.
+
+#ifndef PARSLEYHITCH_WORK_CATALOG_H_
+#define PARSLEYHITCH_WORK_CATALOG_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "work/job.h"
+
+namespace parsleyhitch::work {
+
+struct queue {
+  const queue_id id;
+  const std::string host;
+  // Starts and ends with "/".
+  const std::string path_prefix;
+  const service_id service;
+  const std::uint32_t priority = 0;
+  const std::uint32_t max_attempts = 1;
+  const std::uint32_t stretch_permille = 1000;
+  const duration target_latency{0};
+  // Time that a call may take at most.
+  const duration call_timeout{0};
+  // Callers need no key.
+  const bool open_to_all = false;
+
+  bool operator==(const queue&) const = default;
+};
+
+struct worker_service {
+  const service_id id;
+  // The workers refuse what exceeds their capacity.
+  const bool guards_capacity = false;
+  // The machines are off.
+  const bool spare = false;
+
+  bool operator==(const worker_service&) const = default;
+};
+
+struct workspace {
+  const workspace_id id;
+  const std::vector<std::string> keys{};
+  // Accelerators that its jobs of priority 0 can claim at all times.
+  const std::uint32_t guaranteed_accelerators = 0;
+
+  bool operator==(const workspace&) const = default;
+};
+
+struct catalog {
+  const std::uint64_t version = 0;
+  const std::vector<queue> queues{};
+  const std::vector<worker_service> services{};
+  const std::vector<workspace> workspaces{};
+
+  bool operator==(const catalog&) const = default;
+};
+
+}  // namespace parsleyhitch::work
+
+#endif  // PARSLEYHITCH_WORK_CATALOG_H_
--- /dev/null
+++ b/source/work/effect.h
@@ -0,0 +1,162 @@
+// Everything a dispatching entry can do to the world, as data. The runtime
+// performs effects in order and decides nothing.
+
+#ifndef PARSLEYHITCH_WORK_EFFECT_H_
+#define PARSLEYHITCH_WORK_EFFECT_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "work/event.h"
+
+namespace parsleyhitch::work {
+
+struct read_feed {
+  const call_number call = 0;
+  const feed source = feed::kRecords;
+  const std::uint64_t from = 0;
+  // The store holds the answer back for so long while there is nothing new.
+  const duration wait{0};
+  const duration timeout{0};
+  bool operator==(const read_feed&) const = default;
+};
+
+struct read_newest {
+  const call_number call = 0;
+  const feed source = feed::kRecords;
+  // The key after which the page starts; empty for the first page.
+  const std::string after;
+  const duration timeout{0};
+  bool operator==(const read_newest&) const = default;
+};
+
+// Appends all records or none. A repeat with the same epoch and sequence has
+// no second effect.
+struct append_records {
+  const call_number call = 0;
+  const std::string writer;
+  const std::uint64_t epoch = 0;
+  const std::uint64_t sequence = 0;
+  const std::vector<record> records{};
+  const duration timeout{0};
+  bool operator==(const append_records&) const = default;
+};
+
+// Where an order goes and by which authority.
+struct order_target {
+  const worker_id worker;
+  const std::string address;
+  const std::uint64_t token = 0;
+  bool operator==(const order_target&) const = default;
+};
+
+struct start_run {
+  const call_number call = 0;
+  const order_target target{};
+  const task_id task;
+  const std::uint64_t attempt = 0;
+  const std::string spec;
+  const std::string checkpoint;
+  // On the worker's clock: everything on the worker is killed then unless it
+  // is held for longer.
+  const duration lease_until{0};
+  const duration timeout{0};
+  bool operator==(const start_run&) const = default;
+};
+
+struct stop_run {
+  const call_number call = 0;
+  const order_target target{};
+  const task_id task;
+  const std::uint64_t attempt = 0;
+  const duration timeout{0};
+  bool operator==(const stop_run&) const = default;
+};
+
+// Renews the lease of everything on the worker, acknowledges ends and asks for
+// both lists.
+struct hold_worker {
+  const call_number call = 0;
+  const order_target target{};
+  // Absent when the worker's clock is not known yet.
+  const std::optional<duration> lease_until{};
+  const std::uint64_t acknowledged = 0;
+  // The worker holds the answer back for so long while nothing ends.
+  const duration wait{0};
+  const duration timeout{0};
+  bool operator==(const hold_worker&) const = default;
+};
+
+struct send_to_peer {
+  const std::string address;
+  const peer_message message{};
+  bool operator==(const send_to_peer&) const = default;
+};
+
+struct answer_client {
+  const call_number call = 0;
+  const client_answer content{};
+  bool operator==(const answer_client&) const = default;
+};
+
+// Replaces the one pending wake.
+struct wake_at {
+  const timestamp at;
+  bool operator==(const wake_at&) const = default;
+};
+
+struct log_field {
+  const std::string name;
+  const std::string value;
+  bool operator==(const log_field&) const = default;
+};
+
+enum class log_level { kInfo, kWarning };
+
+// One decision with its subject and the inputs that led to it.
+struct write_log {
+  const log_level level = log_level::kInfo;
+  const std::string decision;
+  // The job, worker or peer that it is about.
+  const std::string subject;
+  const std::vector<log_field> fields{};
+  bool operator==(const write_log&) const = default;
+};
+
+struct count_metric {
+  const std::string name;
+  const std::uint64_t increment = 1;
+  bool operator==(const count_metric&) const = default;
+};
+
+struct observe_latency {
+  const std::string name;
+  const duration value{0};
+  bool operator==(const observe_latency&) const = default;
+};
+
+struct stop_process {
+  bool operator==(const stop_process&) const = default;
+};
+
+using effect = std::variant<read_feed,
+                            read_newest,
+                            append_records,
+                            start_run,
+                            stop_run,
+                            hold_worker,
+                            send_to_peer,
+                            answer_client,
+                            wake_at,
+                            write_log,
+                            count_metric,
+                            observe_latency,
+                            stop_process>;
+
+using effects = std::vector<effect>;
+
+}  // namespace parsleyhitch::work
+
+#endif  // PARSLEYHITCH_WORK_EFFECT_H_
--- /dev/null
+++ b/source/work/event.h
@@ -0,0 +1,194 @@
+// Everything that can happen to a dispatching entry. Each event carries its
+// time; the reducer knows no other.
+
+#ifndef PARSLEYHITCH_WORK_EVENT_H_
+#define PARSLEYHITCH_WORK_EVENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "work/call.h"
+#include "work/catalog.h"
+#include "work/peer_message.h"
+#include "work/record.h"
+#include "work/worker.h"
+
+namespace parsleyhitch::work {
+
+// Numbers each order, read and append of this process, and each call made to
+// it.
+using call_number = std::uint64_t;
+
+// The streams that the store keeps.
+enum class feed { kRecords, kCatalog, kWorkers };
+
+struct entry_started {
+  const timestamp at;
+  const std::uint64_t incarnation = 0;
+  const std::uint64_t seed = 0;
+  bool operator==(const entry_started&) const = default;
+};
+
+struct wake_due {
+  const timestamp at;
+  bool operator==(const wake_due&) const = default;
+};
+
+// The configuration with its published encoding, which peers may relay.
+struct published_catalog {
+  const catalog content{};
+  const std::string encoded;
+  bool operator==(const published_catalog&) const = default;
+};
+
+using feed_value = std::variant<record, published_catalog, worker_entry>;
+
+struct feed_item {
+  const std::uint64_t offset = 0;
+  const std::string key;
+  // Absent when the key was dropped or its value names nothing usable.
+  const std::optional<feed_value> value{};
+  bool operator==(const feed_item&) const = default;
+};
+
+// Items from a position on.
+struct feed_read {
+  const timestamp at;
+  const call_number call = 0;
+  const feed source = feed::kRecords;
+  const std::uint64_t next = 0;
+  const std::vector<feed_item> items{};
+  bool operator==(const feed_read&) const = default;
+};
+
+// One page of the newest item of each key.
+struct newest_read {
+  const timestamp at;
+  const call_number call = 0;
+  const feed source = feed::kRecords;
+  const std::uint64_t end = 0;
+  const std::vector<feed_item> items{};
+  // The key after which the next page starts; empty on the last page.
+  const std::string more_after;
+  bool operator==(const newest_read&) const = default;
+};
+
+enum class read_failure { kTrimmed, kUnavailable };
+
+struct feed_unread {
+  const timestamp at;
+  const call_number call = 0;
+  const feed source = feed::kRecords;
+  const read_failure why = read_failure::kUnavailable;
+  bool operator==(const feed_unread&) const = default;
+};
+
+enum class append_outcome {
+  kStored,
+  kFenced,         // a higher epoch of this writer was seen
+  kOutOfSequence,  // another append of this writer took the place
+  kRefused,        // nothing was done
+  kUnknown,
+};
+
+struct append_answered {
+  const timestamp at;
+  const call_number call = 0;
+  const append_outcome outcome = append_outcome::kUnknown;
+  // Of a stored append: the position after its last record.
+  const std::uint64_t end = 0;
+  bool operator==(const append_answered&) const = default;
+};
+
+enum class order_outcome {
+  kDone,
+  kFenced,    // the worker saw a higher token
+  kOutdated,  // the attempt is not higher than one that ended there
+  kTooLate,   // the order's deadline had passed on the worker's clock
+  kNoRoom,
+  kRefused,  // the worker is unhealthy or can't read the order; nothing done
+  kReborn,   // another life of the worker answered
+  kUnknown,
+};
+
+struct start_answered {
+  const timestamp at;
+  const call_number call = 0;
+  const worker_id worker;
+  const order_outcome outcome = order_outcome::kUnknown;
+  const std::optional<duration> worker_clock{};
+  bool operator==(const start_answered&) const = default;
+};
+
+struct stop_answered {
+  const timestamp at;
+  const call_number call = 0;
+  const worker_id worker;
+  const order_outcome outcome = order_outcome::kUnknown;
+  bool operator==(const stop_answered&) const = default;
+};
+
+struct hold_answered {
+  const timestamp at;
+  const call_number call = 0;
+  const worker_id worker;
+  const order_outcome outcome = order_outcome::kUnknown;
+  const std::optional<duration> worker_clock{};
+  const std::optional<worker_listing> listing{};
+  bool operator==(const hold_answered&) const = default;
+};
+
+struct peer_heard {
+  const timestamp at;
+  const peer_message message{};
+  bool operator==(const peer_heard&) const = default;
+};
+
+// A peer's offer of the configuration, decoded.
+struct catalog_relayed {
+  const timestamp at;
+  const published_catalog content{};
+  bool operator==(const catalog_relayed&) const = default;
+};
+
+struct client_called {
+  const timestamp at;
+  const call_number call = 0;
+  const client_call content{};
+  bool operator==(const client_called&) const = default;
+};
+
+struct client_gone {
+  const timestamp at;
+  const call_number call = 0;
+  bool operator==(const client_gone&) const = default;
+};
+
+// A graceful shutdown is asked for; the process must have ended after `grace`.
+struct shutdown_requested {
+  const timestamp at;
+  const duration grace{0};
+  bool operator==(const shutdown_requested&) const = default;
+};
+
+using event = std::variant<entry_started,
+                           wake_due,
+                           feed_read,
+                           newest_read,
+                           feed_unread,
+                           append_answered,
+                           start_answered,
+                           stop_answered,
+                           hold_answered,
+                           peer_heard,
+                           catalog_relayed,
+                           client_called,
+                           client_gone,
+                           shutdown_requested>;
+
+}  // namespace parsleyhitch::work
+
+#endif  // PARSLEYHITCH_WORK_EVENT_H_
--- /dev/null
+++ b/source/work/peer_message.h
@@ -0,0 +1,81 @@
+// What entries tell one another. Nothing here is agreed on: every message may
+// be lost, and the records in the store decide.
+
+#ifndef PARSLEYHITCH_WORK_PEER_MESSAGE_H_
+#define PARSLEYHITCH_WORK_PEER_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "work/call.h"
+#include "work/record.h"
+
+namespace parsleyhitch::work {
+
+// From the leader to every member.
+struct leader_heartbeat {
+  const std::uint64_t epoch = 0;
+  const std::string address;
+  const std::uint64_t number = 0;
+  const std::uint64_t catalog_version = 0;
+  // The leader reaches the store.
+  const bool store_reached = false;
+  // The leader asks the members to elect another one.
+  const bool resigning = false;
+  bool operator==(const leader_heartbeat&) const = default;
+};
+
+struct heartbeat_reply {
+  const std::uint64_t epoch = 0;
+  const std::string address;
+  // That of the heartbeat.
+  const std::uint64_t number = 0;
+  const std::uint64_t catalog_version = 0;
+  bool operator==(const heartbeat_reply&) const = default;
+};
+
+// Asks for the configuration when the sender's is older.
+struct catalog_wanted {
+  const std::string address;
+  const std::uint64_t held_version = 0;
+  bool operator==(const catalog_wanted&) const = default;
+};
+
+// The configuration in its published encoding.
+struct catalog_offered {
+  const std::uint64_t version = 0;
+  const std::string content;
+  bool operator==(const catalog_offered&) const = default;
+};
+
+// A call that its receiver can't settle without the store.
+struct call_relayed {
+  const std::uint64_t call = 0;
+  const std::string address;
+  const client_call content{};
+  bool operator==(const call_relayed&) const = default;
+};
+
+struct call_settled {
+  const std::uint64_t call = 0;
+  const client_answer answer{};
+  bool operator==(const call_settled&) const = default;
+};
+
+using peer_content = std::variant<leader_heartbeat,
+                                  heartbeat_reply,
+                                  catalog_wanted,
+                                  catalog_offered,
+                                  call_relayed,
+                                  call_settled>;
+
+struct peer_message {
+  const entry_id from;
+  const peer_content content{};
+  bool operator==(const peer_message&) const = default;
+};
+
+}  // namespace parsleyhitch::work
+
+#endif  // PARSLEYHITCH_WORK_PEER_MESSAGE_H_
--- /dev/null
+++ b/source/work/record.h
@@ -0,0 +1,64 @@
+// What must outlast every process, as records in the store. The newest record
+// of each key holds; a job has one key for what its caller wrote, one for its
+// cancellation and one for its progress, as they have different writers.
+
+#ifndef PARSLEYHITCH_WORK_RECORD_H_
+#define PARSLEYHITCH_WORK_RECORD_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "work/job.h"
+
+namespace parsleyhitch::work {
+
+using model::entry_id;
+
+struct job_submitted {
+  const submission content{};
+  bool operator==(const job_submitted&) const = default;
+};
+
+struct job_cancelled {
+  const job_id job;
+  bool operator==(const job_cancelled&) const = default;
+};
+
+// Written by the leader alone, fenced by its epoch.
+struct job_progressed {
+  const job_id job;
+  const job_phase phase = job_phase::kQueued;
+  // Absent units have not been started. Empty once the job is closed.
+  const std::vector<unit_progress> units{};
+  bool operator==(const job_progressed&) const = default;
+};
+
+// An entry and where its peers reach it.
+struct member_joined {
+  const entry_id entry;
+  // "ip:port" for other entries.
+  const std::string address;
+  // Thousandths of a core; larger entries are preferred as leader.
+  const std::uint32_t cpu_millis = 0;
+  const std::uint64_t incarnation = 0;
+  bool operator==(const member_joined&) const = default;
+};
+
+// The one entry that may order workers, and its fencing token.
+struct leader_elected {
+  const entry_id entry;
+  const std::uint64_t epoch = 0;
+  bool operator==(const leader_elected&) const = default;
+};
+
+using record = std::variant<job_submitted,
+                            job_cancelled,
+                            job_progressed,
+                            member_joined,
+                            leader_elected>;
+
+}  // namespace parsleyhitch::work
+
+#endif  // PARSLEYHITCH_WORK_RECORD_H_
--- /dev/null
+++ b/source/work/resources.h
@@ -0,0 +1,42 @@
+// Amounts of a worker's capacity: what a task needs and what a worker has.
+
+#ifndef PARSLEYHITCH_WORK_RESOURCES_H_
+#define PARSLEYHITCH_WORK_RESOURCES_H_
+
+#include <cstdint>
+
+namespace parsleyhitch::work {
+
+// Amounts may be below zero: a worker that other writers overfilled has a
+// negative rest.
+struct resources {
+  // Thousandths of a processor core.
+  std::int64_t cpu_millis = 0;
+  std::int64_t memory_mb = 0;
+  std::int64_t accelerators = 0;
+
+  bool operator==(const resources&) const = default;
+};
+
+inline resources operator+(const resources& a, const resources& b) {
+  return {.cpu_millis = a.cpu_millis + b.cpu_millis,
+          .memory_mb = a.memory_mb + b.memory_mb,
+          .accelerators = a.accelerators + b.accelerators};
+}
+
+inline resources operator-(const resources& a, const resources& b) {
+  return {.cpu_millis = a.cpu_millis - b.cpu_millis,
+          .memory_mb = a.memory_mb - b.memory_mb,
+          .accelerators = a.accelerators - b.accelerators};
+}
+
+// True when `need` can be taken from `rest`.
+inline bool Fits(const resources& need, const resources& rest) {
+  return need.cpu_millis <= rest.cpu_millis &&
+         need.memory_mb <= rest.memory_mb &&
+         need.accelerators <= rest.accelerators;
+}
+
+}  // namespace parsleyhitch::work
+
+#endif  // PARSLEYHITCH_WORK_RESOURCES_H_
