--- a/source/dispatch/clients.cc
+++ b/source/dispatch/clients.cc
@@ -275,6 +275,12 @@
       [&](const queued_record& each) { return each.caller == call; });
 }
 
+bool IsWaiting(const context& ctx, call_number call) {
+  return std::ranges::any_of(
+      ctx.state.submissions.waiting,
+      [&](const queued_record& each) { return each.caller == call; });
+}
+
 bool LeaderIsHeard(const context& ctx) {
   const leadership& lead = ctx.state.lead;
   return lead.mine != role::kLeader && !lead.leader_address.empty() &&
@@ -342,8 +348,13 @@
   const open_call* call = ctx.state.calls.Find(message.call);
   if (call == nullptr || call->stage != call_stage::kRelayed)
     return;
+  const bool refused = message.answer.kind != work::answer_kind::kAccepted &&
+                       message.answer.kind != work::answer_kind::kState &&
+                       message.answer.kind != work::answer_kind::kWaiting;
+  // The record that is still here may be stored in spite of the refusal.
   const bool doubtful =
-      call->maybe_stored && message.answer.kind == work::answer_kind::kNotRun;
+      refused && (call->maybe_stored || IsInBatch(ctx, message.call) ||
+                  IsWaiting(ctx, message.call));
   Settle(ctx, message.call,
          doubtful ? Refusal(ctx, work::answer_kind::kNotSettled)
                   : message.answer);
--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -59,11 +59,8 @@
   ended.phase = unit_phase::kWaiting;
   ended.members.clear();
   ended.since = ctx.now();
-  const bool counts = ended.failed && !StepOf(job, id).endless;
-  if (counts)
-    ended.failures += 1;
   const bool spent =
-      counts && ended.failures >= job.content.Get()->max_attempts;
+      ended.failures >= job.content.Get()->max_attempts;
   mine.units.Put(id, std::move(ended));
   mine.unsaved.insert(id.job);
   mine.plan_due = true;
@@ -177,9 +174,14 @@
   ctx.state.mine.workers.Put(worker, std::move(row));
 }
 
-void MarkFailed(const context& ctx, const work::unit_id& id) {
+// An attempt counts as failed once, however many of its members say so.
+void MarkFailed(const context& ctx, const work::unit_id& id, bool endless) {
   unit failed = *ctx.state.mine.units.Find(id);
+  if (failed.failed)
+    return;
   failed.failed = true;
+  failed.failures += endless ? 0 : 1;
+  ctx.state.mine.unsaved.insert(id.job);
   ctx.state.mine.units.Put(id, std::move(failed));
 }
 
@@ -264,7 +266,7 @@
     return;
   if (end.how == work::run_end_kind::kFailed) {
     NoteFailure(ctx, worker, "task failed");
-    MarkFailed(ctx, id);
+    MarkFailed(ctx, id, endless);
   }
   KeepCheckpoint(ctx, id, end.checkpoint);
   EndMember(ctx, id, *index, NameOf(end.how));
--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/feeds.cc
@@ -71,15 +71,6 @@
     DropWorker(ctx, worker);
 }
 
-void RestoreIfCaughtUp(const context& ctx) {
-  state& s = ctx.state;
-  const bool due = s.lead.mine == role::kLeader && !s.mine.restored &&
-                   s.records.whole &&
-                   s.records.position >= s.mine.caught_up_at;
-  if (due)
-    RestoreJobs(ctx);
-}
-
 duration PauseAfter(const context& ctx, work::feed source, bool had_items) {
   if (source == work::feed::kWorkers)
     return ctx.limits().worker_list_interval;
@@ -128,6 +119,15 @@
     Poll(ctx, work::feed::kWorkers);
 }
 
+void RestoreIfCaughtUp(const context& ctx) {
+  state& s = ctx.state;
+  const bool due = s.lead.mine == role::kLeader && !s.mine.restored &&
+                   s.records.whole &&
+                   s.records.position >= s.mine.caught_up_at;
+  if (due)
+    RestoreJobs(ctx);
+}
+
 void OnFeedRead(const context& ctx, const work::feed_read& event) {
   NoteStoreAnswer(ctx, true);
   feed_state& feed = StateOf(ctx, event.source);
--- a/source/dispatch/jobs.cc
+++ b/source/dispatch/jobs.cc
@@ -240,15 +240,21 @@
   return {.job = id, .phase = job.phase, .units = std::move(units)};
 }
 
+// A closed job is kept until its end is read back from the store.
 void ForgetIfDone(const context& ctx, const work::job_id& id) {
   const live_job* job = ctx.state.mine.jobs.Find(id);
   if (job == nullptr || !work::IsClosed(job->phase))
     return;
+  const records::job_entry* entry = records::FindJob(ctx.state.ledger, id);
+  const work::job_progressed* saved =
+      entry == nullptr ? nullptr : entry->progress.Get();
+  if (saved == nullptr || !work::IsClosed(saved->phase))
+    return;
   bool has_units = false;
   ForUnits(ctx, id, [&](const work::unit_id&, const unit&) {
     has_units = true;
   });
-  if (!has_units && !ctx.state.mine.unsaved.contains(id))
+  if (!has_units)
     ctx.state.mine.jobs.Erase(id);
 }
 
@@ -290,6 +296,7 @@
   }
   if (job != nullptr && entry->cancelled && !work::IsClosed(job->phase))
     CloseJob(ctx, id, work::job_phase::kCancelled);
+  ForgetIfDone(ctx, id);
 }
 
 void RestoreJobs(const context& ctx) {
@@ -381,10 +388,8 @@
     const work::job_id id = *mine.unsaved.begin();
     mine.unsaved.erase(mine.unsaved.begin());
     const live_job* job = mine.jobs.Find(id);
-    if (job == nullptr)
-      continue;
-    records.emplace_back(ProgressOf(ctx, id, *job));
-    ForgetIfDone(ctx, id);
+    if (job != nullptr)
+      records.emplace_back(ProgressOf(ctx, id, *job));
   }
   return records;
 }
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -80,6 +80,7 @@
   lead.claim.reset();
   lead.claim_sequence = 0;
   lead.heard_at = ctx.now();
+  lead.leader_reached_store_at = ctx.now();
 }
 
 // Why the leader should be replaced, or nothing.
@@ -142,6 +143,7 @@
           {Field("epoch", s.mine.epoch), Field("records_end", end)});
   ctx.Count("elections_won");
   SendHeartbeats(ctx);
+  RestoreIfCaughtUp(ctx);
 }
 
 void StepDown(const context& ctx, std::uint64_t epoch, std::string_view why) {
--- a/source/dispatch/outbox.cc
+++ b/source/dispatch/outbox.cc
@@ -140,8 +140,20 @@
   }
   const bool deposed = event.outcome == work::append_outcome::kFenced ||
                        event.outcome == work::append_outcome::kOutOfSequence;
-  if (deposed)
+  if (deposed) {
     NoteEpoch(ctx, mine.epoch + 1, "append_fenced");
+    return;
+  }
+  // Nothing was done: the jobs' progress is collected anew, as it is by then.
+  for (const queued_record& each : mine.progress.waiting) {
+    const std::optional<work::job_id> job = records::JobOf(each.content);
+    if (job)
+      mine.unsaved.insert(*job);
+  }
+  const bool refused = !mine.progress.waiting.empty();
+  mine.progress.waiting.clear();
+  if (refused)
+    mine.saving.clear();
 }
 
 // Ends that changed no job need no record.
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -19,6 +19,8 @@
 void PutInForce(const context& ctx,
                 const work::published_catalog& published,
                 std::string_view source);
+// Takes the jobs over once every record from before the election is read.
+void RestoreIfCaughtUp(const context& ctx);
 // Reads the newest records once more, beside the read under way.
 void ConfirmRecords(const context& ctx);
 void NoteStoreAnswer(const context& ctx, bool answered);
--- a/source/dispatch/reduce.cc
+++ b/source/dispatch/reduce.cc
@@ -23,6 +23,7 @@
                                       .cpu_millis = ctx.env.cpu_millis,
                                       .incarnation = event.incarnation}});
   s.lead.heard_at = event.at;
+  s.lead.leader_reached_store_at = event.at;
   ctx.Log("started", ctx.env.me.value(),
           {Field("incarnation", event.incarnation)});
 }
