--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -104,7 +104,8 @@
                        .members = MembersOf(step),
                        .accelerators = step.need.accelerators,
                        .slack = SlackOf(*job.content.Get(), step) - waited,
-                       .waited = waited});
+                       .waited = waited,
+                       .idle = ctx.now() - each.since});
   }
   std::ranges::sort(waiting, ctx.env.behaviour.goes_first);
   return waiting;
@@ -113,6 +114,7 @@
 placement::demand DemandOf(const context& ctx, const waiting_unit& waiting) {
   const live_job& job = *ctx.state.mine.jobs.Find(waiting.unit.job);
   const work::step_spec& step = StepOf(job, waiting.unit);
+  const dispatch::unit& unit = *ctx.state.mine.units.Find(waiting.unit);
   const duration patience = SlackOf(*job.content.Get(), step) *
                             ctx.limits().near_patience_permille / 1000;
   placement::demand asked{.service = job.content.Get()->service,
@@ -122,6 +124,9 @@
                           .same_rack = step.same_rack,
                           .data_rack = step.data_rack,
                           .accepts_far = waiting.waited >= patience,
+                          .accepts_shunned =
+                              waiting.idle >= ctx.limits().shun_patience,
+                          .avoided = unit.failed_on,
                           .max_per_worker = step.max_per_worker};
   if (step.max_per_worker == 0)
     return asked;
@@ -175,7 +180,7 @@
 placement::board FreeBoard(const context& ctx) {
   placement::board board;
   for (const auto& [worker, row] : ctx.state.mine.workers) {
-    if (!TakesWork(ctx, row))
+    if (!TakesWork(row))
       continue;
     const worker_load* load = ctx.state.mine.loads.Find(worker);
     const worker_load carried = load == nullptr ? worker_load() : *load;
@@ -183,7 +188,8 @@
                            .rack = row.listed().rack,
                            .labels = row.listed().labels,
                            .free = row.listed().capacity - carried.used,
-                           .leaving = carried.leaving};
+                           .leaving = carried.leaving,
+                           .shunned = ctx.now() < row.shunned_until};
   }
   for (const auto& [id, each] : ctx.state.mine.strays)
     board.Take(id.worker, each.need);
--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -170,17 +170,20 @@
     return;
   worker_row row = *known;
   row.failures = 0;
+  row.last_failed = work::job_id();
   row.shunned_until = timestamp();
   ctx.state.mine.workers.Put(worker, std::move(row));
 }
 
 // An attempt counts as failed once, however many of its members say so.
-void MarkFailed(const context& ctx, const work::unit_id& id, bool endless) {
+void MarkFailed(const context& ctx,
+                const work::unit_id& id,
+                const work::worker_id& worker,
+                bool endless) {
   unit failed = *ctx.state.mine.units.Find(id);
-  if (failed.failed)
-    return;
+  failed.failed_on.insert(worker);
+  failed.failures += endless || failed.failed ? 0 : 1;
   failed.failed = true;
-  failed.failures += endless ? 0 : 1;
   ctx.state.mine.unsaved.insert(id.job);
   ctx.state.mine.units.Put(id, std::move(failed));
 }
@@ -265,8 +268,8 @@
   if (!index)
     return;
   if (end.how == work::run_end_kind::kFailed) {
-    NoteFailure(ctx, worker, "task failed");
-    MarkFailed(ctx, id, endless);
+    NoteFailure(ctx, worker, id.job, "task failed");
+    MarkFailed(ctx, id, worker, endless);
   }
   KeepCheckpoint(ctx, id, end.checkpoint);
   EndMember(ctx, id, *index, NameOf(end.how));
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -153,11 +153,21 @@
          !IsStoreTroubled(ctx, duration(0));
 }
 
+// A worker that said it was leaving, is out of the registry and does not answer
+// has left; what ran on it has ended.
+bool HasLeft(const worker_row& row) {
+  return !row.is_listed && row.listed().draining && row.silent >= kSilentAfter;
+}
+
 void AdvanceWorker(const context& ctx, const work::worker_id& worker) {
   const worker_row* row = ctx.state.mine.workers.Find(worker);
   const bool unreachable = row->silent > 0 || row->listed().address.empty();
-  if (unreachable && IsBusy(ctx, worker) && HasLapsed(ctx, *row))
-    LoseTasks(ctx, worker, "lease lapsed");
+  if (unreachable && IsBusy(ctx, worker)) {
+    if (HasLeft(*row))
+      LoseTasks(ctx, worker, "worker left");
+    else if (HasLapsed(ctx, *row))
+      LoseTasks(ctx, worker, "lease lapsed");
+  }
   row = ctx.state.mine.workers.Find(worker);
   if (IsGone(ctx, *row) && unreachable && !IsBusy(ctx, worker)) {
     ctx.Log("worker_forgotten", worker.value());
@@ -262,7 +272,8 @@
   const bool may_wait = row.fenced && !has_news && row.silent == 0;
   const duration wait = may_wait ? ctx.limits().hold_wait : duration(0);
   std::optional<duration> lease_until;
-  if (row.clock && busy) {
+  // The lease of a silent worker must be able to lapse.
+  if (row.clock && busy && row.silent == 0) {
     lease_until = ClockNow(ctx, row) + ctx.limits().lease;
     row.lease_until = std::max(row.lease_until, *lease_until);
   }
@@ -315,26 +326,31 @@
   SettleIfDue(ctx);
 }
 
-bool TakesWork(const context& ctx, const worker_row& row) {
+bool TakesWork(const worker_row& row) {
   return row.is_listed && !row.listed().draining && row.fenced && row.clock &&
-         row.silent == 0 && ctx.now() >= row.shunned_until;
+         row.silent == 0;
 }
 
 void NoteFailure(const context& ctx,
                  const work::worker_id& worker,
+                 const work::job_id& job,
                  std::string_view why) {
   const worker_row* known = ctx.state.mine.workers.Find(worker);
-  if (known == nullptr)
+  if (known == nullptr || known->last_failed == job)
     return;
   worker_row row = *known;
-  const duration shun =
-      std::min(ctx.limits().shun_base * (1 << std::min(row.failures, 10U)),
-               ctx.limits().shun_max);
   row.failures += 1;
-  row.shunned_until = ctx.now() + shun;
-  ctx.Log("worker_shunned", worker.value(),
-          {Field("why", std::string(why)), Field("failures", row.failures),
-           Field("for", shun)});
+  row.last_failed = job;
+  if (row.failures >= ctx.limits().failures_to_shun) {
+    const std::uint32_t doublings =
+        std::min(row.failures - ctx.limits().failures_to_shun, 10U);
+    const duration shun = std::min(ctx.limits().shun_base * (1 << doublings),
+                                   ctx.limits().shun_max);
+    row.shunned_until = ctx.now() + shun;
+    ctx.Log("worker_shunned", worker.value(),
+            {Field("why", std::string(why)), Field("failures", row.failures),
+             Field("for", shun)});
+  }
   ctx.state.mine.workers.Put(worker, std::move(row));
 }
 
--- a/source/dispatch/hooks.cc
+++ b/source/dispatch/hooks.cc
@@ -13,6 +13,13 @@
 // the interval of 2 s that the users' sheets state, on average.
 constexpr work::duration kCheckpointLoss{1000};
 
+// A stop and a new start: what a stopped unit loses beside its work.
+constexpr work::duration kRestart{500};
+
+// Firm work is worth three times as much as background work on the users'
+// sheets.
+constexpr std::uint64_t kFirmWeight = 3;
+
 bool ByRankThenAge(const waiting_unit& a, const waiting_unit& b) {
   return std::tie(a.importance, a.accepted, a.unit) <
          std::tie(b.importance, b.accepted, b.unit);
@@ -26,7 +33,10 @@
   const work::duration lost =
       unit.checkpointed ? std::min(unit.ran, kCheckpointLoss) : unit.ran;
   const auto cores = static_cast<std::uint64_t>(unit.cpu_millis) * unit.members;
-  return cores * static_cast<std::uint64_t>(lost.count()) / 1000;
+  const std::uint64_t weight =
+      unit.importance == rank::kBackground ? 1 : kFirmWeight;
+  const auto cost = static_cast<std::uint64_t>((lost + kRestart).count());
+  return cores * cost * weight / 1000;
 }
 
 }  // namespace
--- a/source/dispatch/hooks.h
+++ b/source/dispatch/hooks.h
@@ -31,6 +31,8 @@
   // Time that is left until the unit must start to meet its objective.
   work::duration slack{0};
   work::duration waited{0};
+  // Since it last ran or became ready.
+  work::duration idle{0};
 };
 
 // A unit that runs, as the choice of victims sees it.
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -165,7 +165,7 @@
                   work::order_outcome outcome) {
   const bool unhealthy = outcome == work::order_outcome::kRefused;
   if (unhealthy)
-    NoteFailure(ctx, worker, "start refused");
+    NoteFailure(ctx, worker, about.unit.job, "start refused");
   ctx.Log("start_rejected", NameOf(about.unit),
           {Field("worker", worker.value()),
            Field("outcome", static_cast<std::uint64_t>(outcome)),
@@ -191,7 +191,7 @@
     SendStart(ctx, id, index);
     return;
   }
-  NoteFailure(ctx, one.worker, "starts unanswered");
+  NoteFailure(ctx, one.worker, id.job, "starts unanswered");
   StopUnit(ctx, id, "start unanswered");
 }
 
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -84,9 +84,11 @@
 void AdvanceWorkers(const context& ctx);
 // The worker's clock now, as far as can be told.
 duration ClockNow(const context& ctx, const worker_row& row);
-bool TakesWork(const context& ctx, const worker_row& row);
+bool TakesWork(const worker_row& row);
+// The worker failed a task of the job, or refused or ignored a start.
 void NoteFailure(const context& ctx,
                  const work::worker_id& worker,
+                 const work::job_id& job,
                  std::string_view why);
 
 // orders.cc: starts and stops.
--- a/source/dispatch/reduce.cc
+++ b/source/dispatch/reduce.cc
@@ -101,6 +101,8 @@
     OpenDueSteps(ctx);
     AdvanceWorkers(ctx);
     AdvanceOrders(ctx);
+    // What may be done for a waiting unit changes as it waits.
+    s.mine.plan_due = true;
   }
   AdvanceShutdown(ctx);
 }
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -162,8 +162,9 @@
   std::uint64_t durable = 0;
   std::uint64_t acknowledged = 0;
 
-  // Failures since the last task that went well.
+  // Failures since the last task that went well, of different jobs.
   std::uint32_t failures = 0;
+  work::job_id last_failed;
   timestamp shunned_until;
 
   // What the registry says, or nothing known of it.
@@ -210,6 +211,8 @@
   std::vector<member> members;
   // A member of this attempt failed.
   bool failed = false;
+  // Workers on which an attempt failed.
+  std::set<work::worker_id> failed_on;
   timestamp since;
 
   bool operator==(const unit&) const = default;
--- a/source/placement/board.cc
+++ b/source/placement/board.cc
@@ -24,9 +24,14 @@
     found->second.free = found->second.free - need;
 }
 
-bool Suits(const demand& asked, const slot& offered) {
+bool Suits(const demand& asked,
+           const work::worker_id& worker,
+           const slot& offered) {
   if (asked.service != offered.service)
     return false;
+  if (!asked.accepts_shunned &&
+      (offered.shunned || asked.avoided.contains(worker)))
+    return false;
   return asked.required_label.empty() ||
          std::ranges::find(offered.labels, asked.required_label) !=
              offered.labels.end();
--- a/source/placement/board.h
+++ b/source/placement/board.h
@@ -4,6 +4,7 @@
 #define PARSLEYHITCH_PLACEMENT_BOARD_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
   work::resources free;
   // Capacity of tasks that are being stopped; it becomes free soon.
   work::resources leaving;
+  // The worker failed lately; it is used only where nothing else is left.
+  bool shunned = false;
 };
 
 struct board {
@@ -41,13 +44,19 @@
   work::rack_id data_rack;
   // A place away from the data's rack, or on several racks, is acceptable.
   bool accepts_far = false;
+  // Workers that failed lately are acceptable.
+  bool accepts_shunned = false;
+  // Workers on which an earlier attempt failed.
+  std::set<work::worker_id> avoided;
   std::uint32_t max_per_worker = 0;
   // Tasks of the same step that each worker has already.
   std::map<work::worker_id, std::uint32_t> siblings;
 };
 
 // True when the worker may run the demand's tasks at all.
-bool Suits(const demand& asked, const slot& offered);
+bool Suits(const demand& asked,
+           const work::worker_id& worker,
+           const slot& offered);
 
 // How many tasks of the demand `room` holds, by its amounts and the bound of
 // tasks a worker.
--- a/source/placement/preempt.cc
+++ b/source/placement/preempt.cc
@@ -142,7 +142,7 @@
                               const victims_by_worker& index) {
   trial so_far;
   for (const auto& [worker, each] : offered.slots) {
-    if (Suits(asked, each) &&
+    if (Suits(asked, worker, each) &&
         std::ranges::find(racks, each.rack) != racks.end())
       so_far.room[worker] = SoonFreeRoom(worker, each);
   }
--- a/source/placement/room.cc
+++ b/source/placement/room.cc
@@ -29,7 +29,7 @@
                                     const room_of& room) {
   std::vector<candidate> found;
   for (const auto& [worker, each] : offered.slots) {
-    if (!Suits(asked, each) ||
+    if (!Suits(asked, worker, each) ||
         std::ranges::find(racks, each.rack) == racks.end())
       continue;
     const work::resources has = room(worker, each);
@@ -72,7 +72,7 @@
                                                      const demand& asked) {
   std::set<work::rack_id> racks;
   for (const auto& [worker, each] : offered.slots) {
-    if (Suits(asked, each))
+    if (Suits(asked, worker, each))
       racks.insert(each.rack);
   }
   const std::vector<work::rack_id> all(racks.begin(), racks.end());
--- a/source/work/limits.h
+++ b/source/work/limits.h
@@ -56,10 +56,16 @@
   const duration lapse_margin{500};
   // A worker missing from the list for so long, with the list read, is gone.
   const duration unlisted_gone{3000};
-  // After it refused or failed an order, a worker gets no work for so long,
-  // doubled with each further failure up to the maximum.
-  const duration shun_base{1000};
+  // Failures of different jobs in a row after which a worker is shunned: one
+  // may be the job's own.
+  const std::uint32_t failures_to_shun = 2;
+  // A shunned worker gets no work for so long, doubled with each further
+  // failure up to the maximum.
+  const duration shun_base{2000};
   const duration shun_max{20000};
+  // A unit that has waited for so long takes a shunned worker too, well within
+  // the 3 s in which the users expect a unit with room to start.
+  const duration shun_patience{1500};
 
   // Jobs.
   const duration plan_pause{20};
