Count what an earlier leader started without a record

Change: ends and running tasks open their step; failures are counted once an attempt, by attempt. Ruled out: ends acknowledged before they were stored; every such end was still listed.

--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -94,7 +94,7 @@
     if (each.phase != unit_phase::kWaiting || blocked.contains(id))
       continue;
     const live_job& job = *ctx.state.mine.jobs.Find(id.job);
-    if (work::IsClosed(job.phase))
+    if (work::IsClosed(job.phase) || !MayStart(job, id))
       continue;
     const work::step_spec& step = StepOf(job, id);
     const duration waited = ctx.now() - job.content.Get()->submitted_at;
--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -55,17 +55,12 @@
 void EndAttempt(const context& ctx, const work::unit_id& id) {
   leader_state& mine = ctx.state.mine;
   unit ended = *mine.units.Find(id);
-  const live_job& job = *mine.jobs.Find(id.job);
   ended.phase = unit_phase::kWaiting;
   ended.members.clear();
   ended.since = ctx.now();
-  const bool spent =
-      ended.failures >= job.content.Get()->max_attempts;
   mine.units.Put(id, std::move(ended));
   mine.unsaved.insert(id.job);
   mine.plan_due = true;
-  if (spent)
-    CloseJob(ctx, id.job, work::job_phase::kFailed);
 }
 
 bool AllEnded(const unit& each) {
@@ -175,17 +170,39 @@
   ctx.state.mine.workers.Put(worker, std::move(row));
 }
 
-// An attempt counts as failed once, however many of its members say so.
-void MarkFailed(const context& ctx,
-                const work::unit_id& id,
-                const work::worker_id& worker,
-                bool endless) {
+// An attempt counts as failed once, however many of its members say so, and
+// whichever leader started it.
+void CountFailure(const context& ctx,
+                  const work::unit_id& id,
+                  const work::worker_id& worker,
+                  std::uint64_t attempt) {
   unit failed = *ctx.state.mine.units.Find(id);
   failed.failed_on.insert(worker);
-  failed.failures += endless || failed.failed ? 0 : 1;
-  failed.failed = true;
-  ctx.state.mine.unsaved.insert(id.job);
+  const bool counted = attempt < failed.restored_attempt ||
+                       !failed.failed_attempts.insert(attempt).second;
+  failed.failures += counted ? 0 : 1;
   ctx.state.mine.units.Put(id, std::move(failed));
+  ctx.state.mine.unsaved.insert(id.job);
+}
+
+bool IsSpent(const context& ctx, const work::unit_id& id) {
+  const live_job* job = ctx.state.mine.jobs.Find(id.job);
+  const unit* each = ctx.state.mine.units.Find(id);
+  return job != nullptr && each != nullptr &&
+         each->phase != unit_phase::kDone &&
+         each->failures >= job->content.Get()->max_attempts;
+}
+
+// An earlier leader had started a later attempt than its records say.
+void RaiseAttempt(const context& ctx,
+                  const work::unit_id& id,
+                  std::uint64_t attempt) {
+  unit raised = *ctx.state.mine.units.Find(id);
+  if (raised.phase != unit_phase::kWaiting || attempt <= raised.attempt)
+    return;
+  raised.attempt = attempt;
+  ctx.state.mine.units.Put(id, std::move(raised));
+  ctx.state.mine.unsaved.insert(id.job);
 }
 
 void KeepCheckpoint(const context& ctx,
@@ -219,6 +236,8 @@
   if (task.task.step >= job->content.Get()->request.steps.size())
     return;
   const work::unit_id id = UnitOf(*job, task.task);
+  EnsureOpened(ctx, id);
+  job = mine.jobs.Find(id.job);
   const unit* each = mine.units.Find(id);
   const work::step_spec& step = StepOf(*job, id);
   if (each != nullptr && each->attempt == task.attempt) {
@@ -251,6 +270,8 @@
   if (!known)
     return;
   const work::unit_id id = UnitOf(*job, end.task);
+  EnsureOpened(ctx, id);
+  job = mine.jobs.Find(id.job);
   const unit* each = mine.units.Find(id);
   if (each == nullptr)
     return;
@@ -262,17 +283,21 @@
     if (each == nullptr)
       return;
   }
-  if (each->attempt != end.attempt)
-    return;
-  const auto index = FindMember(*each, id, end.task, worker);
-  if (!index)
-    return;
+  RaiseAttempt(ctx, id, end.attempt);
   if (end.how == work::run_end_kind::kFailed) {
     NoteFailure(ctx, worker, id.job, "task failed");
-    MarkFailed(ctx, id, worker, endless);
+    if (!endless)
+      CountFailure(ctx, id, worker, end.attempt);
+  }
+  each = mine.units.Find(id);
+  if (each->attempt == end.attempt) {
+    const auto index = FindMember(*each, id, end.task, worker);
+    KeepCheckpoint(ctx, id, end.checkpoint);
+    if (index)
+      EndMember(ctx, id, *index, NameOf(end.how));
   }
-  KeepCheckpoint(ctx, id, end.checkpoint);
-  EndMember(ctx, id, *index, NameOf(end.how));
+  if (IsSpent(ctx, id))
+    CloseJob(ctx, id.job, work::job_phase::kFailed);
 }
 
 void EndMember(const context& ctx,
--- a/source/dispatch/jobs.cc
+++ b/source/dispatch/jobs.cc
@@ -176,7 +176,10 @@
                 .attempt = saved.attempt,
                 .checkpoint = saved.checkpoint,
                 .members = RestoredMembers(ctx, saved),
+                .restored_attempt = saved.attempt,
                 .since = ctx.now()};
+  if (saved.attempt_failed)
+    restored.failed_attempts.insert(saved.attempt);
   LoadRestored(ctx, unit_name, restored, step);
   ctx.state.mine.units.Put(unit_name, std::move(restored));
 }
@@ -233,6 +236,8 @@
                        .done = each.phase == unit_phase::kDone,
                        .failures = each.failures,
                        .attempt = each.attempt,
+                       .attempt_failed =
+                           each.failed_attempts.contains(each.attempt),
                        .checkpoint = each.checkpoint,
                        .workers = WorkersOf(each)});
     });
@@ -328,6 +333,24 @@
     OpenSteps(ctx, id);
 }
 
+void EnsureOpened(const context& ctx, const work::unit_id& id) {
+  const live_job* known = ctx.state.mine.jobs.Find(id.job);
+  const step_key key{id.occurrence, id.step};
+  const bool missing = known != nullptr && !work::IsClosed(known->phase) &&
+                       id.occurrence < Occurrences(*known) &&
+                       !known->opened.contains(key);
+  if (!missing)
+    return;
+  live_job job = *known;
+  job.opened.insert(key);
+  CreateUnits(ctx, id.job, key, ContentOf(job).request.steps[id.step]);
+  ctx.state.mine.jobs.Put(id.job, std::move(job));
+}
+
+bool MayStart(const live_job& job, const work::unit_id& id) {
+  return DependenciesDone(job, {id.occurrence, id.step});
+}
+
 void FinishUnit(const context& ctx, const work::unit_id& id) {
   leader_state& mine = ctx.state.mine;
   unit done = *mine.units.Find(id);
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -234,7 +234,6 @@
            Field("checkpoint", placed.checkpoint)});
   placed.phase = unit_phase::kPlaced;
   placed.attempt = NextAttempt(ctx, placed);
-  placed.failed = false;
   placed.since = ctx.now();
   placed.members.clear();
   for (const work::worker_id& worker : workers)
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -64,6 +64,10 @@
 void OnJobFolded(const context& ctx, const work::job_id& job);
 void RestoreJobs(const context& ctx);
 void OpenDueSteps(const context& ctx);
+// Creates the units of a step that an earlier leader opened without a record.
+void EnsureOpened(const context& ctx, const work::unit_id& id);
+// The steps that the unit's step depends on are done.
+bool MayStart(const live_job& job, const work::unit_id& id);
 void FinishUnit(const context& ctx, const work::unit_id& id);
 void CloseJob(const context& ctx,
               const work::job_id& job,
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -209,8 +209,10 @@
   std::uint64_t attempt = 0;
   std::string checkpoint;
   std::vector<member> members;
-  // A member of this attempt failed.
-  bool failed = false;
+  // Attempts whose failure is counted. Those below the one that was restored
+  // are counted too, though not listed here.
+  std::set<std::uint64_t> failed_attempts;
+  std::uint64_t restored_attempt = 0;
   // Workers on which an attempt failed.
   std::set<work::worker_id> failed_on;
   timestamp since;
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -65,6 +65,7 @@
                       done,
                       failures,
                       attempt,
+                      attempt_failed,
                       checkpoint,
                       workers)
 
--- a/source/work/job.h
+++ b/source/work/job.h
@@ -127,8 +127,9 @@
   const std::uint32_t index = 0;
   const bool done = false;
   const std::uint32_t failures = 0;
-  // Highest attempt ever ordered.
+  // Highest attempt ever ordered, and whether its failure is counted.
   const std::uint64_t attempt = 0;
+  const bool attempt_failed = false;
   // Where the next attempt resumes; empty for the beginning.
   const std::string checkpoint;
   // The workers of the attempt under way, one a task; empty when none is.
