--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -276,6 +276,7 @@
   if (each == nullptr)
     return;
   const bool endless = StepOf(*job, id).endless;
+  RaiseAttempt(ctx, id, end.attempt);
   if (end.how == work::run_end_kind::kDone && !endless) {
     RewardWorker(ctx, worker);
     FinishUnit(ctx, id);
@@ -283,7 +284,6 @@
     if (each == nullptr)
       return;
   }
-  RaiseAttempt(ctx, id, end.attempt);
   if (end.how == work::run_end_kind::kFailed) {
     NoteFailure(ctx, worker, id.job, "task failed");
     if (!endless)
--- a/source/dispatch/jobs.cc
+++ b/source/dispatch/jobs.cc
@@ -210,7 +210,7 @@
 }
 
 bool HasBegun(const unit& each) {
-  return each.attempt > 0;
+  return each.attempt > 0 || each.phase == unit_phase::kDone;
 }
 
 std::vector<work::worker_id> WorkersOf(const unit& each) {
--- /dev/null
+++ b/tests/dispatch/jobs_test.cc
@@ -0,0 +1,108 @@
+// Jobs on a calm stage.
+
+#include "dispatch/stage_fixture.h"
+
+namespace tests = parsleyhitch::tests;
+namespace work = parsleyhitch::work;
+using tests::kJob;
+using tests::kOtherJob;
+using tests::stage_fixture;
+using tests::Step;
+
+Test(job, handed_in_at_a_follower_is_accepted_and_completes) {
+  stage_fixture fixture;
+  const auto call = fixture.stage.Submit(fixture.Follower(), kJob, {Step(3, 2)});
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  cr_assert(fixture.stage.IsAnswered(call, work::answer_kind::kAccepted));
+  cr_assert_eq(fixture.stage.starts(), 3U);
+  cr_assert(fixture.Breach().empty(), "%s", fixture.Breach().c_str());
+}
+
+Test(job, handed_in_twice_at_two_entries_runs_once) {
+  stage_fixture fixture;
+  fixture.stage.Submit(0, kJob, {Step(2, 1)});
+  fixture.stage.Submit(1, kJob, {Step(2, 1)});
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  cr_assert_eq(fixture.stage.starts(), 2U);
+}
+
+Test(job, with_dependent_steps_runs_them_in_order) {
+  stage_fixture fixture;
+  fixture.stage.Submit(0, kJob, {Step(4, 1), Step(2, 1, false, {0})});
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  cr_assert_eq(fixture.stage.starts(), 6U);
+  cr_assert(fixture.Breach().empty(), "%s", fixture.Breach().c_str());
+}
+
+Test(job, that_is_a_gang_runs_all_members_at_a_time) {
+  stage_fixture fixture;
+  fixture.stage.Submit(0, kJob, {Step(5, 4, true)});
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  cr_assert_eq(fixture.stage.starts(), 5U);
+}
+
+Test(job, cancelled_while_it_runs_is_stopped_and_shown_as_cancelled) {
+  stage_fixture fixture;
+  fixture.stage.Submit(0, kJob, {Step(2, 8)});
+  cr_assert(fixture.stage.RunUntil([&] { return fixture.IsRunning(kJob); },
+                                   work::duration(3000)));
+  const auto call = fixture.stage.Cancel(fixture.Follower(), kJob);
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCancelled));
+  cr_assert(fixture.stage.IsAnswered(call, work::answer_kind::kAccepted));
+  cr_assert(fixture.stage.RunUntil([&] { return !fixture.IsRunning(kJob); },
+                                   work::duration(1000)));
+}
+
+Test(job, that_no_worker_can_hold_stays_queued_and_does_not_block_others) {
+  stage_fixture fixture;
+  fixture.stage.Submit(0, kJob, {Step(1, 9)}, "urgent");
+  fixture.stage.Submit(0, kOtherJob, {Step(1, 8)});
+  cr_assert(fixture.Ends(kOtherJob, work::job_phase::kCompleted));
+  cr_assert(fixture.stage.PhaseOf(kJob) == work::job_phase::kQueued);
+}
+
+Test(job, whose_tasks_all_fail_is_failed_after_its_attempts) {
+  stage_fixture fixture;
+  for (std::uint32_t i = 0; i < fixture.stage.worker_count(); ++i)
+    fixture.stage.worker(i).fails_everything = true;
+  fixture.stage.Submit(0, kJob, {Step(1, 1)});
+  cr_assert(fixture.Ends(kJob, work::job_phase::kFailed));
+  cr_assert_eq(fixture.stage.starts(), 3U);
+}
+
+Test(urgent_gang, without_room_has_background_work_stopped_and_starts_soon) {
+  stage_fixture fixture;
+  fixture.stage.Submit(0, kJob, {Step(6, 8)}, "background");
+  cr_assert(fixture.stage.RunUntil([&] { return fixture.IsRunning(kJob); },
+                                   work::duration(3000)));
+  fixture.stage.Submit(1, kOtherJob, {Step(3, 8, true)}, "urgent");
+  cr_assert(fixture.stage.RunUntil([&] { return fixture.IsRunning(kOtherJob); },
+                                   work::duration(1000)));
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  cr_assert(fixture.Breach().empty(), "%s", fixture.Breach().c_str());
+}
+
+Test(worker, that_drains_gets_no_new_task) {
+  stage_fixture fixture;
+  for (std::uint32_t i = 1; i < fixture.stage.worker_count(); ++i)
+    fixture.stage.worker(i).draining = true;
+  // The registry's next lines, and the leader's next look at them.
+  fixture.stage.RunFor(work::duration(2000));
+  fixture.stage.Submit(0, kJob, {Step(2, 8)});
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  for (std::uint32_t i = 1; i < fixture.stage.worker_count(); ++i)
+    cr_assert(fixture.stage.worker(i).Listing().ended.empty());
+}
+
+Test(worker, that_fails_everything_is_shunned_and_its_work_done_elsewhere) {
+  stage_fixture fixture;
+  fixture.stage.worker(0).fails_everything = true;
+  for (int i = 0; i < 6; ++i) {
+    const std::string job = "000000000000000" + std::to_string(i);
+    fixture.stage.Submit(0, job, {Step(2, 1)});
+  }
+  for (int i = 0; i < 6; ++i) {
+    const std::string job = "000000000000000" + std::to_string(i);
+    cr_assert(fixture.Ends(job, work::job_phase::kCompleted));
+  }
+}
--- /dev/null
+++ b/tests/dispatch/stage_fixture.h
@@ -0,0 +1,80 @@
+// A stage with a leader, and the steps that tests hand in.
+
+#ifndef PARSLEYHITCH_TESTS_DISPATCH_STAGE_FIXTURE_H_
+#define PARSLEYHITCH_TESTS_DISPATCH_STAGE_FIXTURE_H_
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+#include "support/platform_stage.h"
+
+namespace parsleyhitch::tests {
+
+inline constexpr char kJob[] = "00000000000000a1";
+inline constexpr char kOtherJob[] = "00000000000000b2";
+inline constexpr work::duration kElection{2500};
+inline constexpr work::duration kLongEnough{40000};
+
+inline work::step_spec Step(std::uint32_t tasks,
+                            std::int64_t accelerators,
+                            bool gang = false,
+                            std::vector<std::uint32_t> after = {}) {
+  return {.tasks = tasks,
+          .need = {.cpu_millis = 1000,
+                   .memory_mb = 1024,
+                   .accelerators = accelerators},
+          .estimate = work::duration(1000),
+          .after = std::move(after),
+          .gang = gang};
+}
+
+struct stage_fixture {
+  explicit stage_fixture(const stage_options& options = {}) : stage(options) {
+    stage.RunFor(kElection);
+  }
+
+  std::uint32_t Leader() const { return stage.Leader().value(); }
+  std::uint32_t Follower() const { return Leader() == 0 ? 1 : 0; }
+
+  bool Ends(const std::string& job,
+            work::job_phase phase,
+            work::duration within = kLongEnough) {
+    return stage.RunUntil([&] { return stage.PhaseOf(job) == phase; }, within);
+  }
+
+  // The first breach, or nothing to complain of.
+  std::string Breach() const {
+    return stage.breaches().empty() ? std::string()
+                                    : stage.breaches().front();
+  }
+
+  bool IsRunning(const std::string& job) {
+    for (std::uint32_t i = 0; i < stage.worker_count(); ++i) {
+      for (const auto& [task, run] : stage.worker(i).running()) {
+        if (task.job.value() == job)
+          return true;
+      }
+    }
+    return false;
+  }
+
+  // The worker that runs a task of the job.
+  stage_worker& WorkerOf(const std::string& job) {
+    for (std::uint32_t i = 0; i < stage.worker_count(); ++i) {
+      for (const auto& [task, run] : stage.worker(i).running()) {
+        if (task.job.value() == job)
+          return stage.worker(i);
+      }
+    }
+    cr_assert_fail("no worker runs the job");
+    return stage.worker(0);
+  }
+
+  platform_stage stage;
+};
+
+}  // namespace parsleyhitch::tests
+
+#endif  // PARSLEYHITCH_TESTS_DISPATCH_STAGE_FIXTURE_H_
--- /dev/null
+++ b/tests/support/platform_stage.cc
@@ -0,0 +1,625 @@
+// Effects of the entries become events after a delay, unless a failure is in
+// their way.
+
+#include "support/platform_stage.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace parsleyhitch::tests {
+
+namespace {
+
+constexpr work::duration kEpoch{1700000000000};
+constexpr work::duration kBeatInterval{1500};
+constexpr work::duration kWorkerStep{10};
+constexpr char kHost[] = "jobs.example";
+constexpr char kKey[] = "key-1";
+
+work::catalog DefaultCatalog() {
+  const auto queue = [](const char* name, std::uint32_t priority) {
+    return work::queue{.id = work::queue_id(name),
+                       .host = kHost,
+                       .path_prefix = std::string("/") + name + "/",
+                       .service = work::service_id("pool"),
+                       .priority = priority,
+                       .max_attempts = 3,
+                       .stretch_permille = 2000,
+                       .target_latency = work::duration(1000)};
+  };
+  return {.version = 1,
+          .queues = {queue("urgent", 0), queue("normal", 1),
+                     queue("background", 2)},
+          .services = {{.id = work::service_id("pool")}},
+          .workspaces = {{.id = work::workspace_id("team"),
+                          .keys = {kKey},
+                          .guaranteed_accelerators = 16}}};
+}
+
+work::published_catalog Published(const work::catalog& catalog) {
+  return {.content = catalog, .encoded = std::to_string(catalog.version)};
+}
+
+std::string Address(std::uint32_t entry) {
+  return "entry-" + std::to_string(entry) + ":1";
+}
+
+// Between 0.5 and 2 s, always the same for a task.
+work::duration WorkOf(const work::task_id& task) {
+  const std::size_t mixed =
+      std::hash<std::string>()(task.job.value()) + task.step * 31;
+  return work::duration(500 + static_cast<std::int64_t>(mixed % 1500));
+}
+
+work::unit_id GangOf(const work::task_id& task) {
+  return {.job = task.job, .occurrence = task.occurrence, .step = task.step};
+}
+
+}  // namespace
+
+platform_stage::platform_stage(const stage_options& options)
+    : random_(options.seed) {
+  Publish(DefaultCatalog());
+  workers_.resize(options.workers);
+  missed_beats_.resize(options.workers);
+  AdvanceWorkers();
+  for (std::uint32_t i = 0; i < options.workers; ++i) {
+    stage_worker& each = workers_[i];
+    each.id = work::worker_id("w-" + std::to_string(i));
+    each.rack = work::rack_id("r-" + std::to_string(i / options.workers_per_rack));
+    each.capacity = {.cpu_millis = 64000, .memory_mb = 65536, .accelerators = 8};
+    each.clock_rate = i % 2 == 0 ? 1.0 : 0.98;
+    ListenTo(each);
+    Beat(i);
+  }
+  entries_.resize(options.entries);
+  for (std::uint32_t i = 0; i < options.entries; ++i) {
+    entries_[i].environment = std::make_unique<dispatch::environment>(
+        dispatch::environment{.me = work::entry_id("entry-" + std::to_string(i)),
+                              .peer_address = Address(i),
+                              .behaviour = options.behaviour});
+    entries_[i].life = 0;
+    Start(i);
+  }
+}
+
+void platform_stage::ListenTo(stage_worker& worker) {
+  worker.spec_of = [this](const work::task_id& task) {
+    return steps_.at(task.job.value()).at(task.step);
+  };
+  worker.work_of = WorkOf;
+  worker.gang_present = [this, &worker](const work::task_id& task,
+                                        std::uint64_t attempt) {
+    const work::step_spec step = worker.spec_of(task);
+    if (!step.gang)
+      return true;
+    std::uint32_t present = 0;
+    for (const stage_worker& each : workers_) {
+      for (const auto& [other, run] : each.running())
+        present += GangOf(other) == GangOf(task) && run.attempt == attempt;
+    }
+    return present >= step.tasks;
+  };
+  worker.started = [this, &worker](const work::task_id& task) {
+    ++starts_;
+    running_[task] += 1;
+    if (running_[task] > 1)
+      breaches_.push_back("two runs at a time of " + task.job.value());
+    started_at_[task] = now_;
+    if (noted_.contains(task))
+      breaches_.push_back("started again after its end of " +
+                          task.job.value());
+    if (handed_in_.contains(task.job.value()) &&
+        !maybe_accepted_.contains(task.job.value()))
+      breaches_.push_back("started though refused: " + task.job.value());
+    for (const std::uint32_t earlier : worker.spec_of(task).after) {
+      const work::task_id first{.job = task.job,
+                                .occurrence = task.occurrence,
+                                .step = earlier};
+      if (!done_.contains(first))
+        breaches_.push_back("started out of order: " + task.job.value());
+    }
+  };
+  worker.ended = [this, &worker](const work::task_id& task,
+                                 work::run_end_kind how) {
+    running_[task] -= 1;
+    if (how == work::run_end_kind::kDone)
+      done_.insert(task);
+    if (!worker.spec_of(task).gang || how == work::run_end_kind::kBroken)
+      return;
+    // The members of a gang end together.
+    for (stage_worker& each : workers_) {
+      const auto running = each.running();
+      for (const auto& [other, run] : running) {
+        if (GangOf(other) != GangOf(task) || !each.alive)
+          continue;
+        if (how == work::run_end_kind::kDone)
+          each.FinishWith(other);
+        else
+          each.Break(other);
+      }
+    }
+  };
+  worker.noted = [this](const work::task_id& task, work::duration ended_at) {
+    noted_.insert(task);
+    if (started_at_[task] > ended_at)
+      breaches_.push_back("an end was noted though its task started later: " +
+                          task.job.value());
+  };
+  worker.breach = [this](const std::string& what) {
+    breaches_.push_back(what);
+  };
+}
+
+void platform_stage::At(work::duration when, std::function<void()> act) {
+  queue_.push({.at = std::max(when, now_), .order = ++order_,
+               .act = std::move(act)});
+}
+
+work::duration platform_stage::Delay() {
+  return work::duration(1 + static_cast<std::int64_t>(random_() % 4));
+}
+
+work::timestamp platform_stage::Time() const {
+  return work::timestamp(kEpoch + now_);
+}
+
+void platform_stage::RunFor(work::duration time) {
+  const work::duration until = now_ + time;
+  while (!queue_.empty() && queue_.top().at <= until) {
+    const scheduled next = queue_.top();
+    queue_.pop();
+    now_ = next.at;
+    next.act();
+  }
+  now_ = until;
+}
+
+bool platform_stage::RunUntil(const std::function<bool()>& condition,
+                              work::duration within) {
+  const work::duration until = now_ + within;
+  while (!condition()) {
+    if (now_ >= until)
+      return false;
+    RunFor(kWorkerStep);
+  }
+  return true;
+}
+
+void platform_stage::Post(std::uint32_t index,
+                          std::uint64_t life,
+                          work::event event) {
+  stage_entry& entry = entries_[index];
+  if (!entry.alive || entry.life != life)
+    return;
+  if (entry.frozen) {
+    entry.held.push_back(std::move(event));
+    return;
+  }
+  dispatch::step step =
+      dispatch::Reduce(*entry.environment, std::move(entry.state), event);
+  entry.state = std::move(step.state);
+  for (const work::effect& effect : step.effects) {
+    if (entry.alive && entry.life == life)
+      Perform(index, effect);
+  }
+}
+
+void platform_stage::Perform(std::uint32_t entry, const work::effect& effect) {
+  std::visit([&](const auto& each) { Do(entry, each); }, effect);
+}
+
+void platform_stage::AnswerLater(
+    std::uint32_t index,
+    work::duration timeout,
+    bool reached,
+    bool answered,
+    std::function<work::event(bool answered)> event) {
+  const std::uint64_t life = entries_[index].life;
+  const work::duration wait = reached && answered ? Delay() : timeout;
+  At(now_ + wait, [this, index, life, reached, answered, event] {
+    Post(index, life, event(reached && answered));
+  });
+}
+
+void platform_stage::Do(std::uint32_t index, const work::read_feed& effect) {
+  const stage_entry& entry = entries_[index];
+  const auto unread = [this, effect](work::read_failure why) {
+    return work::event(work::feed_unread{.at = Time(),
+                                         .call = effect.call,
+                                         .source = effect.source,
+                                         .why = why});
+  };
+  if (store_.down || entry.cut_from_store) {
+    AnswerLater(index, work::duration(20), false, false, [unread](bool) {
+      return unread(work::read_failure::kUnavailable);
+    });
+    return;
+  }
+  if (store_.IsTrimmed(effect)) {
+    AnswerLater(index, effect.timeout, true, true, [unread](bool) {
+      return unread(work::read_failure::kTrimmed);
+    });
+    return;
+  }
+  const bool waits = !store_.HasNews(effect) && effect.wait > work::duration(0);
+  if (waits) {
+    // Look again shortly, with what is left of the wait.
+    const work::duration step(5);
+    const std::uint64_t life = entry.life;
+    const work::read_feed rest{
+        .call = effect.call,
+        .source = effect.source,
+        .from = effect.from,
+        .wait = std::max(effect.wait - step, work::duration(0)),
+        .timeout = effect.timeout};
+    At(now_ + step, [this, index, life, rest] {
+      if (entries_[index].alive && entries_[index].life == life)
+        Do(index, rest);
+    });
+    return;
+  }
+  AnswerLater(index, effect.timeout, true, true, [this, effect](bool) {
+    work::feed_read read = store_.Read(effect);
+    return work::event(work::feed_read{.at = Time(),
+                                       .call = read.call,
+                                       .source = read.source,
+                                       .next = read.next,
+                                       .items = read.items});
+  });
+}
+
+void platform_stage::Do(std::uint32_t index, const work::read_newest& effect) {
+  const bool reached = !store_.down && !entries_[index].cut_from_store;
+  AnswerLater(index, work::duration(20), reached, true,
+              [this, effect](bool answered) -> work::event {
+                if (!answered) {
+                  return work::feed_unread{.at = Time(),
+                                           .call = effect.call,
+                                           .source = effect.source};
+                }
+                const work::newest_read read = store_.Newest(effect);
+                return work::newest_read{.at = Time(),
+                                         .call = read.call,
+                                         .source = read.source,
+                                         .end = read.end,
+                                         .items = read.items};
+              });
+}
+
+void platform_stage::Do(std::uint32_t index,
+                        const work::append_records& effect) {
+  const bool reached = !store_.down && !entries_[index].cut_from_store;
+  if (!reached) {
+    AnswerLater(index, work::duration(20), false, false,
+                [this, effect](bool) -> work::event {
+                  return work::append_answered{
+                      .at = Time(),
+                      .call = effect.call,
+                      .outcome = work::append_outcome::kRefused};
+                });
+    return;
+  }
+  const bool lost = store_.lose_answers > 0;
+  store_.lose_answers -= lost ? 1 : 0;
+  const std::uint64_t life = entries_[index].life;
+  At(now_ + Delay(), [this, index, life, effect, lost] {
+    const work::append_answered stored = store_.Append(effect);
+    const work::duration wait = lost ? effect.timeout : Delay();
+    At(now_ + wait, [this, index, life, stored, lost] {
+      Post(index, life,
+           work::append_answered{
+               .at = Time(),
+               .call = stored.call,
+               .outcome = lost ? work::append_outcome::kUnknown
+                               : stored.outcome,
+               .end = stored.end});
+    });
+  });
+}
+
+void platform_stage::Do(std::uint32_t entry, const work::write_log& line) {
+  std::string text = std::to_string(now_.count()) + " entry-" +
+                     std::to_string(entry) + " " + line.decision + " " +
+                     line.subject;
+  for (const work::log_field& field : line.fields)
+    text += " " + field.name + "=" + field.value;
+  log_.push_back(std::move(text));
+}
+
+std::string platform_stage::LogOf(const std::string& subject) const {
+  std::string found;
+  for (const std::string& line : log_) {
+    if (line.find(subject) != std::string::npos)
+      found += line + "\n";
+  }
+  return found;
+}
+
+stage_worker* platform_stage::FindWorker(const work::worker_id& id) {
+  for (stage_worker& each : workers_) {
+    if (each.id == id)
+      return &each;
+  }
+  return nullptr;
+}
+
+void platform_stage::Do(std::uint32_t index, const work::start_run& effect) {
+  const std::uint64_t life = entries_[index].life;
+  const bool cut = entries_[index].cut_from_workers;
+  At(now_ + Delay(), [this, index, life, effect, cut] {
+    stage_worker* worker = FindWorker(effect.target.worker);
+    const bool reached = !cut && worker->alive && !worker->cut;
+    const auto outcome = reached ? worker->Start(effect, now_)
+                                 : work::order_outcome::kUnknown;
+    const bool mute = reached && worker->mute_orders > 0;
+    worker->mute_orders -= mute ? 1 : 0;
+    const bool answered = reached && !mute;
+    At(now_ + (answered ? Delay() : effect.timeout),
+       [this, index, life, effect, outcome, answered] {
+         Post(index, life,
+              work::start_answered{
+                  .at = Time(),
+                  .call = effect.call,
+                  .worker = effect.target.worker,
+                  .outcome =
+                      answered ? outcome : work::order_outcome::kUnknown});
+       });
+  });
+}
+
+void platform_stage::Do(std::uint32_t index, const work::stop_run& effect) {
+  const std::uint64_t life = entries_[index].life;
+  const bool cut = entries_[index].cut_from_workers;
+  At(now_ + Delay(), [this, index, life, effect, cut] {
+    stage_worker* worker = FindWorker(effect.target.worker);
+    const bool reached = !cut && worker->alive && !worker->cut;
+    const auto outcome = reached ? worker->Stop(effect, now_)
+                                 : work::order_outcome::kUnknown;
+    At(now_ + (reached ? Delay() : effect.timeout),
+       [this, index, life, effect, outcome] {
+         Post(index, life,
+              work::stop_answered{.at = Time(),
+                                  .call = effect.call,
+                                  .worker = effect.target.worker,
+                                  .outcome = outcome});
+       });
+  });
+}
+
+void platform_stage::Do(std::uint32_t index, const work::hold_worker& effect) {
+  const std::uint64_t life = entries_[index].life;
+  const bool cut = entries_[index].cut_from_workers;
+  At(now_ + Delay(), [this, index, life, effect, cut] {
+    stage_worker* worker = FindWorker(effect.target.worker);
+    const bool reached = !cut && worker->alive && !worker->cut;
+    const auto outcome = reached ? worker->Hold(effect, now_)
+                                 : work::order_outcome::kUnknown;
+    const bool held = outcome == work::order_outcome::kDone;
+    // A long call ends early with an end; here it is simply shorter.
+    const work::duration wait =
+        held ? std::min(effect.wait, work::duration(50)) + Delay()
+             : (reached ? Delay() : effect.timeout);
+    At(now_ + wait, [this, index, life, effect, outcome, held, worker] {
+      std::optional<work::duration> clock;
+      std::optional<work::worker_listing> listing;
+      if (held) {
+        worker->Advance(now_);
+        clock = worker->Clock(now_);
+        listing.emplace(worker->Listing());
+      }
+      const bool answered = !held || (worker->alive && !worker->cut);
+      Post(index, life,
+           work::hold_answered{
+               .at = Time(),
+               .call = effect.call,
+               .worker = effect.target.worker,
+               .outcome = answered ? outcome : work::order_outcome::kUnknown,
+               .worker_clock = clock,
+               .listing = answered ? listing : std::nullopt});
+    });
+  });
+}
+
+void platform_stage::Do(std::uint32_t index, const work::send_to_peer& effect) {
+  if (entries_[index].cut_from_peers)
+    return;
+  At(now_ + Delay(), [this, effect] {
+    for (std::uint32_t to = 0; to < entries_.size(); ++to) {
+      const bool receives =
+          Address(to) == effect.address && !entries_[to].cut_from_peers;
+      if (!receives)
+        continue;
+      const auto* offer =
+          std::get_if<work::catalog_offered>(&effect.message.content);
+      if (offer != nullptr) {
+        const work::feed_read all =
+            store_.Read({.source = work::feed::kCatalog});
+        Post(to, entries_[to].life,
+             work::catalog_relayed{.at = Time(),
+                                   .content = std::get<work::published_catalog>(
+                                       *all.items.back().value)});
+      }
+      Post(to, entries_[to].life,
+           work::peer_heard{.at = Time(), .message = effect.message});
+    }
+  });
+}
+
+void platform_stage::Do(std::uint32_t, const work::answer_client& effect) {
+  const auto found = calls_.find(effect.call);
+  if (found == calls_.end())
+    return;
+  const bool refused = effect.content.kind != work::answer_kind::kAccepted &&
+                       effect.content.kind != work::answer_kind::kNotSettled;
+  const bool submits = found->second.content.verb == work::call_verb::kSubmit;
+  const std::string& path = found->second.content.path;
+  if (submits && !refused)
+    maybe_accepted_.insert(path.substr(path.rfind('/') + 1));
+  found->second.answer.emplace(effect.content);
+}
+
+void platform_stage::Do(std::uint32_t index, const work::wake_at& effect) {
+  const std::uint64_t life = entries_[index].life;
+  const std::uint64_t wake = ++entries_[index].wake;
+  At(effect.at.time_since_epoch() - kEpoch, [this, index, life, wake] {
+    if (entries_[index].wake == wake)
+      Post(index, life, work::wake_due{.at = Time()});
+  });
+}
+
+void platform_stage::Do(std::uint32_t entry, const work::stop_process&) {
+  Kill(entry);
+}
+
+std::uint64_t platform_stage::CallAt(std::uint32_t index,
+                                     work::call_verb verb,
+                                     const std::string& job,
+                                     std::optional<work::job_request> request,
+                                     const std::string& queue) {
+  const std::uint64_t number = ++last_call_;
+  work::client_call content{.verb = verb,
+                            .host = kHost,
+                            .path = "/" + queue + "/" + job,
+                            .key = kKey,
+                            .patience = work::duration(3000),
+                            .request = std::move(request)};
+  calls_.emplace(number, stage_call{.content = content});
+  if (verb == work::call_verb::kSubmit) {
+    handed_in_.insert(job);
+    // Until it is answered, the job may run.
+    maybe_accepted_.insert(job);
+  }
+  Post(index, entries_[index].life,
+       work::client_called{.at = Time(), .call = number, .content = content});
+  return number;
+}
+
+std::uint64_t platform_stage::Submit(std::uint32_t entry,
+                                     const std::string& job,
+                                     const std::vector<work::step_spec>& steps,
+                                     const std::string& queue) {
+  steps_.emplace(job, steps);
+  return CallAt(entry, work::call_verb::kSubmit, job,
+                work::job_request{.spec = "work", .steps = steps}, queue);
+}
+
+std::uint64_t platform_stage::Read(std::uint32_t entry,
+                                   const std::string& job) {
+  return CallAt(entry, work::call_verb::kRead, job, {}, "normal");
+}
+
+std::uint64_t platform_stage::Cancel(std::uint32_t entry,
+                                     const std::string& job) {
+  return CallAt(entry, work::call_verb::kCancel, job, {}, "normal");
+}
+
+bool platform_stage::IsAnswered(std::uint64_t call,
+                                work::answer_kind kind) const {
+  const auto& answer = calls_.at(call).answer;
+  return answer && answer->kind == kind;
+}
+
+std::optional<work::job_phase> platform_stage::PhaseOf(
+    const std::string& job) const {
+  records::ledger ledger;
+  for (const work::feed_item& item : store_.records()) {
+    ledger = records::Fold(std::move(ledger), item.offset,
+                           std::get<work::record>(*item.value));
+  }
+  const records::job_entry* found =
+      records::FindJob(ledger, work::job_id(job));
+  if (found == nullptr)
+    return {};
+  return records::PhaseOf(*found);
+}
+
+void platform_stage::Kill(std::uint32_t index) {
+  entries_[index].alive = false;
+}
+
+void platform_stage::Start(std::uint32_t index) {
+  stage_entry& entry = entries_[index];
+  entry.alive = true;
+  entry.frozen = false;
+  entry.held.clear();
+  entry.life += 1;
+  entry.state = dispatch::state();
+  Post(index, entry.life,
+       work::entry_started{
+           .at = Time(),
+           .incarnation = static_cast<std::uint64_t>((kEpoch + now_).count()),
+           .seed = random_()});
+}
+
+void platform_stage::Freeze(std::uint32_t index) {
+  entries_[index].frozen = true;
+}
+
+void platform_stage::Thaw(std::uint32_t index) {
+  stage_entry& entry = entries_[index];
+  if (!entry.frozen)
+    return;
+  entry.frozen = false;
+  std::vector<work::event> held = std::move(entry.held);
+  entry.held.clear();
+  // Events carry the times at which they were raised.
+  for (work::event& each : held)
+    Post(index, entry.life, std::move(each));
+  Post(index, entry.life, work::wake_due{.at = Time()});
+}
+
+void platform_stage::Shutdown(std::uint32_t index, work::duration grace) {
+  Post(index, entries_[index].life,
+       work::shutdown_requested{.at = Time(), .grace = grace});
+}
+
+void platform_stage::Publish(const work::catalog& catalog) {
+  store_.Put(work::feed::kCatalog, "config", Published(catalog));
+}
+
+void platform_stage::Beat(std::uint32_t index) {
+  const stage_worker& each = workers_[index];
+  if (each.alive && !each.cut && !store_.down) {
+    store_.Put(work::feed::kWorkers, each.id.value(),
+               work::worker_entry{.worker = each.id,
+                                  .service = work::service_id("pool"),
+                                  .address = each.id.value() + ":1",
+                                  .rack = each.rack,
+                                  .labels = {"a", each.rack.value()},
+                                  .capacity = each.capacity,
+                                  .draining = each.draining,
+                                  .life = each.life});
+  }
+  // Three intervals of silence.
+  constexpr std::uint32_t kMissedBeats = 3;
+  const bool silent = !each.alive || each.cut;
+  missed_beats_[index] = silent ? missed_beats_[index] + 1 : 0;
+  if (missed_beats_[index] == kMissedBeats)
+    store_.Put(work::feed::kWorkers, each.id.value(), {});
+  At(now_ + kBeatInterval, [this, index] { Beat(index); });
+}
+
+void platform_stage::AdvanceWorkers() {
+  for (stage_worker& worker : workers_)
+    worker.Advance(now_);
+  At(now_ + kWorkerStep, [this] { AdvanceWorkers(); });
+}
+
+std::optional<std::uint32_t> platform_stage::Leader() const {
+  std::optional<std::uint32_t> found;
+  std::uint64_t epoch = 0;
+  for (std::uint32_t i = 0; i < entries_.size(); ++i) {
+    const dispatch::state& state = entries_[i].state;
+    const bool leads = entries_[i].alive &&
+                       state.lead.mine == dispatch::role::kLeader &&
+                       state.mine.epoch > epoch;
+    if (!leads)
+      continue;
+    epoch = state.mine.epoch;
+    found = i;
+  }
+  return found;
+}
+
+}  // namespace parsleyhitch::tests
