Wait for unreached workers after a leader without store

Change: the last heartbeat says whether the leader reached the store; a successor of one that did not leaves units of older jobs waiting until every worker was reached or its lease has lapsed.

--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -87,6 +87,8 @@
 }  // namespace
 
 std::vector<waiting_unit> WaitingUnits(const context& ctx) {
+  const leader_state& mine = ctx.state.mine;
+  const bool wary = mine.cautious && !EarlierTasksKnown(ctx);
   const ranks ranked = RankJobs(ctx);
   const std::set<work::unit_id> blocked = UnitsWithStrays(ctx);
   std::vector<waiting_unit> waiting;
@@ -96,6 +98,10 @@
     const live_job& job = *ctx.state.mine.jobs.Find(id.job);
     if (work::IsClosed(job.phase) || !MayStart(job, id))
       continue;
+    // It may run where nobody could look yet.
+    const bool started_here = each.attempt >= FirstAttempt(ctx);
+    if (wary && !started_here && job.accepted < mine.caught_up_at)
+      continue;
     const work::step_spec& step = StepOf(job, id);
     const duration waited = ctx.now() - job.content.Get()->submitted_at;
     waiting.push_back({.unit = id,
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -219,6 +219,20 @@
 
 }  // namespace
 
+timestamp EarlierLeasesLapse(const context& ctx) {
+  const work::limits& limits = ctx.limits();
+  return ctx.state.mine.elected_at + limits.authority + limits.lease +
+         limits.lease * limits.clock_drift_permille / 1000 +
+         limits.lapse_margin;
+}
+
+bool EarlierTasksKnown(const context& ctx) {
+  return std::ranges::all_of(
+      ctx.state.mine.workers, [&](const auto& entry) {
+        return entry.second.fenced || ctx.now() >= entry.second.lapsed_by;
+      });
+}
+
 duration ClockNow(const context& ctx, const worker_row& row) {
   return *row.clock + (ctx.now() - row.clock_at);
 }
@@ -227,6 +241,8 @@
   auto& workers = ctx.state.mine.workers;
   const worker_row* known = workers.Find(entry.worker);
   worker_row row = known == nullptr ? worker_row() : *known;
+  if (known == nullptr)
+    row.lapsed_by = EarlierLeasesLapse(ctx);
   const std::uint64_t life = row.listed().life;
   // An entry that was written before the worker's present start.
   if (life > entry.life)
--- a/source/dispatch/jobs.cc
+++ b/source/dispatch/jobs.cc
@@ -139,7 +139,6 @@
                   const work::unit_id& id,
                   const unit& restored,
                   const work::step_spec& step) {
-  const work::limits& limits = ctx.limits();
   for (std::uint32_t i = 0; i < restored.members.size(); ++i) {
     const work::worker_id& worker = restored.members[i].worker;
     const worker_load* known = ctx.state.mine.loads.Find(worker);
@@ -151,9 +150,7 @@
       continue;
     // Its place in the registry is not read yet.
     worker_row row{.is_listed = false, .unlisted_since = ctx.now()};
-    row.lapsed_by = ctx.now() + limits.authority + limits.lease +
-                    limits.lease * limits.clock_drift_permille / 1000 +
-                    limits.lapse_margin;
+    row.lapsed_by = EarlierLeasesLapse(ctx);
     ctx.state.mine.workers.Put(worker, std::move(row));
   }
 }
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -132,6 +132,7 @@
   mine.epoch = s.lead.claim_epoch;
   mine.elected_at = ctx.now();
   mine.caught_up_at = end;
+  mine.cautious = mine.epoch > 1 && !s.lead.leader_reaches_store;
   mine.progress.writer = kLeaderWriter;
   mine.progress.epoch = mine.epoch;
   mine.progress.sequence = s.lead.claim_sequence + 1;
@@ -229,6 +230,7 @@
       lead.resigning_since.reset();
     else if (!lead.resigning_since)
       lead.resigning_since = ctx.now();
+    lead.leader_reaches_store = message.store_reached;
     if (message.store_reached)
       lead.leader_reached_store_at = ctx.now();
   }
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -105,9 +105,7 @@
 }
 
 std::uint64_t NextAttempt(const context& ctx, const unit& waiting) {
-  const std::uint64_t first_of_epoch =
-      (ctx.state.mine.epoch - 1) * ctx.limits().attempts_per_epoch + 1;
-  return std::max(waiting.attempt + 1, first_of_epoch);
+  return std::max(waiting.attempt + 1, FirstAttempt(ctx));
 }
 
 void AddToLoad(const context& ctx,
@@ -219,6 +217,10 @@
 
 }  // namespace
 
+std::uint64_t FirstAttempt(const context& ctx) {
+  return (ctx.state.mine.epoch - 1) * ctx.limits().attempts_per_epoch + 1;
+}
+
 void PlaceUnit(const context& ctx,
                const work::unit_id& id,
                const std::vector<work::worker_id>& workers) {
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -83,6 +83,10 @@
 // fleet.cc: workers, their lists and their leases.
 void UpsertWorker(const context& ctx, const work::worker_entry& entry);
 void DropWorker(const context& ctx, const work::worker_id& worker);
+// When whatever an earlier leader has started on a worker must have lapsed.
+timestamp EarlierLeasesLapse(const context& ctx);
+// Every worker was reached, or what it ran under an earlier leader has lapsed.
+bool EarlierTasksKnown(const context& ctx);
 void HoldIfNeeded(const context& ctx, const work::worker_id& worker);
 void OnHoldAnswered(const context& ctx, const work::hold_answered& event);
 void AdvanceWorkers(const context& ctx);
@@ -96,6 +100,8 @@
                  std::string_view why);
 
 // orders.cc: starts and stops.
+// The lowest attempt number of this leader's epoch.
+std::uint64_t FirstAttempt(const context& ctx);
 void PlaceUnit(const context& ctx,
                const work::unit_id& id,
                const std::vector<work::worker_id>& workers);
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -112,6 +112,8 @@
   std::string leader_address;
   timestamp heard_at;
   timestamp leader_reached_store_at;
+  // By its last heartbeat, the leader reached the store.
+  bool leader_reaches_store = false;
   std::optional<timestamp> resigning_since;
 
   // A candidate's claim, repeated unchanged until its fate is known.
@@ -278,6 +280,8 @@
   std::uint64_t caught_up_at = 0;
   bool restored = false;
   bool settled = false;
+  // The leader before may have started tasks that no record names.
+  bool cautious = false;
   model::value_table<work::job_id, live_job> jobs;
   model::value_table<work::unit_id, unit> units;
   model::value_table<work::worker_id, worker_row> workers;
--- a/tests/dispatch/properties_test.cc
+++ b/tests/dispatch/properties_test.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include <fstream>
 #include <iostream>
 #include <ostream>
 #include <string>
@@ -158,6 +159,7 @@
   fixture.stage.RunFor(work::duration(60000));
   if (!fixture.Breach().empty()) {
     const std::string& breach = fixture.Breach();
+    std::ofstream("/tmp/case.log") << fixture.stage.LogOf("");
     std::cerr << fixture.stage.LogOf("leadership")
               << fixture.stage.LogOf(breach.substr(breach.rfind(' ') + 1));
   }
