--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -71,7 +71,11 @@
                   std::uint64_t life) {
   ctx.Log("worker_reborn", worker.value(),
           {Field("life", life), Field("previous", row.listed().life)});
-  LoseTasks(ctx, worker, "worker started again");
+  const auto tasks = LoadOf(ctx, worker).tasks;
+  for (const auto& [unit, index] : tasks) {
+    if (!StopPending(ctx, unit, index))
+      EndMember(ctx, unit, index, "worker started again");
+  }
   const work::worker_entry& before = row.listed();
   worker_row next;
   next.entry.Put({.worker = before.worker,
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -276,6 +276,25 @@
     ctx.Log("unit_stopped", NameOf(id), {Field("why", std::string(why))});
 }
 
+bool StopPending(const context& ctx,
+                 const work::unit_id& id,
+                 std::uint32_t index) {
+  const unit* known = ctx.state.mine.units.Find(id);
+  if (known == nullptr || index >= known->members.size())
+    return false;
+  member next = known->members[index];
+  const bool pending = next.state == member_state::kOrdered ||
+                       (next.state != member_state::kEnded &&
+                        next.start_pending);
+  if (!pending)
+    return false;
+  next.state = member_state::kOrdered;
+  next.settled_at.reset();
+  PutMember(ctx, id, index, std::move(next));
+  StopUnit(ctx, id, "worker started again");
+  return true;
+}
+
 void OnStartAnswered(const context& ctx, const work::start_answered& event) {
   const order_reference* found = ctx.state.mine.orders.Find(event.call);
   if (found == nullptr)
@@ -299,6 +318,7 @@
       PutMember(ctx, about.unit, about.member, std::move(next));
       return;
     case work::order_outcome::kUnknown:
+      next.start_pending = true;
       PutMember(ctx, about.unit, about.member, std::move(next));
       return;
     default:
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -108,6 +108,11 @@
 void StopUnit(const context& ctx,
               const work::unit_id& id,
               std::string_view why);
+// Stops a member that a new life of its worker may start yet; false when no
+// start of it is pending.
+bool StopPending(const context& ctx,
+                 const work::unit_id& id,
+                 std::uint32_t index);
 void OnStartAnswered(const context& ctx, const work::start_answered& event);
 void OnStopAnswered(const context& ctx, const work::stop_answered& event);
 void AdvanceOrders(const context& ctx);
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -193,6 +193,8 @@
   std::optional<call_number> order;
   timestamp next_order_at;
   std::uint32_t tries = 0;
+  // A start had no answer: it may still be carried out.
+  bool start_pending = false;
   // Lists that were asked for later than this show the task or it is not there.
   std::optional<timestamp> settled_at;
   std::uint32_t percent = 0;
