--- a/source/dispatch/clients.cc
+++ b/source/dispatch/clients.cc
@@ -79,11 +79,11 @@
   // Reads that found a state are too many to log.
   if (answer.kind != work::answer_kind::kState &&
       answer.kind != work::answer_kind::kWaiting) {
-    ctx.Log("answered", from.content.path,
-            {Field("call", NameOf(from.content.verb)),
-             Field("answer", NameOf(answer.kind)),
-             Field("catalog", InForce(ctx)),
-             Field("relayed_by", from.relayed_by)});
+    ctx.Log(
+        "answered", from.content.path,
+        {Field("call", NameOf(from.content.verb)),
+         Field("answer", NameOf(answer.kind)), Field("catalog", InForce(ctx)),
+         Field("relayed_by", from.relayed_by)});
   }
   ctx.Count("answers_" + NameOf(answer.kind));
   if (from.relayed_by.empty()) {
@@ -355,9 +355,9 @@
   const bool doubtful =
       refused && (call->maybe_stored || IsInBatch(ctx, message.call) ||
                   IsWaiting(ctx, message.call));
-  Settle(ctx, message.call,
-         doubtful ? Refusal(ctx, work::answer_kind::kNotSettled)
-                  : message.answer);
+  Settle(
+      ctx, message.call,
+      doubtful ? Refusal(ctx, work::answer_kind::kNotSettled) : message.answer);
 }
 
 void SettleStored(const context& ctx, call_number call) {
--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -77,8 +77,7 @@
 }
 
 // Time beyond the work itself that the objective leaves.
-duration SlackOf(const work::submission& content,
-                 const work::step_spec& step) {
+duration SlackOf(const work::submission& content, const work::step_spec& step) {
   const std::int64_t beyond =
       std::max<std::int64_t>(0, std::int64_t{content.stretch_permille} - 1000);
   return step.estimate * beyond / 1000 + content.target_latency;
@@ -123,17 +122,17 @@
   const dispatch::unit& unit = *ctx.state.mine.units.Find(waiting.unit);
   const duration patience = SlackOf(*job.content.Get(), step) *
                             ctx.limits().near_patience_permille / 1000;
-  placement::demand asked{.service = job.content.Get()->service,
-                          .members = waiting.members,
-                          .need = NeedOf(step),
-                          .required_label = step.required_label,
-                          .same_rack = step.same_rack,
-                          .data_rack = step.data_rack,
-                          .accepts_far = waiting.waited >= patience,
-                          .accepts_shunned =
-                              waiting.idle >= ctx.limits().shun_patience,
-                          .avoided = unit.failed_on,
-                          .max_per_worker = step.max_per_worker};
+  placement::demand asked{
+      .service = job.content.Get()->service,
+      .members = waiting.members,
+      .need = NeedOf(step),
+      .required_label = step.required_label,
+      .same_rack = step.same_rack,
+      .data_rack = step.data_rack,
+      .accepts_far = waiting.waited >= patience,
+      .accepts_shunned = waiting.idle >= ctx.limits().shun_patience,
+      .avoided = unit.failed_on,
+      .max_per_worker = step.max_per_worker};
   if (step.max_per_worker == 0)
     return asked;
   const auto& units = ctx.state.mine.units;
@@ -151,8 +150,7 @@
   return asked;
 }
 
-std::vector<placement::victim> VictimsFor(const context& ctx,
-                                          rank importance) {
+std::vector<placement::victim> VictimsFor(const context& ctx, rank importance) {
   const ranks ranked = RankJobs(ctx);
   std::vector<placement::victim> victims;
   for (const auto& [id, each] : ctx.state.mine.units) {
--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -142,10 +142,9 @@
                  const work::running_task& task) {
   unit next = *ctx.state.mine.units.Find(id);
   member& one = next.members[index];
-  const bool unchanged = one.state == member_state::kRunning &&
-                         one.percent == task.percent &&
-                         (task.checkpoint.empty() ||
-                          next.checkpoint == task.checkpoint);
+  const bool unchanged =
+      one.state == member_state::kRunning && one.percent == task.percent &&
+      (task.checkpoint.empty() || next.checkpoint == task.checkpoint);
   if (unchanged)
     return;
   if (one.percent != task.percent || one.state != member_state::kRunning)
@@ -260,9 +259,8 @@
   ctx.state.mine.strays.Erase({.worker = worker, .task = end.task});
   mine.plan_due = true;
   const live_job* job = mine.jobs.Find(end.task.job);
-  const bool known = job != nullptr && end.task.step <
-                                           job->content.Get()
-                                               ->request.steps.size();
+  const bool known = job != nullptr &&
+                     end.task.step < job->content.Get()->request.steps.size();
   ctx.Log("task_ended", NameOf(end.task),
           {Field("how", NameOf(end.how)), Field("worker", worker.value()),
            Field("attempt", end.attempt), Field("number", end.number),
--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/feeds.cc
@@ -94,12 +94,11 @@
     return;
   }
   const bool waits = source != work::feed::kWorkers;
-  ctx.Emit(work::read_feed{
-      .call = *feed.in_flight,
-      .source = source,
-      .from = feed.position,
-      .wait = waits ? ctx.limits().read_wait : duration(0),
-      .timeout = ctx.limits().read_timeout});
+  ctx.Emit(work::read_feed{.call = *feed.in_flight,
+                           .source = source,
+                           .from = feed.position,
+                           .wait = waits ? ctx.limits().read_wait : duration(0),
+                           .timeout = ctx.limits().read_timeout});
 }
 
 // True when the answer belongs to the read under way.
@@ -122,8 +121,7 @@
 void RestoreIfCaughtUp(const context& ctx) {
   state& s = ctx.state;
   const bool due = s.lead.mine == role::kLeader && !s.mine.restored &&
-                   s.records.whole &&
-                   s.records.position >= s.mine.caught_up_at;
+                   s.records.whole && s.records.position >= s.mine.caught_up_at;
   if (due)
     RestoreJobs(ctx);
 }
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -33,8 +33,7 @@
 // A time that the worker's clock has surely passed.
 duration SurelyPassed(const context& ctx, const worker_row& row) {
   const duration since = ctx.now() - row.clock_at;
-  return *row.clock + since -
-         since * ctx.limits().clock_drift_permille / 1000;
+  return *row.clock + since - since * ctx.limits().clock_drift_permille / 1000;
 }
 
 // Whatever was started on the worker has lapsed.
@@ -42,8 +41,8 @@
   const bool early = ctx.now() < row.lapsed_by;
   if (!row.clock)
     return !early;
-  return !early && SurelyPassed(ctx, row) >=
-                       row.lease_until + ctx.limits().lapse_margin;
+  return !early &&
+         SurelyPassed(ctx, row) >= row.lease_until + ctx.limits().lapse_margin;
 }
 
 void LoseTasks(const context& ctx,
@@ -215,10 +214,10 @@
     return;
   mine.settled = true;
   mine.plan_due = true;
-  ctx.Log("workers_settled", ctx.env.me.value(),
-          {Field("epoch", mine.epoch), Field("workers", mine.workers.size()),
-           Field("unreached", open),
-           Field("took", ctx.now() - mine.elected_at)});
+  ctx.Log(
+      "workers_settled", ctx.env.me.value(),
+      {Field("epoch", mine.epoch), Field("workers", mine.workers.size()),
+       Field("unreached", open), Field("took", ctx.now() - mine.elected_at)});
 }
 
 }  // namespace
@@ -231,10 +230,9 @@
 }
 
 bool EarlierTasksKnown(const context& ctx) {
-  return std::ranges::all_of(
-      ctx.state.mine.workers, [&](const auto& entry) {
-        return entry.second.fenced || ctx.now() >= entry.second.lapsed_by;
-      });
+  return std::ranges::all_of(ctx.state.mine.workers, [&](const auto& entry) {
+    return entry.second.fenced || ctx.now() >= entry.second.lapsed_by;
+  });
 }
 
 duration ClockNow(const context& ctx, const worker_row& row) {
--- a/source/dispatch/jobs.cc
+++ b/source/dispatch/jobs.cc
@@ -227,16 +227,16 @@
     ForUnits(ctx, id, [&](const work::unit_id& name, const unit& each) {
       if (!HasBegun(each))
         return;
-      units.push_back({.occurrence = name.occurrence,
-                       .step = name.step,
-                       .index = name.index,
-                       .done = each.phase == unit_phase::kDone,
-                       .failures = each.failures,
-                       .attempt = each.attempt,
-                       .attempt_failed =
-                           each.failed_attempts.contains(each.attempt),
-                       .checkpoint = each.checkpoint,
-                       .workers = WorkersOf(each)});
+      units.push_back(
+          {.occurrence = name.occurrence,
+           .step = name.step,
+           .index = name.index,
+           .done = each.phase == unit_phase::kDone,
+           .failures = each.failures,
+           .attempt = each.attempt,
+           .attempt_failed = each.failed_attempts.contains(each.attempt),
+           .checkpoint = each.checkpoint,
+           .workers = WorkersOf(each)});
     });
   }
   return {.job = id, .phase = job.phase, .units = std::move(units)};
@@ -253,9 +253,8 @@
   if (saved == nullptr || !work::IsClosed(saved->phase))
     return;
   bool has_units = false;
-  ForUnits(ctx, id, [&](const work::unit_id&, const unit&) {
-    has_units = true;
-  });
+  ForUnits(ctx, id,
+           [&](const work::unit_id&, const unit&) { has_units = true; });
   if (!has_units)
     ctx.state.mine.jobs.Erase(id);
 }
@@ -370,9 +369,9 @@
   const duration took = ctx.now() - ContentOf(job).submitted_at;
   mine.jobs.Put(id, std::move(job));
   mine.unsaved.insert(id);
-  ctx.Log("job_closed", id.value(),
-          {Field("phase", static_cast<std::uint64_t>(phase)),
-           Field("took", took)});
+  ctx.Log(
+      "job_closed", id.value(),
+      {Field("phase", static_cast<std::uint64_t>(phase)), Field("took", took)});
   ctx.Count("jobs_closed");
   std::vector<work::unit_id> units;
   ForUnits(ctx, id, [&](const work::unit_id& name, const unit&) {
@@ -390,10 +389,9 @@
   const unit* each = mine.units.Find(id);
   if (job == nullptr || each == nullptr || !work::IsClosed(job->phase))
     return;
-  const bool ended =
-      std::ranges::all_of(each->members, [](const member& one) {
-        return one.state == member_state::kEnded;
-      });
+  const bool ended = std::ranges::all_of(each->members, [](const member& one) {
+    return one.state == member_state::kEnded;
+  });
   if (!ended)
     return;
   mine.units.Erase(id);
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -64,14 +64,14 @@
   ctx.Log("leadership_claimed", ctx.env.me.value(),
           {Field("epoch", lead.claim_epoch),
            Field("leader_silent_for", ctx.now() - lead.heard_at)});
-  ctx.Emit(work::append_records{
-      .call = *lead.claim,
-      .writer = kLeaderWriter,
-      .epoch = lead.claim_epoch,
-      .sequence = lead.claim_sequence,
-      .records = {work::leader_elected{.entry = ctx.env.me,
-                                       .epoch = lead.claim_epoch}},
-      .timeout = ctx.limits().append_timeout});
+  ctx.Emit(
+      work::append_records{.call = *lead.claim,
+                           .writer = kLeaderWriter,
+                           .epoch = lead.claim_epoch,
+                           .sequence = lead.claim_sequence,
+                           .records = {work::leader_elected{
+                               .entry = ctx.env.me, .epoch = lead.claim_epoch}},
+                           .timeout = ctx.limits().append_timeout});
 }
 
 void AbandonClaim(const context& ctx) {
@@ -214,14 +214,13 @@
   leadership& lead = ctx.state.lead;
   NoteEpoch(ctx, message.epoch, "heartbeat");
   const bool newest = message.epoch >= lead.epoch;
-  const bool idle_claim = lead.mine == role::kCandidate && !lead.claim &&
-                          !lead.claim_maybe_stored;
+  const bool idle_claim =
+      lead.mine == role::kCandidate && !lead.claim && !lead.claim_maybe_stored;
   if (newest && idle_claim)
     AbandonClaim(ctx);
   if (newest && lead.mine == role::kFollower) {
     if (lead.leader_address != message.address) {
-      ctx.Log("leader_followed", from.value(),
-              {Field("epoch", message.epoch)});
+      ctx.Log("leader_followed", from.value(), {Field("epoch", message.epoch)});
       lead.leader_reached_store_at = ctx.now();
     }
     lead.leader_address = message.address;
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -53,8 +53,8 @@
                      std::uint32_t index,
                      std::uint64_t attempt) {
   const call_number call = ctx.NewCall();
-  ctx.state.mine.orders.Put(
-      call, {.unit = id, .member = index, .attempt = attempt});
+  ctx.state.mine.orders.Put(call,
+                            {.unit = id, .member = index, .attempt = attempt});
   return call;
 }
 
@@ -283,9 +283,9 @@
   if (known == nullptr || index >= known->members.size())
     return false;
   member next = known->members[index];
-  const bool pending = next.state == member_state::kOrdered ||
-                       (next.state != member_state::kEnded &&
-                        next.start_pending);
+  const bool pending =
+      next.state == member_state::kOrdered ||
+      (next.state != member_state::kEnded && next.start_pending);
   if (!pending)
     return false;
   next.state = member_state::kOrdered;
--- a/source/dispatch/planning.cc
+++ b/source/dispatch/planning.cc
@@ -24,8 +24,8 @@
              const waiting_unit& waiting,
              const placement::demand& asked,
              placement::board& board) {
-  const auto chosen = placement::FindVictims(
-      board, asked, VictimsFor(ctx, waiting.importance));
+  const auto chosen =
+      placement::FindVictims(board, asked, VictimsFor(ctx, waiting.importance));
   if (!chosen)
     return;
   for (const work::unit_id& victim : chosen->stopped) {
--- a/source/dispatch/routing.cc
+++ b/source/dispatch/routing.cc
@@ -20,8 +20,8 @@
   for (const work::queue& each : catalog.queues) {
     const bool matches =
         each.host == call.host && call.path.starts_with(each.path_prefix);
-    const bool longer = best == nullptr || each.path_prefix.size() >
-                                               best->path_prefix.size();
+    const bool longer =
+        best == nullptr || each.path_prefix.size() > best->path_prefix.size();
     if (matches && longer)
       best = &each;
   }
--- a/source/parsleyhitchd/main.cc
+++ b/source/parsleyhitchd/main.cc
@@ -50,10 +50,10 @@
   try {
     start();
   } catch (const std::exception& error) {
-    runtime::WriteJsonLog(model::write_log_line{
-        .level = model::severity::kWarning,
-        .message = "can't start",
-        .subject = error.what()});
+    runtime::WriteJsonLog(
+        model::write_log_line{.level = model::severity::kWarning,
+                              .message = "can't start",
+                              .subject = error.what()});
     return kExitFailure;
   }
   return kExitOk;
--- a/source/placement/board.cc
+++ b/source/placement/board.cc
@@ -47,8 +47,7 @@
   if (asked.max_per_worker == 0)
     return fits;
   const auto found = asked.siblings.find(worker);
-  const std::uint32_t taken =
-      found == asked.siblings.end() ? 0 : found->second;
+  const std::uint32_t taken = found == asked.siblings.end() ? 0 : found->second;
   const std::uint32_t left =
       asked.max_per_worker > taken ? asked.max_per_worker - taken : 0;
   return std::min(fits, left);
--- a/source/placement/preempt.cc
+++ b/source/placement/preempt.cc
@@ -160,8 +160,7 @@
                                       const std::vector<victim>& victims) {
   const victims_by_worker index = IndexVictims(victims);
   std::optional<trial> best;
-  for (const std::vector<work::rack_id>& racks :
-       Alternatives(offered, asked)) {
+  for (const std::vector<work::rack_id>& racks : Alternatives(offered, asked)) {
     const std::optional<trial> found =
         TryRacks(offered, asked, racks, victims, index);
     if (found && (!best || found->cost < best->cost))
--- a/source/placement/room.cc
+++ b/source/placement/room.cc
@@ -101,8 +101,7 @@
   std::optional<std::vector<work::worker_id>> best;
   std::uint64_t best_left = 0;
   bool best_is_single = false;
-  for (const std::vector<work::rack_id>& racks :
-       Alternatives(offered, asked)) {
+  for (const std::vector<work::rack_id>& racks : Alternatives(offered, asked)) {
     const bool single = racks.size() == 1;
     const bool at_data = single && racks.front() == asked.data_rack;
     if (best && best_is_single && !single)
--- a/source/platform/catalog_codec.cc
+++ b/source/platform/catalog_codec.cc
@@ -20,7 +20,8 @@
       .path_prefix = route.RequiredText("pathPrefix"),
       .service = work::service_id(route.Text("service")),
       .priority = static_cast<std::uint32_t>(route.Number("priority")),
-      .max_attempts = static_cast<std::uint32_t>(route.Number("maxAttempts", 1)),
+      .max_attempts =
+          static_cast<std::uint32_t>(route.Number("maxAttempts", 1)),
       .stretch_permille =
           static_cast<std::uint32_t>(route.Permille("stretch", kWholePermille)),
       // Not a latency of calls: what is added to the stretched chain of work.
@@ -38,11 +39,10 @@
 
 work::workspace DecodeWorkspace(const json_fields& tenant) {
   std::vector<std::string> keys;
-  tenant.ForEach("apiKeys",
-                 [&](const nlohmann::json& key, const std::string&) {
-                   if (key.is_string())
-                     keys.push_back(key.get<std::string>());
-                 });
+  tenant.ForEach("apiKeys", [&](const nlohmann::json& key, const std::string&) {
+    if (key.is_string())
+      keys.push_back(key.get<std::string>());
+  });
   return {.id = work::workspace_id(tenant.RequiredText("name")),
           .keys = std::move(keys),
           .guaranteed_accelerators = static_cast<std::uint32_t>(
@@ -75,12 +75,12 @@
   const std::uint64_t version = top.Number("version");
   if (!faults.empty())
     return boost::leaf::new_error(std::move(faults));
-  return work::published_catalog{.content = {.version = version,
-                                             .queues = std::move(queues),
-                                             .services = std::move(services),
-                                             .workspaces =
-                                                 std::move(workspaces)},
-                                 .encoded = text};
+  return work::published_catalog{
+      .content = {.version = version,
+                  .queues = std::move(queues),
+                  .services = std::move(services),
+                  .workspaces = std::move(workspaces)},
+      .encoded = text};
 }
 
 }  // namespace parsleyhitch::platform
--- a/source/platform/client_codec.cc
+++ b/source/platform/client_codec.cc
@@ -42,16 +42,16 @@
 std::vector<std::uint32_t> DecodeAfter(const json_fields& step,
                                        std::size_t index) {
   std::vector<std::uint32_t> after;
-  step.ForEach("dependsOn", [&](const nlohmann::json& each,
-                                const std::string&) {
-    const bool earlier = each.is_number_unsigned() &&
-                         each.get<std::uint64_t>() < index;
-    if (!earlier) {
-      step.Fault("dependsOn", "must name earlier steps");
-      return;
-    }
-    after.push_back(each.get<std::uint32_t>());
-  });
+  step.ForEach(
+      "dependsOn", [&](const nlohmann::json& each, const std::string&) {
+        const bool earlier =
+            each.is_number_unsigned() && each.get<std::uint64_t>() < index;
+        if (!earlier) {
+          step.Fault("dependsOn", "must name earlier steps");
+          return;
+        }
+        after.push_back(each.get<std::uint32_t>());
+      });
   return after;
 }
 
@@ -77,8 +77,7 @@
       .required_label = step.Text("requirements"),
       .data_rack = work::rack_id(step.Text("affinity")),
       // A bound of tasks on one worker, not a label to stay away from.
-      .max_per_worker =
-          static_cast<std::uint32_t>(step.Number("antiAffinity")),
+      .max_per_worker = static_cast<std::uint32_t>(step.Number("antiAffinity")),
       .may_be_away = static_cast<std::uint32_t>(step.Number("mayMiss"))};
 }
 
@@ -99,11 +98,11 @@
     job.Fault("spec", "must have at most 4000 bytes");
   const bool lasts = job.Flag("longRunning");
   std::vector<work::step_spec> steps;
-  job.ForEach("phases",
-              [&](const nlohmann::json& each, const std::string& place) {
-                steps.push_back(DecodeStep(json_fields(each, place, faults),
-                                           steps.size(), lasts));
-              });
+  job.ForEach(
+      "phases", [&](const nlohmann::json& each, const std::string& place) {
+        steps.push_back(
+            DecodeStep(json_fields(each, place, faults), steps.size(), lasts));
+      });
   if (steps.empty() || steps.size() > kMaxSteps)
     job.Fault("phases", "must have 1 to 200 steps");
   return {.spec = std::move(spec),
--- a/source/platform/json_fields.h
+++ b/source/platform/json_fields.h
@@ -34,9 +34,10 @@
   std::uint64_t Permille(const char* name, std::uint64_t absent) const;
   bool Flag(const char* name) const;
   // Visits each element of a list with its place.
-  void ForEach(const char* name,
-               const std::function<void(const nlohmann::json& element,
-                                        const std::string& place)>& visit) const;
+  void ForEach(
+      const char* name,
+      const std::function<void(const nlohmann::json& element,
+                               const std::string& place)>& visit) const;
   // The member object; an empty object when it is absent.
   json_fields Object(const char* name) const;
 
--- a/source/platform/store_calls.cc
+++ b/source/platform/store_calls.cc
@@ -160,19 +160,18 @@
       [&](const log_page& page) -> decoded_event {
         model::findings skipped;
         auto items = ItemsOf(effect.source, page.records, skipped);
-        return {.event =
-                    work::feed_read{
-                        .at = at,
-                        .call = effect.call,
-                        .source = effect.source,
-                        .next = effect.from + page.records.size(),
-                        .items = std::move(items)},
-                .skipped = std::move(skipped)};
+        return {
+            .event = work::feed_read{.at = at,
+                                     .call = effect.call,
+                                     .source = effect.source,
+                                     .next = effect.from + page.records.size(),
+                                     .items = std::move(items)},
+            .skipped = std::move(skipped)};
       },
       [&](const model::findings& faults) -> decoded_event {
-        return {.event = work::feed_unread{.at = at,
-                                           .call = effect.call,
-                                           .source = effect.source},
+        return {.event =
+                    work::feed_unread{
+                        .at = at, .call = effect.call, .source = effect.source},
                 .skipped = faults};
       });
 }
@@ -196,9 +195,9 @@
                 .skipped = std::move(skipped)};
       },
       [&](const model::findings& faults) -> decoded_event {
-        return {.event = work::feed_unread{.at = at,
-                                           .call = effect.call,
-                                           .source = effect.source},
+        return {.event =
+                    work::feed_unread{
+                        .at = at, .call = effect.call, .source = effect.source},
                 .skipped = faults};
       });
 }
@@ -245,8 +244,8 @@
   work::append_outcome meaning = AppendOutcome(outcome);
   std::uint64_t end = 0;
   if (meaning == work::append_outcome::kStored) {
-    const auto decoded = wire::ValueOf(
-        [&] { return DecodeEnd(ResponseOf(outcome)->body); });
+    const auto decoded =
+        wire::ValueOf([&] { return DecodeEnd(ResponseOf(outcome)->body); });
     end = decoded.value_or(0);
     if (!decoded)
       meaning = work::append_outcome::kUnknown;
@@ -254,15 +253,14 @@
   model::findings notes;
   const wire::http_response* response = ResponseOf(outcome);
   if (response != nullptr && response->status != kOk) {
-    notes = model::OneFinding("append",
-                              std::to_string(response->status) + " " +
-                                  response->body.substr(0, 200));
+    notes = model::OneFinding("append", std::to_string(response->status) + " " +
+                                            response->body.substr(0, 200));
   }
-  return {.event = work::append_answered{.at = at,
-                                         .call = effect.call,
-                                         .outcome = meaning,
-                                         .end = end},
-          .skipped = std::move(notes)};
+  return {
+      .event =
+          work::append_answered{
+              .at = at, .call = effect.call, .outcome = meaning, .end = end},
+      .skipped = std::move(notes)};
 }
 
 decoded_event EventOf(const work::read_feed& effect,
--- a/source/platform/store_codec.h
+++ b/source/platform/store_codec.h
@@ -39,8 +39,7 @@
 std::string EncodeKeyed(std::string_view key, std::string_view value);
 
 // A page of a log whose first record has the offset `from`.
-wire::result<log_page> DecodeLogPage(std::string_view body,
-                                     std::uint64_t from);
+wire::result<log_page> DecodeLogPage(std::string_view body, std::uint64_t from);
 
 wire::result<newest_page> DecodeNewestPage(std::string_view body);
 
--- a/source/platform/worker_calls.cc
+++ b/source/platform/worker_calls.cc
@@ -143,10 +143,9 @@
                                         .listing = std::move(held.listing)}};
       },
       [&](const model::findings& faults) -> decoded_event {
-        return {.event =
-                    work::hold_answered{.at = at,
-                                        .call = effect.call,
-                                        .worker = effect.target.worker},
+        return {.event = work::hold_answered{.at = at,
+                                             .call = effect.call,
+                                             .worker = effect.target.worker},
                 .skipped = faults};
       });
 }
--- a/source/platform/worker_codec.cc
+++ b/source/platform/worker_codec.cc
@@ -18,13 +18,12 @@
 
 std::vector<std::string> DecodeLabels(const json_fields& entry) {
   std::vector<std::string> labels;
-  entry.ForEach("labels",
-                [&](const nlohmann::json& each, const std::string&) {
-                  if (each.is_string())
-                    labels.push_back(each.get<std::string>());
-                  else
-                    entry.Fault("labels", "must be strings");
-                });
+  entry.ForEach("labels", [&](const nlohmann::json& each, const std::string&) {
+    if (each.is_string())
+      labels.push_back(each.get<std::string>());
+    else
+      entry.Fault("labels", "must be strings");
+  });
   return labels;
 }
 
--- a/source/runtime/dispatch_process.cc
+++ b/source/runtime/dispatch_process.cc
@@ -2,11 +2,11 @@
 
 #include "runtime/dispatch_process.h"
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
-#include <algorithm>
 #include <csignal>
 #include <map>
 #include <optional>
@@ -41,21 +41,21 @@
 
 dispatch::environment EnvironmentOf(
     const settings::dispatch_settings& settings) {
-  return {.me = settings.entry,
-          .peer_address = settings.peers_listen,
-          .cpu_millis =
-              static_cast<std::uint32_t>(settings.cpu_share * kMillis),
-          .limits = settings.limits,
-          .behaviour = dispatch::DefaultHooks()};
+  return {
+      .me = settings.entry,
+      .peer_address = settings.peers_listen,
+      .cpu_millis = static_cast<std::uint32_t>(settings.cpu_share * kMillis),
+      .limits = settings.limits,
+      .behaviour = dispatch::DefaultHooks()};
 }
 
 void LogSkipped(const model::findings& skipped) {
   for (const model::finding& each : skipped) {
-    WriteJsonLog(work::write_log{
-        .level = work::log_level::kWarning,
-        .decision = "unreadable",
-        .subject = each.place,
-        .fields = {{.name = "why", .value = each.message}}});
+    WriteJsonLog(
+        work::write_log{.level = work::log_level::kWarning,
+                        .decision = "unreadable",
+                        .subject = each.place,
+                        .fields = {{.name = "why", .value = each.message}}});
   }
 }
 
@@ -65,8 +65,8 @@
                    settings_source reread)
       : settings_(std::make_unique<settings::dispatch_settings>(settings)),
         reread_(std::move(reread)),
-        environment_(std::make_unique<dispatch::environment>(
-            EnvironmentOf(settings))),
+        environment_(
+            std::make_unique<dispatch::environment>(EnvironmentOf(settings))),
         client_(io_),
         peers_(io_,
                settings.peers_listen,
@@ -97,11 +97,10 @@
     WaitForReload();
     WatchSettings();
     const model::timestamp now = clock_.Now();
-    loop_.Post(work::entry_started{
-        .at = now,
-        .incarnation =
-            static_cast<std::uint64_t>(now.time_since_epoch().count()),
-        .seed = std::random_device()()});
+    loop_.Post(work::entry_started{.at = now,
+                                   .incarnation = static_cast<std::uint64_t>(
+                                       now.time_since_epoch().count()),
+                                   .seed = std::random_device()()});
     io_.run();
   }
 
@@ -120,14 +119,13 @@
   }
 
   http_handlers CallerHandlers() {
-    return {.call =
-                [this](const wire::http_call& call, std::uint64_t connection,
-                       http_responder respond) {
-                  ReceiveCall(call, connection, std::move(respond));
-                },
-            .closed = [this](std::uint64_t connection) {
-              LoseCaller(connection);
-            }};
+    return {
+        .call =
+            [this](const wire::http_call& call, std::uint64_t connection,
+                   http_responder respond) {
+              ReceiveCall(call, connection, std::move(respond));
+            },
+        .closed = [this](std::uint64_t connection) { LoseCaller(connection); }};
   }
 
   http_handlers ProbeHandlers() {
@@ -285,8 +283,7 @@
       callers_->CloseAfterReplies();
       const auto grace = std::chrono::duration_cast<model::duration>(
           std::chrono::duration<double>(settings_->shutdown_grace_s));
-      loop_.Post(
-          work::shutdown_requested{.at = clock_.Now(), .grace = grace});
+      loop_.Post(work::shutdown_requested{.at = clock_.Now(), .grace = grace});
     });
   }
 
@@ -314,10 +311,10 @@
     auto read = reread_();
     if (!read || *read == *settings_)
       return;
-    WriteJsonLog(work::write_log{
-        .decision = "settings_reloaded",
-        .subject = settings_->entry.value(),
-        .fields = {{.name = "cause", .value = cause}}});
+    WriteJsonLog(
+        work::write_log{.decision = "settings_reloaded",
+                        .subject = settings_->entry.value(),
+                        .fields = {{.name = "cause", .value = cause}}});
     settings_ = std::make_unique<settings::dispatch_settings>(*read);
     environment_ =
         std::make_unique<dispatch::environment>(EnvironmentOf(*settings_));
--- a/source/settings/dispatch_settings.cc
+++ b/source/settings/dispatch_settings.cc
@@ -70,17 +70,16 @@
   Require(faults, settings.cpu_share > 0, "/cpu_share", "must be above 0");
   Require(faults, settings.shutdown_grace_s > 0, "/shutdown_grace_s",
           "must be above 0");
-  Require(faults,
-          settings.max_body_bytes > 0 &&
-              settings.max_body_bytes <= kMaxBodyBytes,
-          "/max_body_bytes", "must be from 1 to 4194304");
+  Require(
+      faults,
+      settings.max_body_bytes > 0 && settings.max_body_bytes <= kMaxBodyBytes,
+      "/max_body_bytes", "must be from 1 to 4194304");
   CheckLimits(faults, settings);
 }
 
 }  // namespace
 
-wire::result<dispatch_settings> ParseDispatchSettings(
-    const std::string& text) {
+wire::result<dispatch_settings> ParseDispatchSettings(const std::string& text) {
   const yaml_source source = ReadYaml(text);
   model::findings faults = source.faults;
   if (!faults.empty())
@@ -95,8 +94,7 @@
 
 bool LooksLikeDispatchSettings(const std::string& text) {
   const yaml_source source = ReadYaml(text);
-  return source.content.is_object() &&
-         source.content.contains("store_address");
+  return source.content.is_object() && source.content.contains("store_address");
 }
 
 }  // namespace parsleyhitch::settings
--- a/tests/dispatch/jobs_test.cc
+++ b/tests/dispatch/jobs_test.cc
@@ -11,7 +11,8 @@
 
 Test(job, handed_in_at_a_follower_is_accepted_and_completes) {
   stage_fixture fixture;
-  const auto call = fixture.stage.Submit(fixture.Follower(), kJob, {Step(3, 2)});
+  const auto call =
+      fixture.stage.Submit(fixture.Follower(), kJob, {Step(3, 2)});
   cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
   cr_assert(fixture.stage.IsAnswered(call, work::answer_kind::kAccepted));
   cr_assert_eq(fixture.stage.starts(), 3U);
--- a/tests/dispatch/properties_test.cc
+++ b/tests/dispatch/properties_test.cc
@@ -135,7 +135,8 @@
   const char* queue = number % 4 == 0   ? "urgent"
                       : number % 4 == 1 ? "background"
                                         : "normal";
-  std::vector<work::step_spec> steps{Step(2 + number % 3, 1 + number % 8, gang)};
+  std::vector<work::step_spec> steps{
+      Step(2 + number % 3, 1 + number % 8, gang)};
   if (number % 5 == 0)
     steps.push_back(Step(2, 2, false, {0}));
   fixture.stage.Submit(entry, id, steps, queue);
@@ -195,9 +196,9 @@
 }  // namespace rc
 
 Test(dispatcher, under_random_failures_breaks_no_rule_and_ends_every_job) {
-  const bool holds = rc::check([](std::uint64_t seed,
-                                  const std::vector<inflicted>& faults) {
-    PlayAndCheck(seed, faults);
-  });
+  const bool holds =
+      rc::check([](std::uint64_t seed, const std::vector<inflicted>& faults) {
+        PlayAndCheck(seed, faults);
+      });
   cr_assert(holds);
 }
--- a/tests/dispatch/stage_fixture.h
+++ b/tests/dispatch/stage_fixture.h
@@ -46,8 +46,7 @@
 
   // The first breach, or nothing to complain of.
   std::string Breach() const {
-    return stage.breaches().empty() ? std::string()
-                                    : stage.breaches().front();
+    return stage.breaches().empty() ? std::string() : stage.breaches().front();
   }
 
   bool IsRunning(const std::string& job) {
--- a/tests/dispatch/takeover_test.cc
+++ b/tests/dispatch/takeover_test.cc
@@ -16,8 +16,8 @@
 struct running_fixture : stage_fixture {
   explicit running_fixture(std::vector<work::step_spec> steps = {Step(4, 4)}) {
     stage.Submit(Follower(), kJob, steps);
-    cr_assert(stage.RunUntil([&] { return IsRunning(kJob); },
-                             work::duration(3000)));
+    cr_assert(
+        stage.RunUntil([&] { return IsRunning(kJob); }, work::duration(3000)));
   }
 
   void ExpectCompletedWithoutBreach() {
@@ -124,7 +124,8 @@
 Test(submission, whose_append_answer_is_lost_is_accepted_once) {
   stage_fixture fixture;
   fixture.stage.store().lose_answers = 1;
-  const auto call = fixture.stage.Submit(fixture.Follower(), kJob, {Step(2, 1)});
+  const auto call =
+      fixture.stage.Submit(fixture.Follower(), kJob, {Step(2, 1)});
   cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
   cr_assert(fixture.stage.IsAnswered(call, work::answer_kind::kAccepted));
   cr_assert_eq(fixture.stage.starts(), 2U);
@@ -177,7 +178,8 @@
   cr_assert(fixture.stage.IsAnswered(call, work::answer_kind::kState));
 }
 
-Test(worker, cut_off_while_it_runs_a_task_has_it_run_elsewhere_once_its_lease_lapsed) {
+Test(worker,
+     cut_off_while_it_runs_a_task_has_it_run_elsewhere_once_its_lease_lapsed) {
   running_fixture fixture({Step(1, 4)});
   fixture.WorkerOf(kJob).cut = true;
   fixture.ExpectCompletedWithoutBreach();
--- /dev/null
+++ b/tests/platform/client_codec_test.cc
@@ -0,0 +1,91 @@
+// Callers' HTTP.
+
+#include "platform/client_codec.h"
+
+#include <criterion/criterion.h>
+
+namespace platform = parsleyhitch::platform;
+namespace wire = parsleyhitch::wire;
+namespace work = parsleyhitch::work;
+
+namespace {
+
+struct call_fixture {
+  static work::client_call Submit(const std::string& body) {
+    return *platform::DecodeCall({.method = "POST",
+                                  .path = "/queue/00000000000000a1",
+                                  .headers = {{"host", "jobs.example:80"},
+                                              {"x-api-key", "key"},
+                                              {"x-deadline", "2500"}},
+                                  .body = body});
+  }
+
+  static std::vector<std::string> Places(const std::string& body) {
+    std::vector<std::string> places;
+    for (const auto& each : Submit(body).faults)
+      places.push_back(each.place);
+    return places;
+  }
+};
+
+using places = std::vector<std::string>;
+
+}  // namespace
+
+Test(submission, well_formed_gives_steps_with_what_they_need) {
+  const work::client_call call = call_fixture::Submit(
+      R"({"spec":"x","phases":[{"count":4,"cpu":500,"memMb":256,"gpu":2,
+          "estimateMs":900,"affinity":"r1-3","gang":true,"colocated":true},
+          {"count":20,"dependsOn":[0],"checkpointable":true,
+           "antiAffinity":3,"requirements":"a"}]})");
+  cr_assert(call.faults.empty());
+  const work::job_request& request = *call.request;
+  cr_assert_eq(request.steps.size(), 2U);
+  const work::step_spec& first = request.steps[0];
+  cr_assert_eq(first.tasks, 4U);
+  cr_assert_eq(first.need.accelerators, 2);
+  cr_assert(first.gang && first.same_rack);
+  cr_assert_eq(first.data_rack.value(), "r1-3");
+  const work::step_spec& second = request.steps[1];
+  cr_assert(second.after == std::vector<std::uint32_t>{0});
+  cr_assert(second.checkpointed);
+  cr_assert_eq(second.max_per_worker, 3U);
+  cr_assert_eq(second.required_label, "a");
+  cr_assert_eq(call.host, "jobs.example");
+  cr_assert_eq(call.patience.count(), 2500);
+}
+
+Test(submission, with_several_faults_names_the_place_of_each) {
+  const places found = call_fixture::Places(
+      R"({"spec":5,"phases":[{"count":0},{"count":1,"dependsOn":[1]},
+          {"count":1,"cpu":"much"}]})");
+  cr_assert(found == (places{"/spec", "/phases/0/count", "/phases/1/dependsOn",
+                             "/phases/2/cpu"}));
+}
+
+Test(submission, without_steps_or_without_json_is_invalid) {
+  cr_assert(call_fixture::Places("{}") == places{"/phases"});
+  cr_assert(call_fixture::Places("{") == places{""});
+}
+
+Test(submission, with_unknown_fields_is_read) {
+  cr_assert(call_fixture::Places(R"({"phases":[{"count":1,"new":1}],"also":2})")
+                .empty());
+}
+
+Test(call, with_another_method_is_none_that_callers_use) {
+  cr_assert_not(platform::DecodeCall({.method = "PUT"}).has_value());
+}
+
+Test(answer, of_a_refusal_says_when_to_come_back) {
+  const wire::http_reply reply =
+      platform::ReplyTo({.kind = work::answer_kind::kNotRun,
+                         .retry_after = work::duration(1000)});
+  cr_assert_eq(reply.status, 503U);
+  cr_assert_eq(reply.headers.at("Retry-After"), "1");
+}
+
+Test(answer, of_an_outcome_that_is_not_known_is_no_refusal) {
+  cr_assert_eq(
+      platform::ReplyTo({.kind = work::answer_kind::kNotSettled}).status, 504U);
+}
--- /dev/null
+++ b/tests/platform/store_calls_test.cc
@@ -0,0 +1,156 @@
+// Effects on the store as calls, and outcomes as events.
+
+#include "platform/store_calls.h"
+
+#include <criterion/criterion.h>
+
+#include "platform/store_codec.h"
+#include "wire/work_codec.h"
+
+namespace model = parsleyhitch::model;
+namespace platform = parsleyhitch::platform;
+namespace wire = parsleyhitch::wire;
+namespace work = parsleyhitch::work;
+
+namespace {
+
+const work::timestamp kNow(work::duration(1000));
+
+std::string Offset(char last) {
+  return std::string(7, '\0') + last;
+}
+
+struct store_fixture {
+  const work::append_records append{
+      .call = 4,
+      .writer = "leader",
+      .epoch = 2,
+      .sequence = 9,
+      .records = {work::job_cancelled{.job = work::job_id("a1")}}};
+
+  work::append_outcome OutcomeOf(std::uint32_t status,
+                                 const std::string& body) const {
+    const auto decoded = platform::EventOf(
+        append, wire::http_response{.status = status, .body = body}, kNow);
+    return std::get<work::append_answered>(decoded.event).outcome;
+  }
+
+  static platform::decoded_event Read(work::feed source,
+                                      const std::string& body) {
+    return platform::EventOf(work::read_feed{.source = source, .from = 3},
+                             wire::http_response{.status = 200, .body = body},
+                             kNow);
+  }
+};
+
+}  // namespace
+
+Test(append, names_its_writer_epoch_and_sequence) {
+  store_fixture fixture;
+  const wire::http_request request =
+      platform::RequestFor("10.0.0.1:80", fixture.append);
+  cr_assert_eq(request.url,
+               "http://10.0.0.1:80/log-append?topic=keyed.parsleyhitch&part=0"
+               "&producer=leader&epoch=2&sequence=9");
+}
+
+Test(append, answered_by_each_status_has_the_outcome_it_stands_for) {
+  store_fixture fixture;
+  using outcome = work::append_outcome;
+  cr_assert(fixture.OutcomeOf(200, R"({"offset":4,"end":5})") ==
+            outcome::kStored);
+  cr_assert(fixture.OutcomeOf(409, R"({"reason":"fenced"})") ==
+            outcome::kFenced);
+  cr_assert(fixture.OutcomeOf(409, R"({"reason":"seq"})") ==
+            outcome::kOutOfSequence);
+  cr_assert(fixture.OutcomeOf(429, "") == outcome::kRefused);
+  cr_assert(fixture.OutcomeOf(503, "") == outcome::kRefused);
+  cr_assert(fixture.OutcomeOf(507, "") == outcome::kRefused);
+  cr_assert(fixture.OutcomeOf(500, "") == outcome::kUnknown);
+  cr_assert(fixture.OutcomeOf(200, "damaged") == outcome::kUnknown);
+}
+
+Test(append, that_was_sent_and_not_answered_has_an_unknown_outcome) {
+  store_fixture fixture;
+  const auto sent =
+      platform::EventOf(fixture.append, wire::http_failure{.sent = true}, kNow);
+  const auto unsent = platform::EventOf(
+      fixture.append, wire::http_failure{.sent = false}, kNow);
+  cr_assert(std::get<work::append_answered>(sent.event).outcome ==
+            work::append_outcome::kUnknown);
+  cr_assert(std::get<work::append_answered>(unsent.event).outcome ==
+            work::append_outcome::kRefused);
+}
+
+Test(page, with_a_damaged_record_keeps_the_others_and_names_its_place) {
+  const std::string good =
+      wire::EncodeRecord(work::job_cancelled{.job = work::job_id("a1")});
+  const std::string body = Offset(5) + Offset(0) +
+                           platform::EncodeKeyed("cancelled/a1", good) +
+                           platform::EncodeKeyed("cancelled/b2", "\xff\xff");
+  const auto decoded = store_fixture::Read(work::feed::kRecords, body);
+  const auto& read = std::get<work::feed_read>(decoded.event);
+  cr_assert_eq(read.next, 5U);
+  cr_assert_eq(read.items.size(), 2U);
+  cr_assert(read.items[0].value.has_value());
+  cr_assert_not(read.items[1].value.has_value());
+  cr_assert_eq(decoded.skipped.size(), 1U);
+  cr_assert_eq(decoded.skipped[0].place, "keyed.parsleyhitch/4/cancelled/b2");
+}
+
+Test(page, cut_short_is_no_page) {
+  const std::string body =
+      Offset(5) + Offset(0) + std::string("\0\0\0\x09xy", 6);
+  const auto decoded = store_fixture::Read(work::feed::kRecords, body);
+  cr_assert(std::holds_alternative<work::feed_unread>(decoded.event));
+}
+
+Test(page, of_workers_with_an_entry_of_another_writer_holds_no_worker_for_it) {
+  const std::string entry =
+      R"({"service":"s","address":"10.0.0.2:80","state":"odd","born":4})";
+  const auto decoded = store_fixture::Read(
+      work::feed::kWorkers,
+      Offset(4) + Offset(0) + platform::EncodeKeyed("w-1", entry));
+  const auto& read = std::get<work::feed_read>(decoded.event);
+  cr_assert_not(read.items[0].value.has_value());
+  cr_assert_eq(decoded.skipped[0].place, "keyed.servers/3/w-1/state");
+}
+
+Test(page, that_was_deleted_is_trimmed) {
+  const auto decoded =
+      platform::EventOf(work::read_feed{.source = work::feed::kRecords},
+                        wire::http_response{.status = 410}, kNow);
+  cr_assert(std::get<work::feed_unread>(decoded.event).why ==
+            work::read_failure::kTrimmed);
+}
+
+Test(newest, with_more_to_come_names_the_key_to_go_on_from) {
+  const auto decoded = platform::EventOf(
+      work::read_newest{.source = work::feed::kCatalog},
+      wire::http_response{
+          .status = 200,
+          .body = R"({"items":[{"key":"wave/1","value":"e30=","offset":2}],
+                      "hasMore":true,"end":6})"},
+      kNow);
+  const auto& read = std::get<work::newest_read>(decoded.event);
+  cr_assert_eq(read.more_after, "wave/1");
+  cr_assert_eq(read.end, 6U);
+}
+
+Test(catalog, published_is_read_with_its_queues_and_keys) {
+  const std::string config =
+      R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/",
+      "service":"s","priority":2,"maxAttempts":3,"stretch":1.5,
+      "targetLatencyMs":250}],"services":[{"name":"s"}],
+      "tenants":[{"name":"t","apiKeys":["k"],"guaranteed":{"gpu":72}}]})";
+  const auto decoded = store_fixture::Read(
+      work::feed::kCatalog,
+      Offset(4) + Offset(0) + platform::EncodeKeyed("config", config));
+  const auto& read = std::get<work::feed_read>(decoded.event);
+  const auto& published =
+      std::get<work::published_catalog>(*read.items[0].value);
+  cr_assert_eq(published.content.version, 7U);
+  cr_assert_eq(published.content.queues[0].stretch_permille, 1500U);
+  cr_assert_eq(published.content.workspaces[0].guaranteed_accelerators, 72U);
+  cr_assert_eq(published.encoded, config);
+}
--- /dev/null
+++ b/tests/settings/dispatch_settings_test.cc
@@ -0,0 +1,57 @@
+// The dispatcher's settings file.
+
+#include "settings/dispatch_settings.h"
+
+#include <criterion/criterion.h>
+
+namespace model = parsleyhitch::model;
+namespace settings = parsleyhitch::settings;
+namespace wire = parsleyhitch::wire;
+
+namespace {
+
+constexpr char kGood[] = R"(entry: "front-1"
+failure_domain: "zone-1"
+callers_listen: "10.1.0.19:8521"
+probes_listen: "10.1.0.19:8523"
+peers_listen: "10.1.0.19:7000"
+metrics_listen: "10.1.0.19:7001"
+store_address: "10.200.1.7:8524"
+cpu_share: 0.25
+shutdown_grace_s: 6
+longest_lease_ms: 10000
+task_stop_ms: 200
+)";
+
+struct settings_fixture {
+  static model::findings Faults(const std::string& text) {
+    return wire::Handle(
+        [&] { return settings::ParseDispatchSettings(text); },
+        [](const settings::dispatch_settings&) { return model::findings(); },
+        [](const model::findings& faults) { return faults; });
+  }
+};
+
+}  // namespace
+
+Test(dispatch_settings, that_are_good_have_no_findings) {
+  cr_assert(settings_fixture::Faults(kGood).empty());
+  cr_assert(settings::LooksLikeDispatchSettings(kGood));
+}
+
+Test(dispatch_settings, with_an_unknown_key_and_a_lease_too_long_name_both) {
+  const auto faults = settings_fixture::Faults(
+      std::string(kGood) + "limits:\n  lease_ms: 20000\n  leese_ms: 1\n");
+  cr_assert_eq(faults.size(), 2U);
+  cr_assert_eq(faults[0].place, "/limits/lease_ms");
+  cr_assert_eq(faults[0].line, 13U);
+  cr_assert_eq(faults[1].place, "/limits/leese_ms");
+}
+
+Test(dispatch_settings, with_a_name_for_an_address_are_refused) {
+  std::string text = kGood;
+  text.replace(text.find("10.200.1.7"), 10, "store-host");
+  const auto faults = settings_fixture::Faults(text);
+  cr_assert_eq(faults.size(), 1U);
+  cr_assert_eq(faults[0].place, "/store_address");
+}
--- a/tests/support/platform_stage.cc
+++ b/tests/support/platform_stage.cc
@@ -66,18 +66,21 @@
   for (std::uint32_t i = 0; i < options.workers; ++i) {
     stage_worker& each = workers_[i];
     each.id = work::worker_id("w-" + std::to_string(i));
-    each.rack = work::rack_id("r-" + std::to_string(i / options.workers_per_rack));
-    each.capacity = {.cpu_millis = 64000, .memory_mb = 65536, .accelerators = 8};
+    each.rack =
+        work::rack_id("r-" + std::to_string(i / options.workers_per_rack));
+    each.capacity = {
+        .cpu_millis = 64000, .memory_mb = 65536, .accelerators = 8};
     each.clock_rate = i % 2 == 0 ? 1.0 : 0.98;
     ListenTo(each);
     Beat(i);
   }
   entries_.resize(options.entries);
   for (std::uint32_t i = 0; i < options.entries; ++i) {
-    entries_[i].environment = std::make_unique<dispatch::environment>(
-        dispatch::environment{.me = work::entry_id("entry-" + std::to_string(i)),
-                              .peer_address = Address(i),
-                              .behaviour = options.behaviour});
+    entries_[i].environment =
+        std::make_unique<dispatch::environment>(dispatch::environment{
+            .me = work::entry_id("entry-" + std::to_string(i)),
+            .peer_address = Address(i),
+            .behaviour = options.behaviour});
     entries_[i].life = 0;
     Start(i);
   }
@@ -107,15 +110,13 @@
       breaches_.push_back("two runs at a time of " + task.job.value());
     started_at_[task] = now_;
     if (noted_.contains(task))
-      breaches_.push_back("started again after its end of " +
-                          task.job.value());
+      breaches_.push_back("started again after its end of " + task.job.value());
     if (handed_in_.contains(task.job.value()) &&
         !maybe_accepted_.contains(task.job.value()))
       breaches_.push_back("started though refused: " + task.job.value());
     for (const std::uint32_t earlier : worker.spec_of(task).after) {
-      const work::task_id first{.job = task.job,
-                                .occurrence = task.occurrence,
-                                .step = earlier};
+      const work::task_id first{
+          .job = task.job, .occurrence = task.occurrence, .step = earlier};
       if (!done_.contains(first))
         breaches_.push_back("started out of order: " + task.job.value());
     }
@@ -152,8 +153,8 @@
 }
 
 void platform_stage::At(work::duration when, std::function<void()> act) {
-  queue_.push({.at = std::max(when, now_), .order = ++order_,
-               .act = std::move(act)});
+  queue_.push(
+      {.at = std::max(when, now_), .order = ++order_, .act = std::move(act)});
 }
 
 work::duration platform_stage::Delay() {
@@ -307,13 +308,13 @@
     const work::append_answered stored = store_.Append(effect);
     const work::duration wait = lost ? effect.timeout : Delay();
     At(now_ + wait, [this, index, life, stored, lost] {
-      Post(index, life,
-           work::append_answered{
-               .at = Time(),
-               .call = stored.call,
-               .outcome = lost ? work::append_outcome::kUnknown
-                               : stored.outcome,
-               .end = stored.end});
+      Post(
+          index, life,
+          work::append_answered{
+              .at = Time(),
+              .call = stored.call,
+              .outcome = lost ? work::append_outcome::kUnknown : stored.outcome,
+              .end = stored.end});
     });
   });
 }
@@ -350,21 +351,20 @@
   At(now_ + Delay(), [this, index, life, effect, cut] {
     stage_worker* worker = FindWorker(effect.target.worker);
     const bool reached = !cut && worker->alive && !worker->cut;
-    const auto outcome = reached ? worker->Start(effect, now_)
-                                 : work::order_outcome::kUnknown;
+    const auto outcome =
+        reached ? worker->Start(effect, now_) : work::order_outcome::kUnknown;
     const bool mute = reached && worker->mute_orders > 0;
     worker->mute_orders -= mute ? 1 : 0;
     const bool answered = reached && !mute;
-    At(now_ + (answered ? Delay() : effect.timeout),
-       [this, index, life, effect, outcome, answered] {
-         Post(index, life,
-              work::start_answered{
-                  .at = Time(),
-                  .call = effect.call,
-                  .worker = effect.target.worker,
-                  .outcome =
-                      answered ? outcome : work::order_outcome::kUnknown});
-       });
+    At(now_ + (answered ? Delay() : effect.timeout), [this, index, life, effect,
+                                                      outcome, answered] {
+      Post(index, life,
+           work::start_answered{
+               .at = Time(),
+               .call = effect.call,
+               .worker = effect.target.worker,
+               .outcome = answered ? outcome : work::order_outcome::kUnknown});
+    });
   });
 }
 
@@ -374,8 +374,8 @@
   At(now_ + Delay(), [this, index, life, effect, cut] {
     stage_worker* worker = FindWorker(effect.target.worker);
     const bool reached = !cut && worker->alive && !worker->cut;
-    const auto outcome = reached ? worker->Stop(effect, now_)
-                                 : work::order_outcome::kUnknown;
+    const auto outcome =
+        reached ? worker->Stop(effect, now_) : work::order_outcome::kUnknown;
     At(now_ + (reached ? Delay() : effect.timeout),
        [this, index, life, effect, outcome] {
          Post(index, life,
@@ -393,8 +393,8 @@
   At(now_ + Delay(), [this, index, life, effect, cut] {
     stage_worker* worker = FindWorker(effect.target.worker);
     const bool reached = !cut && worker->alive && !worker->cut;
-    const auto outcome = reached ? worker->Hold(effect, now_)
-                                 : work::order_outcome::kUnknown;
+    const auto outcome =
+        reached ? worker->Hold(effect, now_) : work::order_outcome::kUnknown;
     const bool held = outcome == work::order_outcome::kDone;
     // A long call ends early with an end; here it is simply shorter.
     const work::duration wait =
@@ -527,8 +527,7 @@
     ledger = records::Fold(std::move(ledger), item.offset,
                            std::get<work::record>(*item.value));
   }
-  const records::job_entry* found =
-      records::FindJob(ledger, work::job_id(job));
+  const records::job_entry* found = records::FindJob(ledger, work::job_id(job));
   if (found == nullptr)
     return {};
   return records::PhaseOf(*found);
--- a/tests/support/platform_stage.h
+++ b/tests/support/platform_stage.h
@@ -68,9 +68,7 @@
                        const std::string& queue = "normal");
   std::uint64_t Read(std::uint32_t entry, const std::string& job);
   std::uint64_t Cancel(std::uint32_t entry, const std::string& job);
-  const stage_call& CallOf(std::uint64_t call) const {
-    return calls_.at(call);
-  }
+  const stage_call& CallOf(std::uint64_t call) const { return calls_.at(call); }
   bool IsAnswered(std::uint64_t call, work::answer_kind kind) const;
   // The job's phase by the store's records.
   std::optional<work::job_phase> PhaseOf(const std::string& job) const;
@@ -145,8 +143,7 @@
   work::duration now_{0};
   std::uint64_t order_ = 0;
   std::mt19937_64 random_;
-  std::priority_queue<scheduled, std::vector<scheduled>, std::greater<>>
-      queue_;
+  std::priority_queue<scheduled, std::vector<scheduled>, std::greater<>> queue_;
   stage_store store_;
   std::vector<stage_entry> entries_;
   std::vector<stage_worker> workers_;
--- a/tests/support/stage_store.cc
+++ b/tests/support/stage_store.cc
@@ -71,9 +71,8 @@
                       const std::string& key,
                       std::optional<work::feed_value> value) {
   log& to = logs_.at(source);
-  to.items.push_back({.offset = to.items.size(),
-                      .key = key,
-                      .value = std::move(value)});
+  to.items.push_back(
+      {.offset = to.items.size(), .key = key, .value = std::move(value)});
 }
 
 void stage_store::Compact() {
--- a/tests/support/stage_worker.cc
+++ b/tests/support/stage_worker.cc
@@ -43,9 +43,9 @@
   if (found != running_.end() && found->second.attempt == order.attempt)
     return work::order_outcome::kDone;
   const auto closed = closed_.find(order.task);
-  const bool old = (closed != closed_.end() &&
-                    order.attempt <= closed->second) ||
-                   found != running_.end();
+  const bool old =
+      (closed != closed_.end() && order.attempt <= closed->second) ||
+      found != running_.end();
   const work::duration until =
       std::min(order.lease_until, Clock(now) + kLongestLease);
   if (Clock(now) >= order.lease_until)
@@ -83,9 +83,8 @@
   if (!TakesToken(order.target.token))
     return work::order_outcome::kFenced;
   if (order.lease_until) {
-    lease_until_ =
-        std::max(lease_until_,
-                 std::min(*order.lease_until, Clock(now) + kLongestLease));
+    lease_until_ = std::max(
+        lease_until_, std::min(*order.lease_until, Clock(now) + kLongestLease));
   }
   std::vector<work::ended_task> kept;
   for (const work::ended_task& each : ended_) {
@@ -117,10 +116,8 @@
   running_.erase(task);
   std::uint64_t& closed = closed_[task];
   closed = std::max(closed, attempt);
-  ended_.push_back({.number = ++last_number_,
-                    .task = task,
-                    .attempt = attempt,
-                    .how = how});
+  ended_.push_back(
+      {.number = ++last_number_, .task = task, .attempt = attempt, .how = how});
   ended_at_[last_number_] = advanced_to_;
   ended(task, how);
 }
--- a/tests/support/stage_worker.h
+++ b/tests/support/stage_worker.h
@@ -64,9 +64,7 @@
   void Die();
   // A new life with the same name.
   void Restart(work::duration now);
-  const std::map<work::task_id, stage_run>& running() const {
-    return running_;
-  }
+  const std::map<work::task_id, stage_run>& running() const { return running_; }
   // Ends a task because another member of its gang has ended.
   void Break(const work::task_id& task);
   void FinishWith(const work::task_id& task);
