--- a/source/dispatch/clients.cc
+++ b/source/dispatch/clients.cc
@@ -284,6 +284,7 @@
 bool LeaderIsHeard(const context& ctx) {
   const leadership& lead = ctx.state.lead;
   return lead.mine != role::kLeader && !lead.leader_address.empty() &&
+         lead.leader_reaches_store &&
          ctx.now() - lead.heard_at < ctx.limits().leader_silent;
 }
 
@@ -387,10 +388,13 @@
 void AdvanceCalls(const context& ctx) {
   const bool troubled = IsStoreTroubled(ctx, ctx.limits().relay_after);
   const bool may_relay = troubled && LeaderIsHeard(ctx);
+  const bool hopeless =
+      !may_relay && IsStoreTroubled(ctx, ctx.limits().refuse_after);
   std::vector<call_number> expired;
   std::vector<call_number> relayed;
   for (const auto& [number, call] : ctx.state.calls) {
-    if (ctx.now() >= call.deadline)
+    const bool given_up = hopeless && call.stage == call_stage::kStoring;
+    if (given_up || ctx.now() >= call.deadline)
       expired.push_back(number);
     else if (may_relay && call.stage != call_stage::kRelayed &&
              call.relayed_by.empty())
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -15,9 +15,9 @@
 constexpr std::uint32_t kSilentAfter = 2;
 
 const worker_load& LoadOf(const context& ctx, const work::worker_id& worker) {
-  static const worker_load kIdle;
+  static const worker_load idle;
   const worker_load* found = ctx.state.mine.loads.Find(worker);
-  return found == nullptr ? kIdle : *found;
+  return found == nullptr ? idle : *found;
 }
 
 bool HasStrays(const context& ctx, const work::worker_id& worker) {
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -211,7 +211,7 @@
                             .task = id.task,
                             .attempt = next.attempt,
                             .timeout = ctx.limits().order_timeout});
-    ctx.state.mine.strays.Put(id, std::move(next));
+    ctx.state.mine.strays.Put(id, next);
   }
 }
 
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -171,8 +171,8 @@
 
   // What the registry says, or nothing known of it.
   const work::worker_entry& listed() const {
-    static const work::worker_entry kUnknown;
-    return entry.Get() == nullptr ? kUnknown : *entry.Get();
+    static const work::worker_entry unknown{};
+    return entry.Get() == nullptr ? unknown : *entry.Get();
   }
 
   bool operator==(const worker_row&) const = default;
--- a/source/placement/preempt.cc
+++ b/source/placement/preempt.cc
@@ -114,7 +114,7 @@
               const demand& asked,
               const std::vector<victim>& victims,
               const victims_by_worker& index) {
-  static const std::vector<std::size_t> kNone;
+  static const std::vector<std::size_t> none;
   std::optional<price> best;
   work::worker_id best_worker;
   for (const auto& [worker, room] : so_far.room) {
@@ -123,7 +123,7 @@
     const auto here = index.find(worker);
     const std::optional<price> found =
         PriceOn(asked, worker, so_far, victims,
-                here == index.end() ? kNone : here->second);
+                here == index.end() ? none : here->second);
     if (!found || (best && found->cost >= best->cost))
       continue;
     best = found;
--- a/source/platform/json_fields.cc
+++ b/source/platform/json_fields.cc
@@ -14,8 +14,8 @@
 constexpr double kLargest = 9007199254740992.0;
 
 const nlohmann::json& EmptyObject() {
-  static const nlohmann::json kEmpty = nlohmann::json::object();
-  return kEmpty;
+  static const nlohmann::json empty = nlohmann::json::object();
+  return empty;
 }
 
 }  // namespace
--- a/source/platform/worker_calls.cc
+++ b/source/platform/worker_calls.cc
@@ -133,14 +133,14 @@
   }
   return wire::Handle(
       [&] { return DecodeLists(std::get<wire::http_response>(outcome).body); },
-      [&](held_worker held) -> decoded_event {
+      [&](const held_worker& held) -> decoded_event {
         return {.event =
                     work::hold_answered{.at = at,
                                         .call = effect.call,
                                         .worker = effect.target.worker,
                                         .outcome = work::order_outcome::kDone,
                                         .worker_clock = held.clock,
-                                        .listing = std::move(held.listing)}};
+                                        .listing = held.listing}};
       },
       [&](const model::findings& faults) -> decoded_event {
         return {.event = work::hold_answered{.at = at,
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -134,7 +134,8 @@
                       default_patience,
                       answer_margin,
                       retry_after,
-                      relay_after)
+                      relay_after,
+                      refuse_after)
 
 }  // namespace parsleyhitch::work
 
--- a/source/work/limits.h
+++ b/source/work/limits.h
@@ -81,6 +81,9 @@
   const duration answer_margin{200};
   const duration retry_after{1000};
   const duration relay_after{150};
+  // With the store away for so long, what needs it is refused at once: callers
+  // whose patience is 3 s can come back in time.
+  const duration refuse_after{300};
 
   bool operator==(const limits&) const = default;
 };
