--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -173,6 +173,7 @@
     found.cost = ctx.env.behaviour.stop_cost(
         {.members = static_cast<std::uint32_t>(each.members.size()),
          .cpu_millis = step.need.cpu_millis,
+         .accelerators = step.need.accelerators,
          .ran = ctx.now() - each.since,
          .checkpointed = step.checkpointed,
          .importance = theirs});
@@ -191,6 +192,7 @@
     board.slots[worker] = {.service = row.listed().service,
                            .rack = row.listed().rack,
                            .labels = row.listed().labels,
+                           .accelerators = row.listed().capacity.accelerators,
                            .free = row.listed().capacity - carried.used,
                            .leaving = carried.leaving,
                            .shunned = ctx.now() < row.shunned_until};
--- a/source/dispatch/hooks.cc
+++ b/source/dispatch/hooks.cc
@@ -11,14 +11,16 @@
 
 // A checkpointed task loses at most what it did since its last checkpoint: half
 // the interval of 2 s that the users' sheets state, on average.
-constexpr work::duration kCheckpointLoss{1000};
+constexpr work::duration kCheckpointLoss{500};
 
 // A stop and a new start: what a stopped unit loses beside its work.
 constexpr work::duration kRestart{500};
 
-// Firm work is worth three times as much as background work on the users'
-// sheets.
-constexpr std::uint64_t kFirmWeight = 3;
+// The users price an accelerator like eight cores.
+constexpr std::int64_t kAcceleratorMillis = 8000;
+
+constexpr std::int64_t kFirmHeadroom = 80;
+constexpr std::int64_t kBackgroundHeadroom = 200;
 
 bool ByRankThenAge(const waiting_unit& a, const waiting_unit& b) {
   return std::tie(a.importance, a.accepted, a.unit) <
@@ -32,11 +34,23 @@
 std::uint64_t LostWork(const running_unit& unit) {
   const work::duration lost =
       unit.checkpointed ? std::min(unit.ran, kCheckpointLoss) : unit.ran;
-  const auto cores = static_cast<std::uint64_t>(unit.cpu_millis) * unit.members;
-  const std::uint64_t weight =
-      unit.importance == rank::kBackground ? 1 : kFirmWeight;
-  const auto cost = static_cast<std::uint64_t>((lost + kRestart).count());
-  return cores * cost * weight / 1000;
+  const std::int64_t each =
+      unit.cpu_millis + unit.accelerators * kAcceleratorMillis;
+  const auto cores = static_cast<std::uint64_t>(each) * unit.members;
+  return cores * static_cast<std::uint64_t>((lost + kRestart).count()) / 1000;
+}
+
+std::int64_t Headroom(rank importance) {
+  switch (importance) {
+    case rank::kGuaranteed:
+    case rank::kUrgent:
+      return 0;
+    case rank::kFirm:
+      return kFirmHeadroom;
+    case rank::kBackground:
+      break;
+  }
+  return kBackgroundHeadroom;
 }
 
 }  // namespace
@@ -44,6 +58,7 @@
 hooks DefaultHooks() {
   return {.goes_first = ByRankThenAge,
           .stop_cost = LostWork,
+          .headroom_permille = Headroom,
           .may_preempt = [](rank waiting, rank running) {
             return waiting <= rank::kUrgent && waiting < running;
           }};
@@ -52,6 +67,7 @@
 hooks BaselineHooks() {
   return {.goes_first = ByAge,
           .stop_cost = LostWork,
+          .headroom_permille = [](rank) { return 0; },
           .may_preempt = [](rank, rank) { return false; }};
 }
 
--- a/source/dispatch/hooks.h
+++ b/source/dispatch/hooks.h
@@ -38,7 +38,9 @@
 // A unit that runs, as the choice of victims sees it.
 struct running_unit {
   std::uint32_t members = 1;
+  // Of each member.
   std::int64_t cpu_millis = 0;
+  std::int64_t accelerators = 0;
   work::duration ran{0};
   bool checkpointed = false;
   rank importance = rank::kBackground;
@@ -51,6 +53,10 @@
   // Work thrown away if the unit is stopped now, in core-milliseconds.
   std::function<std::uint64_t(const running_unit&)> stop_cost;
 
+  // Accelerators, in thousandths of all, that must stay free when a unit of the
+  // rank is placed, so that more important ones start without a stop.
+  std::function<std::int64_t(rank)> headroom_permille;
+
   // True when a unit of the first rank may have one of the second stopped.
   std::function<bool(rank waiting, rank running)> may_preempt;
 };
