Elect a successor at once when the leader has started anew; drop the headroom

Cause: after all entries were killed, every one waited 1.1 s for a leader that could not be alive; after an outage of the store for all, the first entry to reach it again deposed a leader that was about to. Change: a leader that joined again after its election leads no more; an outage counts against a leader only from when the candidate itself reached the store again.

--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -192,7 +192,6 @@
     board.slots[worker] = {.service = row.listed().service,
                            .rack = row.listed().rack,
                            .labels = row.listed().labels,
-                           .accelerators = row.listed().capacity.accelerators,
                            .free = row.listed().capacity - carried.used,
                            .leaving = carried.leaving,
                            .shunned = ctx.now() < row.shunned_until};
--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/feeds.cc
@@ -227,6 +227,7 @@
   if (answered && since) {
     ctx.Log("store_regained", "store", {Field("lost_for", ctx.now() - *since)});
     since.reset();
+    ctx.state.store_regained_at = ctx.now();
   }
   if (!answered && !since) {
     ctx.Warn("store_lost", "store");
--- a/source/dispatch/hooks.cc
+++ b/source/dispatch/hooks.cc
@@ -19,9 +19,6 @@
 // The users price an accelerator like eight cores.
 constexpr std::int64_t kAcceleratorMillis = 8000;
 
-constexpr std::int64_t kFirmHeadroom = 80;
-constexpr std::int64_t kBackgroundHeadroom = 200;
-
 bool ByRankThenAge(const waiting_unit& a, const waiting_unit& b) {
   return std::tie(a.importance, a.accepted, a.unit) <
          std::tie(b.importance, b.accepted, b.unit);
@@ -40,25 +37,11 @@
   return cores * static_cast<std::uint64_t>((lost + kRestart).count()) / 1000;
 }
 
-std::int64_t Headroom(rank importance) {
-  switch (importance) {
-    case rank::kGuaranteed:
-    case rank::kUrgent:
-      return 0;
-    case rank::kFirm:
-      return kFirmHeadroom;
-    case rank::kBackground:
-      break;
-  }
-  return kBackgroundHeadroom;
-}
-
 }  // namespace
 
 hooks DefaultHooks() {
   return {.goes_first = ByRankThenAge,
           .stop_cost = LostWork,
-          .headroom_permille = Headroom,
           .may_preempt = [](rank waiting, rank running) {
             return waiting <= rank::kUrgent && waiting < running;
           }};
@@ -67,7 +50,6 @@
 hooks BaselineHooks() {
   return {.goes_first = ByAge,
           .stop_cost = LostWork,
-          .headroom_permille = [](rank) { return 0; },
           .may_preempt = [](rank, rank) { return false; }};
 }
 
--- a/source/dispatch/hooks.h
+++ b/source/dispatch/hooks.h
@@ -53,10 +53,6 @@
   // Work thrown away if the unit is stopped now, in core-milliseconds.
   std::function<std::uint64_t(const running_unit&)> stop_cost;
 
-  // Accelerators, in thousandths of all, that must stay free when a unit of the
-  // rank is placed, so that more important ones start without a stop.
-  std::function<std::int64_t(rank)> headroom_permille;
-
   // True when a unit of the first rank may have one of the second stopped.
   std::function<bool(rank waiting, rank running)> may_preempt;
 };
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -91,11 +91,17 @@
     return ctx.now() - s.lead.heard_at >= patience ? "no leader yet" : "";
   if (ctx.now() - s.lead.heard_at >= ctx.limits().leader_silent + patience)
     return "leader is silent";
+  const bool restarted = records::HasLeaderRestarted(s.ledger);
+  if (restarted && ctx.now() - s.lead.heard_at >= patience)
+    return "leader has started anew";
   const std::optional<timestamp>& resigning = s.lead.resigning_since;
   if (resigning && ctx.now() - *resigning >= patience)
     return "leader resigns";
-  const bool cut = ctx.now() - s.lead.leader_reached_store_at >=
-                   ctx.limits().store_silent + patience;
+  // After an outage for all, the leader has its time to reach the store again.
+  const timestamp both_could =
+      std::max(s.lead.leader_reached_store_at, s.store_regained_at);
+  const bool cut =
+      ctx.now() - both_could >= ctx.limits().store_silent + patience;
   return cut ? "leader has lost the store" : "";
 }
 
--- a/source/dispatch/planning.cc
+++ b/source/dispatch/planning.cc
@@ -1,7 +1,6 @@
 // One pass over the waiting units: each is placed, gets others stopped for it,
 // or is left waiting.
 
-#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -13,8 +12,6 @@
 
 namespace {
 
-constexpr std::int64_t kPermille = 1000;
-
 void TakeAll(placement::board& board,
              const std::vector<work::worker_id>& workers,
              const work::resources& need) {
@@ -41,32 +38,10 @@
   TakeAll(board, chosen->workers, asked.need);
 }
 
-// Placing the unit leaves enough free for more important ones.
-bool LeavesHeadroom(const context& ctx,
-                    const waiting_unit& waiting,
-                    const placement::demand& asked,
-                    const placement::board& board) {
-  const std::int64_t permille =
-      ctx.env.behaviour.headroom_permille(waiting.importance);
-  if (permille == 0)
-    return true;
-  std::int64_t all = 0;
-  std::int64_t free = 0;
-  for (const auto& [worker, each] : board.slots) {
-    all += each.accelerators;
-    free += std::max<std::int64_t>(each.free.accelerators, 0);
-  }
-  const std::int64_t taken =
-      asked.need.accelerators * std::int64_t{asked.members};
-  return (free - taken) * kPermille >= all * permille;
-}
-
 void PlaceOrPreempt(const context& ctx,
                     const waiting_unit& waiting,
                     placement::board& board) {
   const placement::demand asked = DemandOf(ctx, waiting);
-  if (!LeavesHeadroom(ctx, waiting, asked, board))
-    return;
   const auto room = placement::FindRoom(board, asked, placement::FreeRoom);
   if (room) {
     TakeAll(board, *room, asked.need);
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -320,6 +320,7 @@
   feed_state workers;
   // Since when no call to the store has succeeded; absent while they do.
   std::optional<timestamp> store_trouble_since;
+  timestamp store_regained_at;
   records::ledger ledger;
   model::value_cell<work::published_catalog> in_force;
   outbox submissions;
--- a/source/placement/board.h
+++ b/source/placement/board.h
@@ -18,8 +18,6 @@
   work::service_id service;
   work::rack_id rack;
   std::vector<std::string> labels;
-  // All accelerators of the worker.
-  std::int64_t accelerators = 0;
   // Capacity that nothing uses.
   work::resources free;
   // Capacity of tasks that are being stopped; it becomes free soon.
--- a/source/records/ledger.cc
+++ b/source/records/ledger.cc
@@ -55,12 +55,13 @@
 }
 
 void FoldInto(ledger& folded,
-              std::uint64_t,
+              std::uint64_t offset,
               const work::leader_elected& record) {
   if (record.epoch <= folded.epoch)
     return;
   folded.epoch = record.epoch;
   folded.leader = record.entry;
+  folded.elected = offset;
 }
 
 }  // namespace
@@ -95,6 +96,11 @@
   return phase;
 }
 
+bool HasLeaderRestarted(const ledger& folded) {
+  const member_entry* leader = folded.members.Find(folded.leader);
+  return leader != nullptr && leader->joined > folded.elected;
+}
+
 std::uint64_t CountWaiting(const ledger& folded, const work::queue_id& queue) {
   std::uint64_t waiting = 0;
   for (const auto& [id, job] : folded.jobs) {
--- a/source/records/ledger.h
+++ b/source/records/ledger.h
@@ -41,6 +41,8 @@
   // Epoch 0: nobody was ever elected.
   std::uint64_t epoch = 0;
   work::entry_id leader;
+  // Position of its election.
+  std::uint64_t elected = 0;
 
   bool operator==(const ledger&) const = default;
 };
@@ -56,6 +58,9 @@
 
 work::job_phase PhaseOf(const job_entry& job);
 
+// The leader's process has started anew since its election, so it leads no more.
+bool HasLeaderRestarted(const ledger& folded);
+
 // Open jobs of the queue that have not begun.
 std::uint64_t CountWaiting(const ledger& folded, const work::queue_id& queue);
 
--- a/tests/dispatch/takeover_test.cc
+++ b/tests/dispatch/takeover_test.cc
@@ -77,6 +77,27 @@
   cr_assert_eq(fixture.stage.starts(), 4U);
 }
 
+Test(entries,
+     all_killed_at_once_elect_a_leader_without_waiting_for_the_old_one) {
+  running_fixture fixture;
+  for (std::uint32_t i = 0; i < 3; ++i)
+    fixture.stage.Kill(i);
+  for (std::uint32_t i = 0; i < 3; ++i)
+    fixture.stage.Start(i);
+  cr_assert(fixture.stage.RunUntil(
+      [&] { return fixture.stage.Leader().has_value(); }, work::duration(800)));
+}
+
+Test(store, back_after_an_outage_for_all_leaves_the_leader_in_place) {
+  running_fixture fixture;
+  const std::uint32_t first = fixture.Leader();
+  fixture.stage.store().down = true;
+  fixture.stage.RunFor(work::duration(4000));
+  fixture.stage.store().down = false;
+  fixture.ExpectCompletedWithoutBreach();
+  cr_assert_eq(fixture.Leader(), first);
+}
+
 Test(store, down_while_steps_follow_one_another_does_not_stop_the_work) {
   running_fixture fixture({Step(2, 4), Step(2, 4, false, {0})});
   fixture.stage.store().down = true;
--- a/tests/records/ledger_test.cc
+++ b/tests/records/ledger_test.cc
@@ -93,6 +93,16 @@
   cr_assert_eq(fixture.ledger.epoch, 3U);
 }
 
+Test(ledger, leader_that_joined_again_after_its_election_has_restarted) {
+  ledger_fixture fixture;
+  const work::entry_id leader("a");
+  fixture.Fold(1, work::member_joined{.entry = leader, .incarnation = 1});
+  fixture.Fold(2, work::leader_elected{.entry = leader, .epoch = 1});
+  cr_assert_not(records::HasLeaderRestarted(fixture.ledger));
+  fixture.Fold(3, work::member_joined{.entry = leader, .incarnation = 2});
+  cr_assert(records::HasLeaderRestarted(fixture.ledger));
+}
+
 Test(record_key, of_submission_cancellation_and_progress_differ) {
   const std::string submitted = records::KeyOf(Submitted());
   const std::string cancelled =
