--- a/source/dispatch/clients.cc
+++ b/source/dispatch/clients.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "dispatch/names.h"
 #include "dispatch/parts.h"
 #include "dispatch/routing.h"
 
@@ -32,42 +33,6 @@
   return {.kind = work::answer_kind::kState, .phase = records::PhaseOf(job)};
 }
 
-std::string NameOf(work::call_verb verb) {
-  switch (verb) {
-    case work::call_verb::kSubmit:
-      return "submit";
-    case work::call_verb::kRead:
-      return "read";
-    case work::call_verb::kCancel:
-      break;
-  }
-  return "cancel";
-}
-
-std::string NameOf(work::answer_kind kind) {
-  switch (kind) {
-    case work::answer_kind::kAccepted:
-      return "accepted";
-    case work::answer_kind::kState:
-      return "state";
-    case work::answer_kind::kWaiting:
-      return "waiting";
-    case work::answer_kind::kInvalid:
-      return "invalid";
-    case work::answer_kind::kNoKey:
-      return "no_key";
-    case work::answer_kind::kNoQueue:
-      return "no_queue";
-    case work::answer_kind::kNoJob:
-      return "no_job";
-    case work::answer_kind::kNotRun:
-      return "not_run";
-    case work::answer_kind::kNotSettled:
-      break;
-  }
-  return "not_settled";
-}
-
 std::uint64_t InForce(const context& ctx) {
   const work::published_catalog* held = ctx.state.in_force.Get();
   return held == nullptr ? 0 : held->content.version;
--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -5,35 +5,13 @@
 #include <string>
 #include <utility>
 
+#include "dispatch/names.h"
 #include "dispatch/parts.h"
 
 namespace parsleyhitch::dispatch {
 
 namespace {
 
-std::string NameOf(const work::task_id& task) {
-  return task.job.value() + "." + std::to_string(task.occurrence) + "." +
-         std::to_string(task.step) + "." + std::to_string(task.index);
-}
-
-std::string NameOf(work::run_end_kind how) {
-  switch (how) {
-    case work::run_end_kind::kDone:
-      return "done";
-    case work::run_end_kind::kFailed:
-      return "failed";
-    case work::run_end_kind::kStopped:
-      return "stopped";
-    case work::run_end_kind::kLapsed:
-      return "lapsed";
-    case work::run_end_kind::kBroken:
-      return "broken";
-    case work::run_end_kind::kAlone:
-      break;
-  }
-  return "alone";
-}
-
 void RemoveFromLoad(const context& ctx,
                     const work::worker_id& worker,
                     const work::unit_id& id,
@@ -204,6 +182,13 @@
   ctx.state.mine.unsaved.insert(id.job);
 }
 
+gang_effect EffectOf(work::run_end_kind how) {
+  const bool ends_all = how == work::run_end_kind::kDone ||
+                        how == work::run_end_kind::kFailed ||
+                        how == work::run_end_kind::kBroken;
+  return ends_all ? gang_effect::kEndsTheRest : gang_effect::kLeavesTheRest;
+}
+
 void KeepCheckpoint(const context& ctx,
                     const work::unit_id& id,
                     const std::string& checkpoint) {
@@ -292,7 +277,7 @@
     const auto index = FindMember(*each, id, end.task, worker);
     KeepCheckpoint(ctx, id, end.checkpoint);
     if (index)
-      EndMember(ctx, id, *index, NameOf(end.how));
+      EndMember(ctx, id, *index, EffectOf(end.how));
   }
   if (IsSpent(ctx, id))
     CloseJob(ctx, id.job, work::job_phase::kFailed);
@@ -301,7 +286,7 @@
 void EndMember(const context& ctx,
                const work::unit_id& id,
                std::uint32_t index,
-               std::string_view why) {
+               gang_effect effect) {
   leader_state& mine = ctx.state.mine;
   const unit* known = mine.units.Find(id);
   if (known == nullptr || index >= known->members.size() ||
@@ -330,7 +315,7 @@
     EndAttempt(ctx, id);
     return;
   }
-  if (why != "failed" && why != "broken" && why != "done")
+  if (effect == gang_effect::kLeavesTheRest)
     StopOthers(ctx, id);
 }
 
@@ -357,7 +342,7 @@
     if (!settled || running.contains({task, each->attempt}))
       continue;
     ctx.Warn("task_missing", NameOf(task), {Field("worker", worker.value())});
-    EndMember(ctx, id, index, "missing");
+    EndMember(ctx, id, index, gang_effect::kLeavesTheRest);
   }
   std::vector<stray_id> gone;
   for (auto at = ctx.state.mine.strays.From({.worker = worker});
--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/feeds.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "dispatch/names.h"
 #include "dispatch/parts.h"
 
 namespace parsleyhitch::dispatch {
@@ -187,7 +188,7 @@
     feed.next_at = ctx.now() + ctx.limits().read_retry;
     return;
   }
-  ctx.Log("feed_trimmed", std::to_string(static_cast<int>(event.source)),
+  ctx.Log("feed_trimmed", NameOf(event.source),
           {Field("position", feed.position)});
   feed.whole = false;
   feed.first_end.reset();
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -54,7 +54,7 @@
              {Field("count", tasks.size()), Field("why", std::string(why))});
   }
   for (const auto& [unit, index] : tasks)
-    EndMember(ctx, unit, index, why);
+    EndMember(ctx, unit, index, gang_effect::kLeavesTheRest);
   std::vector<stray_id> strays;
   for (auto at = ctx.state.mine.strays.From({.worker = worker});
        at != ctx.state.mine.strays.end() && at->first.worker == worker; ++at)
@@ -73,7 +73,7 @@
   const auto tasks = LoadOf(ctx, worker).tasks;
   for (const auto& [unit, index] : tasks) {
     if (!StopPending(ctx, unit, index))
-      EndMember(ctx, unit, index, "worker started again");
+      EndMember(ctx, unit, index, gang_effect::kLeavesTheRest);
   }
   const work::worker_entry& before = row.listed();
   worker_row next;
--- a/source/dispatch/jobs.cc
+++ b/source/dispatch/jobs.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "dispatch/names.h"
 #include "dispatch/parts.h"
 
 namespace parsleyhitch::dispatch {
@@ -369,9 +370,8 @@
   const duration took = ctx.now() - ContentOf(job).submitted_at;
   mine.jobs.Put(id, std::move(job));
   mine.unsaved.insert(id);
-  ctx.Log(
-      "job_closed", id.value(),
-      {Field("phase", static_cast<std::uint64_t>(phase)), Field("took", took)});
+  ctx.Log("job_closed", id.value(),
+          {Field("phase", NameOf(phase)), Field("took", took)});
   ctx.Count("jobs_closed");
   std::vector<work::unit_id> units;
   ForUnits(ctx, id, [&](const work::unit_id& name, const unit&) {
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "dispatch/names.h"
 #include "dispatch/parts.h"
 
 namespace parsleyhitch::dispatch {
@@ -22,11 +23,6 @@
           .index = id.index + index};
 }
 
-std::string NameOf(const work::unit_id& id) {
-  return id.job.value() + "." + std::to_string(id.occurrence) + "." +
-         std::to_string(id.step) + "." + std::to_string(id.index);
-}
-
 unit WithMember(unit changed, std::uint32_t index, member with) {
   changed.members[index] = std::move(with);
   return changed;
@@ -165,10 +161,9 @@
   if (unhealthy)
     NoteFailure(ctx, worker, about.unit.job, "start refused");
   ctx.Log("start_rejected", NameOf(about.unit),
-          {Field("worker", worker.value()),
-           Field("outcome", static_cast<std::uint64_t>(outcome)),
+          {Field("worker", worker.value()), Field("outcome", NameOf(outcome)),
            Field("attempt", about.attempt)});
-  EndMember(ctx, about.unit, about.member, "start rejected");
+  EndMember(ctx, about.unit, about.member, gang_effect::kLeavesTheRest);
 }
 
 void AdvanceMember(const context& ctx,
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -124,12 +124,17 @@
 void NoteEnd(const context& ctx,
              const work::worker_id& worker,
              const work::ended_task& end);
+// What the end of a member means for the others of its gang.
+enum class gang_effect : std::uint8_t {
+  kEndsTheRest,    // the workers end them too
+  kLeavesTheRest,  // they run on until they are stopped
+};
 // The member is known not to run any more; the unit waits again once all of its
 // members have ended.
 void EndMember(const context& ctx,
                const work::unit_id& id,
                std::uint32_t member,
-               std::string_view why);
+               gang_effect effect);
 // Tasks that an older list should have shown are not there.
 void EndMissing(const context& ctx,
                 const work::worker_id& worker,
--- a/source/dispatch/planning.cc
+++ b/source/dispatch/planning.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "dispatch/demands.h"
+#include "dispatch/names.h"
 #include "dispatch/parts.h"
 #include "placement/room.h"
 
@@ -29,7 +30,7 @@
   if (!chosen)
     return;
   for (const work::unit_id& victim : chosen->stopped) {
-    ctx.Log("unit_preempted", victim.job.value(),
+    ctx.Log("unit_preempted", NameOf(victim),
             {Field("for", waiting.unit.job.value()),
              Field("waited", waiting.waited)});
     ctx.Count("units_preempted");
