--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -3,6 +3,7 @@
 // a start is given up by a stop, which shuts the door behind it.
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -152,6 +153,31 @@
   return found.order == call ? &found : nullptr;
 }
 
+// An answered order with the member that it is about.
+struct answered_order {
+  order_reference about;
+  member current;
+};
+
+// Nothing when the order is an old attempt's or was refused by a newer token.
+std::optional<answered_order> TakeOrder(const context& ctx,
+                                        call_number call,
+                                        work::order_outcome outcome) {
+  const order_reference* found = ctx.state.mine.orders.Find(call);
+  if (found == nullptr)
+    return {};
+  const order_reference about = *found;
+  ctx.state.mine.orders.Erase(call);
+  if (outcome == work::order_outcome::kFenced) {
+    NoteEpoch(ctx, ctx.state.mine.epoch + 1, "worker_fenced");
+    return {};
+  }
+  const member* current = MemberOf(ctx, about, call);
+  if (current == nullptr)
+    return {};
+  return answered_order{.about = about, .current = *current};
+}
+
 // A start that did nothing: the member never ran.
 void OnNotStarted(const context& ctx,
                   const order_reference& about,
@@ -291,19 +317,11 @@
 }
 
 void OnStartAnswered(const context& ctx, const work::start_answered& event) {
-  const order_reference* found = ctx.state.mine.orders.Find(event.call);
-  if (found == nullptr)
-    return;
-  const order_reference about = *found;
-  ctx.state.mine.orders.Erase(event.call);
-  if (event.outcome == work::order_outcome::kFenced) {
-    NoteEpoch(ctx, ctx.state.mine.epoch + 1, "worker_fenced");
+  const auto answered = TakeOrder(ctx, event.call, event.outcome);
+  if (!answered)
     return;
-  }
-  const member* known = MemberOf(ctx, about, event.call);
-  if (known == nullptr)
-    return;
-  member next = *known;
+  const order_reference& about = answered->about;
+  member next = answered->current;
   next.order.reset();
   switch (event.outcome) {
     case work::order_outcome::kDone:
@@ -324,19 +342,11 @@
 }
 
 void OnStopAnswered(const context& ctx, const work::stop_answered& event) {
-  const order_reference* found = ctx.state.mine.orders.Find(event.call);
-  if (found == nullptr)
-    return;
-  const order_reference about = *found;
-  ctx.state.mine.orders.Erase(event.call);
-  if (event.outcome == work::order_outcome::kFenced) {
-    NoteEpoch(ctx, ctx.state.mine.epoch + 1, "worker_fenced");
-    return;
-  }
-  const member* known = MemberOf(ctx, about, event.call);
-  if (known == nullptr)
+  const auto answered = TakeOrder(ctx, event.call, event.outcome);
+  if (!answered)
     return;
-  member next = *known;
+  const order_reference& about = answered->about;
+  member next = answered->current;
   next.order.reset();
   if (event.outcome == work::order_outcome::kDone) {
     next.settled_at = ctx.now();
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -60,9 +60,8 @@
 // The leader's authority was confirmed lately enough to give orders.
 bool HasAuthority(const context& ctx);
 
-// jobs.cc: the leader's jobs, their steps and their progress.
+// jobs.cc: the leader's jobs and their steps.
 void OnJobFolded(const context& ctx, const work::job_id& job);
-void RestoreJobs(const context& ctx);
 void OpenDueSteps(const context& ctx);
 // Creates the units of a step that an earlier leader opened without a record.
 void EnsureOpened(const context& ctx, const work::unit_id& id);
@@ -74,12 +73,18 @@
               work::job_phase phase);
 // Drops a closed job's unit once none of its members runs.
 void DropIfEnded(const context& ctx, const work::unit_id& id);
-std::vector<work::record> TakeUnsaved(const context& ctx);
 const work::step_spec& StepOf(const live_job& job, const work::unit_id& id);
 std::uint32_t MembersOf(const work::step_spec& step);
 work::resources NeedOf(const work::step_spec& step);
 work::unit_id UnitOf(const live_job& job, const work::task_id& task);
 
+// restore.cc: jobs as a new leader finds them in the records.
+void RestoreJobs(const context& ctx);
+
+// progress.cc: what the store has to keep. Records of jobs that changed, up to
+// the size of a batch; the rest stays unsaved.
+std::vector<work::record> TakeUnsaved(const context& ctx);
+
 // fleet.cc: workers, their lists and their leases.
 void UpsertWorker(const context& ctx, const work::worker_entry& entry);
 void DropWorker(const context& ctx, const work::worker_id& worker);
--- /dev/null
+++ b/source/dispatch/progress.cc
@@ -0,0 +1,64 @@
+// What the store has to keep of the leader's jobs.
+
+#include <utility>
+
+#include "dispatch/parts.h"
+#include "dispatch/steps.h"
+
+namespace parsleyhitch::dispatch {
+
+namespace {
+
+bool HasBegun(const unit& each) {
+  return each.attempt > 0 || each.phase == unit_phase::kDone;
+}
+
+std::vector<work::worker_id> WorkersOf(const unit& each) {
+  std::vector<work::worker_id> workers;
+  if (each.phase != unit_phase::kPlaced)
+    return workers;
+  for (const member& one : each.members)
+    workers.push_back(one.worker);
+  return workers;
+}
+
+work::job_progressed ProgressOf(const context& ctx,
+                                const work::job_id& id,
+                                const live_job& job) {
+  std::vector<work::unit_progress> units;
+  if (!work::IsClosed(job.phase)) {
+    ForUnits(ctx, id, [&](const work::unit_id& name, const unit& each) {
+      if (!HasBegun(each))
+        return;
+      units.push_back(
+          {.occurrence = name.occurrence,
+           .step = name.step,
+           .index = name.index,
+           .done = each.phase == unit_phase::kDone,
+           .failures = each.failures,
+           .attempt = each.attempt,
+           .attempt_failed = each.failed_attempts.contains(each.attempt),
+           .checkpoint = each.checkpoint,
+           .workers = WorkersOf(each)});
+    });
+  }
+  return {.job = id, .phase = job.phase, .units = std::move(units)};
+}
+
+}  // namespace
+
+std::vector<work::record> TakeUnsaved(const context& ctx) {
+  leader_state& mine = ctx.state.mine;
+  std::vector<work::record> records;
+  while (!mine.unsaved.empty() &&
+         records.size() < ctx.limits().max_batch_records) {
+    const work::job_id id = *mine.unsaved.begin();
+    mine.unsaved.erase(mine.unsaved.begin());
+    const live_job* job = mine.jobs.Find(id);
+    if (job != nullptr)
+      records.emplace_back(ProgressOf(ctx, id, *job));
+  }
+  return records;
+}
+
+}  // namespace parsleyhitch::dispatch
--- /dev/null
+++ b/source/dispatch/restore.cc
@@ -0,0 +1,116 @@
+// Jobs as a new leader finds them in the records. What an earlier leader had
+// placed counts as placed until the worker's list says otherwise.
+
+#include <utility>
+
+#include "dispatch/parts.h"
+#include "dispatch/steps.h"
+
+namespace parsleyhitch::dispatch {
+
+namespace {
+
+std::vector<member> RestoredMembers(const context& ctx,
+                                    const work::unit_progress& saved) {
+  std::vector<member> members;
+  for (const work::worker_id& worker : saved.workers) {
+    members.push_back({.worker = worker,
+                       .state = member_state::kUnverified,
+                       .advanced_at = ctx.now()});
+  }
+  return members;
+}
+
+// Adds what the restored unit holds to its workers.
+void LoadRestored(const context& ctx,
+                  const work::unit_id& id,
+                  const unit& restored,
+                  const work::step_spec& step) {
+  for (std::uint32_t i = 0; i < restored.members.size(); ++i) {
+    const work::worker_id& worker = restored.members[i].worker;
+    const worker_load* known = ctx.state.mine.loads.Find(worker);
+    worker_load load = known == nullptr ? worker_load() : *known;
+    load.tasks.insert({id, i});
+    load.used = load.used + NeedOf(step);
+    ctx.state.mine.loads.Put(worker, std::move(load));
+    if (ctx.state.mine.workers.Contains(worker))
+      continue;
+    // Its place in the registry is not read yet.
+    worker_row row{.is_listed = false, .unlisted_since = ctx.now()};
+    row.lapsed_by = EarlierLeasesLapse(ctx);
+    ctx.state.mine.workers.Put(worker, std::move(row));
+  }
+}
+
+void RestoreUnit(const context& ctx,
+                 const work::job_id& id,
+                 const work::unit_progress& saved) {
+  const live_job& job = *ctx.state.mine.jobs.Find(id);
+  if (saved.step >= ContentOf(job).request.steps.size())
+    return;
+  const work::step_spec& step = ContentOf(job).request.steps[saved.step];
+  const work::unit_id unit_name{.job = id,
+                                .occurrence = saved.occurrence,
+                                .step = saved.step,
+                                .index = saved.index};
+  unit restored{.phase = saved.done              ? unit_phase::kDone
+                         : saved.workers.empty() ? unit_phase::kWaiting
+                                                 : unit_phase::kPlaced,
+                .failures = saved.failures,
+                .attempt = saved.attempt,
+                .checkpoint = saved.checkpoint,
+                .members = RestoredMembers(ctx, saved),
+                .restored_attempt = saved.attempt,
+                .since = ctx.now()};
+  if (saved.attempt_failed)
+    restored.failed_attempts.insert(saved.attempt);
+  LoadRestored(ctx, unit_name, restored, step);
+  ctx.state.mine.units.Put(unit_name, std::move(restored));
+}
+
+void RestoreJob(const context& ctx,
+                const work::job_id& id,
+                const records::job_entry& entry) {
+  live_job job{.content = entry.content, .accepted = entry.accepted};
+  const work::job_progressed* saved = entry.progress.Get();
+  if (saved != nullptr)
+    job.phase = saved->phase;
+  ctx.state.mine.jobs.Put(id, job);
+  if (saved != nullptr) {
+    for (const work::unit_progress& each : saved->units) {
+      const step_key key{each.occurrence, each.step};
+      const bool known = each.step < ContentOf(job).request.steps.size();
+      if (known && job.opened.insert(key).second)
+        CreateUnits(ctx, id, key, ContentOf(job).request.steps[each.step]);
+    }
+    for (const work::unit_progress& each : saved->units)
+      RestoreUnit(ctx, id, each);
+    ctx.state.mine.jobs.Put(id, job);
+  }
+  if (entry.cancelled)
+    CloseJob(ctx, id, work::job_phase::kCancelled);
+  else
+    FinishSteps(ctx, id);
+}
+
+}  // namespace
+
+void RestoreJobs(const context& ctx) {
+  leader_state& mine = ctx.state.mine;
+  mine.restored = true;
+  std::vector<work::job_id> open;
+  for (const auto& [id, entry] : ctx.state.ledger.jobs) {
+    const work::job_progressed* saved = entry.progress.Get();
+    const bool closed = saved != nullptr && work::IsClosed(saved->phase);
+    if (entry.content.Get() != nullptr && !closed)
+      open.push_back(id);
+  }
+  for (const work::job_id& id : open)
+    RestoreJob(ctx, id, *ctx.state.ledger.jobs.Find(id));
+  mine.plan_due = true;
+  ctx.Log("jobs_restored", ctx.env.me.value(),
+          {Field("epoch", mine.epoch), Field("open", open.size()),
+           Field("took", ctx.now() - mine.elected_at)});
+}
+
+}  // namespace parsleyhitch::dispatch
--- /dev/null
+++ b/source/dispatch/steps.h
@@ -0,0 +1,44 @@
+// What the parts that work on a job's steps and units share.
+
+#ifndef PARSLEYHITCH_DISPATCH_STEPS_H_
+#define PARSLEYHITCH_DISPATCH_STEPS_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "dispatch/context.h"
+
+namespace parsleyhitch::dispatch {
+
+inline const work::submission& ContentOf(const live_job& job) {
+  return *job.content.Get();
+}
+
+// How many times the steps run.
+inline std::uint32_t Occurrences(const live_job& job) {
+  return std::max<std::uint32_t>(ContentOf(job).request.when.occurrences, 1);
+}
+
+// Visits every unit of the job that exists, in order.
+template <typename Visit>
+void ForUnits(const context& ctx, const work::job_id& job, Visit visit) {
+  const auto& units = ctx.state.mine.units;
+  for (auto at = units.From({.job = job}); at != units.end(); ++at) {
+    if (at->first.job != job)
+      break;
+    visit(at->first, at->second);
+  }
+}
+
+// Creates the waiting units of a step.
+void CreateUnits(const context& ctx,
+                 const work::job_id& job,
+                 const step_key& key,
+                 const work::step_spec& step);
+
+// Marks steps whose units are all done, and closes a job that has no other.
+void FinishSteps(const context& ctx, const work::job_id& id);
+
+}  // namespace parsleyhitch::dispatch
+
+#endif  // PARSLEYHITCH_DISPATCH_STEPS_H_
