--- a/source/records/ledger.h
+++ b/source/records/ledger.h
@@ -58,7 +58,8 @@
 
 work::job_phase PhaseOf(const job_entry& job);
 
-// The leader's process has started anew since its election, so it leads no more.
+// The leader's process has started anew since its election, so it leads no
+// more.
 bool HasLeaderRestarted(const ledger& folded);
 
 // Open jobs of the queue that have not begun.
--- a/source/runtime/dispatch_process.cc
+++ b/source/runtime/dispatch_process.cc
@@ -153,14 +153,13 @@
 
   // Effects on the store and on workers are calls whose outcome is an event.
   template <typename Effect>
-  void Call(wire::http_request request, const Effect& effect) {
-    client_.Send(std::move(request),
-                 [this, effect](const wire::http_outcome& outcome) {
-                   platform::decoded_event decoded =
-                       platform::EventOf(effect, outcome, clock_.Now());
-                   LogSkipped(decoded.skipped);
-                   loop_.Post(decoded.event);
-                 });
+  void Call(const wire::http_request& request, const Effect& effect) {
+    client_.Send(request, [this, effect](const wire::http_outcome& outcome) {
+      platform::decoded_event decoded =
+          platform::EventOf(effect, outcome, clock_.Now());
+      LogSkipped(decoded.skipped);
+      loop_.Post(decoded.event);
+    });
   }
 
   void Do(const work::append_records& effect) {
