Keep the books of workers' loads in one place; rank jobs once a plan

Taking a load, adding to it and putting it back stood in four files, walking a worker's strays in three, a member's task name in two, the walk over a job's units in two; loads.cc, TaskOf and ForUnits serve all now. Every urgent unit ranked all jobs anew within a plan; the ranking can't change within one and is made once. State that nothing read is gone: a task's percent and its time, a stray's order, failures of an outbox, a reply's configuration, the slack of a waiting unit, the rank of a victim, and a setting for far racks.

--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -8,14 +8,14 @@
 #include <set>
 #include <utility>
 
+#include "dispatch/loads.h"
 #include "dispatch/parts.h"
+#include "dispatch/steps.h"
 
 namespace parsleyhitch::dispatch {
 
 namespace {
 
-using ranks = std::map<work::job_id, rank>;
-
 // The most accelerators that the job's steps need at a time.
 std::int64_t AcceleratorsOf(const work::submission& content) {
   std::int64_t most = 0;
@@ -42,10 +42,30 @@
   return priority == 1 ? rank::kFirm : rank::kBackground;
 }
 
-ranks RankJobs(const context& ctx) {
+// Units some task of which still runs where nobody placed it.
+std::set<work::unit_id> UnitsWithStrays(const context& ctx) {
+  std::set<work::unit_id> found;
+  for (const auto& [id, each] : ctx.state.mine.strays) {
+    const live_job* job = ctx.state.mine.jobs.Find(id.task.job);
+    if (job != nullptr)
+      found.insert(UnitOf(*job, id.task));
+  }
+  return found;
+}
+
+// Time beyond the work itself that the objective leaves.
+duration SlackOf(const work::submission& content, const work::step_spec& step) {
+  const std::int64_t beyond =
+      std::max<std::int64_t>(0, std::int64_t{content.stretch_permille} - 1000);
+  return step.estimate * beyond / 1000 + content.target_latency;
+}
+
+}  // namespace
+
+job_ranks RankJobs(const context& ctx) {
   std::map<work::workspace_id, std::int64_t> left = Guarantees(ctx);
   std::vector<std::pair<std::uint64_t, work::job_id>> by_age;
-  ranks found;
+  job_ranks found;
   for (const auto& [id, job] : ctx.state.mine.jobs) {
     found[id] = RankOf(job.content.Get()->priority);
     if (found[id] == rank::kUrgent && !work::IsClosed(job.phase))
@@ -65,30 +85,10 @@
   return found;
 }
 
-// Units some task of which still runs where nobody placed it.
-std::set<work::unit_id> UnitsWithStrays(const context& ctx) {
-  std::set<work::unit_id> found;
-  for (const auto& [id, each] : ctx.state.mine.strays) {
-    const live_job* job = ctx.state.mine.jobs.Find(id.task.job);
-    if (job != nullptr)
-      found.insert(UnitOf(*job, id.task));
-  }
-  return found;
-}
-
-// Time beyond the work itself that the objective leaves.
-duration SlackOf(const work::submission& content, const work::step_spec& step) {
-  const std::int64_t beyond =
-      std::max<std::int64_t>(0, std::int64_t{content.stretch_permille} - 1000);
-  return step.estimate * beyond / 1000 + content.target_latency;
-}
-
-}  // namespace
-
-std::vector<waiting_unit> WaitingUnits(const context& ctx) {
+std::vector<waiting_unit> WaitingUnits(const context& ctx,
+                                       const job_ranks& ranked) {
   const leader_state& mine = ctx.state.mine;
   const bool wary = mine.cautious && !EarlierTasksKnown(ctx);
-  const ranks ranked = RankJobs(ctx);
   const std::set<work::unit_id> blocked = UnitsWithStrays(ctx);
   std::vector<waiting_unit> waiting;
   for (const auto& [id, each] : ctx.state.mine.units) {
@@ -108,7 +108,6 @@
                        .accepted = job.accepted,
                        .members = MembersOf(step),
                        .accelerators = step.need.accelerators,
-                       .slack = SlackOf(*job.content.Get(), step) - waited,
                        .waited = waited,
                        .idle = ctx.now() - each.since});
   }
@@ -135,23 +134,23 @@
       .max_per_worker = step.max_per_worker};
   if (step.max_per_worker == 0)
     return asked;
-  const auto& units = ctx.state.mine.units;
-  for (auto at = units.From({.job = waiting.unit.job});
-       at != units.end() && at->first.job == waiting.unit.job; ++at) {
-    const bool sibling = at->first.occurrence == waiting.unit.occurrence &&
-                         at->first.step == waiting.unit.step;
-    if (!sibling)
-      continue;
-    for (const member& one : at->second.members) {
-      if (one.state != member_state::kEnded)
-        asked.siblings[one.worker] += 1;
-    }
-  }
+  ForUnits(ctx, waiting.unit.job,
+           [&](const work::unit_id& id, const auto& each) {
+             const bool sibling = id.occurrence == waiting.unit.occurrence &&
+                                  id.step == waiting.unit.step;
+             if (!sibling)
+               return;
+             for (const member& one : each.members) {
+               if (one.state != member_state::kEnded)
+                 asked.siblings[one.worker] += 1;
+             }
+           });
   return asked;
 }
 
-std::vector<placement::victim> VictimsFor(const context& ctx, rank importance) {
-  const ranks ranked = RankJobs(ctx);
+std::vector<placement::victim> VictimsFor(const context& ctx,
+                                          const job_ranks& ranked,
+                                          rank importance) {
   std::vector<placement::victim> victims;
   for (const auto& [id, each] : ctx.state.mine.units) {
     if (each.phase != unit_phase::kPlaced)
@@ -175,8 +174,7 @@
          .cpu_millis = step.need.cpu_millis,
          .accelerators = step.need.accelerators,
          .ran = ctx.now() - each.since,
-         .checkpointed = step.checkpointed,
-         .importance = theirs});
+         .checkpointed = step.checkpointed});
     victims.push_back(std::move(found));
   }
   return victims;
@@ -187,8 +185,7 @@
   for (const auto& [worker, row] : ctx.state.mine.workers) {
     if (!TakesWork(row))
       continue;
-    const worker_load* load = ctx.state.mine.loads.Find(worker);
-    const worker_load carried = load == nullptr ? worker_load() : *load;
+    const worker_load& carried = LoadOf(ctx, worker);
     board.slots[worker] = {.service = row.listed().service,
                            .rack = row.listed().rack,
                            .labels = row.listed().labels,
--- a/source/dispatch/demands.h
+++ b/source/dispatch/demands.h
@@ -3,6 +3,7 @@
 #ifndef PARSLEYHITCH_DISPATCH_DEMANDS_H_
 #define PARSLEYHITCH_DISPATCH_DEMANDS_H_
 
+#include <map>
 #include <vector>
 
 #include "dispatch/context.h"
@@ -12,13 +13,21 @@
 
 namespace parsleyhitch::dispatch {
 
+using job_ranks = std::map<work::job_id, rank>;
+
+// How important each job is. One plan uses one ranking.
+job_ranks RankJobs(const context& ctx);
+
 // Every unit that may be placed now, in the order of the hooks.
-std::vector<waiting_unit> WaitingUnits(const context& ctx);
+std::vector<waiting_unit> WaitingUnits(const context& ctx,
+                                       const job_ranks& ranked);
 
 placement::demand DemandOf(const context& ctx, const waiting_unit& waiting);
 
 // The units that may be stopped for one of the rank.
-std::vector<placement::victim> VictimsFor(const context& ctx, rank importance);
+std::vector<placement::victim> VictimsFor(const context& ctx,
+                                          const job_ranks& ranked,
+                                          rank importance);
 
 // The free capacity of every worker that takes work.
 placement::board FreeBoard(const context& ctx);
--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -5,30 +5,15 @@
 #include <string>
 #include <utility>
 
+#include "dispatch/loads.h"
 #include "dispatch/names.h"
 #include "dispatch/parts.h"
+#include "dispatch/steps.h"
 
 namespace parsleyhitch::dispatch {
 
 namespace {
 
-void RemoveFromLoad(const context& ctx,
-                    const work::worker_id& worker,
-                    const work::unit_id& id,
-                    std::uint32_t index,
-                    bool was_leaving,
-                    const work::resources& need) {
-  const worker_load* known = ctx.state.mine.loads.Find(worker);
-  if (known == nullptr || !known->tasks.contains({id, index}))
-    return;
-  worker_load load = *known;
-  load.tasks.erase({id, index});
-  load.used = load.used - need;
-  if (was_leaving)
-    load.leaving = load.leaving - need;
-  ctx.state.mine.loads.Put(worker, std::move(load));
-}
-
 // All members of an attempt have ended without its unit being done.
 void EndAttempt(const context& ctx, const work::unit_id& id) {
   leader_state& mine = ctx.state.mine;
@@ -99,35 +84,27 @@
   adopted.since = ctx.now();
   adopted.members.push_back({.worker = worker,
                              .state = member_state::kRunning,
-                             .settled_at = ctx.now(),
-                             .percent = task.percent,
-                             .advanced_at = ctx.now()});
+                             .settled_at = ctx.now()});
   ctx.state.mine.units.Put(id, std::move(adopted));
   ctx.state.mine.unsaved.insert(id.job);
-  const worker_load* load = ctx.state.mine.loads.Find(worker);
-  worker_load more = load == nullptr ? worker_load() : *load;
-  more.tasks.insert({id, 0});
-  more.used = more.used + NeedOf(step);
-  ctx.state.mine.loads.Put(worker, std::move(more));
+  AddToLoad(ctx, worker, id, 0, NeedOf(step));
   ctx.Log("task_adopted", NameOf(task.task),
           {Field("worker", worker.value()), Field("attempt", task.attempt)});
   return true;
 }
 
-void NoteAdvance(const context& ctx,
+// The task runs where it was placed.
+void NotePresent(const context& ctx,
                  const work::unit_id& id,
                  std::uint32_t index,
                  const work::running_task& task) {
   unit next = *ctx.state.mine.units.Find(id);
   member& one = next.members[index];
   const bool unchanged =
-      one.state == member_state::kRunning && one.percent == task.percent &&
+      one.state == member_state::kRunning &&
       (task.checkpoint.empty() || next.checkpoint == task.checkpoint);
   if (unchanged)
     return;
-  if (one.percent != task.percent || one.state != member_state::kRunning)
-    one.advanced_at = ctx.now();
-  one.percent = task.percent;
   one.state = member_state::kRunning;
   if (!one.settled_at)
     one.settled_at = ctx.now();
@@ -229,7 +206,7 @@
     const bool live =
         index && each->members[*index].state != member_state::kEnded;
     if (live) {
-      NoteAdvance(ctx, id, *index, task);
+      NotePresent(ctx, id, *index, task);
       return;
     }
   }
@@ -326,17 +303,13 @@
   std::set<std::pair<work::task_id, std::uint64_t>> running;
   for (const work::running_task& task : listing.running)
     running.insert({task.task, task.attempt});
-  const worker_load* load = ctx.state.mine.loads.Find(worker);
-  const auto tasks = load == nullptr ? decltype(load->tasks)() : load->tasks;
+  const auto tasks = LoadOf(ctx, worker).tasks;
   for (const auto& [id, index] : tasks) {
     const unit* each = ctx.state.mine.units.Find(id);
     if (each == nullptr || index >= each->members.size())
       continue;
     const member& one = each->members[index];
-    const work::task_id task{.job = id.job,
-                             .occurrence = id.occurrence,
-                             .step = id.step,
-                             .index = id.index + index};
+    const work::task_id task = TaskOf(id, index);
     const bool settled = one.state == member_state::kUnverified ||
                          (one.settled_at && *one.settled_at < listed_after);
     if (!settled || running.contains({task, each->attempt}))
@@ -344,14 +317,11 @@
     ctx.Warn("task_missing", NameOf(task), {Field("worker", worker.value())});
     EndMember(ctx, id, index, gang_effect::kLeavesTheRest);
   }
-  std::vector<stray_id> gone;
-  for (auto at = ctx.state.mine.strays.From({.worker = worker});
-       at != ctx.state.mine.strays.end() && at->first.worker == worker; ++at) {
-    if (!running.contains({at->first.task, at->second.attempt}))
-      gone.push_back(at->first);
+  for (const stray_id& id : StraysOn(ctx, worker)) {
+    const stray& each = *ctx.state.mine.strays.Find(id);
+    if (!running.contains({id.task, each.attempt}))
+      ctx.state.mine.strays.Erase(id);
   }
-  for (const stray_id& id : gone)
-    ctx.state.mine.strays.Erase(id);
 }
 
 }  // namespace parsleyhitch::dispatch
--- a/source/dispatch/environment.h
+++ b/source/dispatch/environment.h
@@ -18,9 +18,6 @@
   std::string peer_address;
   // Thousandths of a core.
   std::uint32_t cpu_millis = 1000;
-  // On a rack away from its data, or on several racks where one is needed, a
-  // task takes so many thousandths of its time.
-  std::uint32_t far_permille = 3000;
   work::limits limits;
   hooks behaviour;
 };
--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/feeds.cc
@@ -143,7 +143,6 @@
   ApplyAll(ctx, event.source, event.items);
   feed.position = event.next;
   feed.confirmed_at = feed.sent_at;
-  feed.answered_at = ctx.now();
   feed.next_at =
       ctx.now() + PauseAfter(ctx, event.source, !event.items.empty());
   if (event.source == work::feed::kRecords)
@@ -162,7 +161,6 @@
       feed.page_keys.insert(item.key);
   }
   ApplyAll(ctx, event.source, event.items);
-  feed.answered_at = ctx.now();
   feed.page_after = event.more_after;
   if (!event.more_after.empty())
     return;
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "dispatch/loads.h"
 #include "dispatch/parts.h"
 
 namespace parsleyhitch::dispatch {
@@ -14,20 +15,8 @@
 // Orders without an answer after which a worker counts as out of reach.
 constexpr std::uint32_t kSilentAfter = 2;
 
-const worker_load& LoadOf(const context& ctx, const work::worker_id& worker) {
-  static const worker_load idle;
-  const worker_load* found = ctx.state.mine.loads.Find(worker);
-  return found == nullptr ? idle : *found;
-}
-
-bool HasStrays(const context& ctx, const work::worker_id& worker) {
-  const auto& strays = ctx.state.mine.strays;
-  const auto at = strays.From({.worker = worker});
-  return at != strays.end() && at->first.worker == worker;
-}
-
 bool IsBusy(const context& ctx, const work::worker_id& worker) {
-  return !LoadOf(ctx, worker).tasks.empty() || HasStrays(ctx, worker);
+  return !LoadOf(ctx, worker).tasks.empty() || !StraysOn(ctx, worker).empty();
 }
 
 // A time that the worker's clock has surely passed.
@@ -55,11 +44,7 @@
   }
   for (const auto& [unit, index] : tasks)
     EndMember(ctx, unit, index, gang_effect::kLeavesTheRest);
-  std::vector<stray_id> strays;
-  for (auto at = ctx.state.mine.strays.From({.worker = worker});
-       at != ctx.state.mine.strays.end() && at->first.worker == worker; ++at)
-    strays.push_back(at->first);
-  for (const stray_id& each : strays)
+  for (const stray_id& each : StraysOn(ctx, worker))
     ctx.state.mine.strays.Erase(each);
 }
 
--- a/source/dispatch/hooks.h
+++ b/source/dispatch/hooks.h
@@ -28,8 +28,6 @@
   std::uint64_t accepted = 0;
   std::uint32_t members = 1;
   std::int64_t accelerators = 0;
-  // Time that is left until the unit must start to meet its objective.
-  work::duration slack{0};
   work::duration waited{0};
   // Since it last ran or became ready.
   work::duration idle{0};
@@ -43,7 +41,6 @@
   std::int64_t accelerators = 0;
   work::duration ran{0};
   bool checkpointed = false;
-  rank importance = rank::kBackground;
 };
 
 struct hooks {
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -166,12 +166,11 @@
   s.lead.leader_reached_store_at = ctx.now();
 }
 
-// The leader's own time of proof: what it read or heard proves that nobody was
-// elected before then.
+// Most members have followed this leader since then.
 bool MajorityReplied(const context& ctx, timestamp since) {
   std::size_t replied = 1;
   for (const auto& [entry, reply] : ctx.state.lead.replies)
-    replied += reply.at >= since ? 1 : 0;
+    replied += reply >= since ? 1 : 0;
   return 2 * replied > ctx.state.ledger.members.size();
 }
 
@@ -261,8 +260,7 @@
   // A reply proves what its sender knew when the heartbeat had reached it; the
   // newest heartbeat was sent at most one interval ago.
   if (message.number == lead.heartbeat) {
-    lead.replies[from] = {.at = ctx.now() - ctx.limits().heartbeat_interval,
-                          .catalog_version = message.catalog_version};
+    lead.replies[from] = ctx.now() - ctx.limits().heartbeat_interval;
   }
   if (message.catalog_version > CatalogInForce(ctx)) {
     SendToPeer(ctx, message.address,
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -7,8 +7,10 @@
 #include <string>
 #include <utility>
 
+#include "dispatch/loads.h"
 #include "dispatch/names.h"
 #include "dispatch/parts.h"
+#include "dispatch/steps.h"
 
 namespace parsleyhitch::dispatch {
 
@@ -17,13 +19,6 @@
 // Starts without an answer after which the attempt is given up.
 constexpr std::uint32_t kStartTries = 4;
 
-work::task_id TaskOf(const work::unit_id& id, std::uint32_t index) {
-  return {.job = id.job,
-          .occurrence = id.occurrence,
-          .step = id.step,
-          .index = id.index + index};
-}
-
 unit WithMember(unit changed, std::uint32_t index, member with) {
   changed.members[index] = std::move(with);
   return changed;
@@ -105,29 +100,6 @@
   return std::max(waiting.attempt + 1, FirstAttempt(ctx));
 }
 
-void AddToLoad(const context& ctx,
-               const work::worker_id& worker,
-               const work::unit_id& id,
-               std::uint32_t index,
-               const work::resources& need) {
-  const worker_load* known = ctx.state.mine.loads.Find(worker);
-  worker_load load = known == nullptr ? worker_load() : *known;
-  load.tasks.insert({id, index});
-  load.used = load.used + need;
-  ctx.state.mine.loads.Put(worker, std::move(load));
-}
-
-void NoteLeaving(const context& ctx,
-                 const work::worker_id& worker,
-                 const work::resources& need) {
-  const worker_load* known = ctx.state.mine.loads.Find(worker);
-  if (known == nullptr)
-    return;
-  worker_load load = *known;
-  load.leaving = load.leaving + need;
-  ctx.state.mine.loads.Put(worker, std::move(load));
-}
-
 void MarkBegun(const context& ctx, const work::job_id& id) {
   const live_job* known = ctx.state.mine.jobs.Find(id);
   ctx.state.mine.unsaved.insert(id);
@@ -260,7 +232,7 @@
   placed.since = ctx.now();
   placed.members.clear();
   for (const work::worker_id& worker : workers)
-    placed.members.push_back({.worker = worker, .advanced_at = ctx.now()});
+    placed.members.push_back({.worker = worker});
   mine.units.Put(id, std::move(placed));
   MarkBegun(ctx, id.job);
   for (std::uint32_t i = 0; i < workers.size(); ++i) {
@@ -327,7 +299,6 @@
     case work::order_outcome::kDone:
       next.state = member_state::kRunning;
       next.settled_at = ctx.now();
-      next.advanced_at = ctx.now();
       PutMember(ctx, about.unit, about.member, std::move(next));
       return;
     case work::order_outcome::kUnknown:
--- a/source/dispatch/outbox.cc
+++ b/source/dispatch/outbox.cc
@@ -61,7 +61,6 @@
 }
 
 void RetryLater(const context& ctx, outbox& box) {
-  box.failures += 1;
   box.next_at = ctx.now() + ctx.limits().append_retry;
 }
 
@@ -77,7 +76,6 @@
                                      .value = ctx.now() - box.sent_at});
       box.sequence += 1;
       box.maybe_stored = false;
-      box.failures = 0;
       box.next_at = box.sent_at + pause;
       return true;
     case work::append_outcome::kRefused:
--- a/source/dispatch/planning.cc
+++ b/source/dispatch/planning.cc
@@ -22,11 +22,12 @@
 
 // Stops victims for the unit and keeps their room from units behind it.
 void Preempt(const context& ctx,
+             const job_ranks& ranked,
              const waiting_unit& waiting,
              const placement::demand& asked,
              placement::board& board) {
-  const auto chosen =
-      placement::FindVictims(board, asked, VictimsFor(ctx, waiting.importance));
+  const auto chosen = placement::FindVictims(
+      board, asked, VictimsFor(ctx, ranked, waiting.importance));
   if (!chosen)
     return;
   for (const work::unit_id& victim : chosen->stopped) {
@@ -40,6 +41,7 @@
 }
 
 void PlaceOrPreempt(const context& ctx,
+                    const job_ranks& ranked,
                     const waiting_unit& waiting,
                     placement::board& board) {
   const placement::demand asked = DemandOf(ctx, waiting);
@@ -52,7 +54,7 @@
   const bool urgent =
       ctx.env.behaviour.may_preempt(waiting.importance, rank::kBackground);
   if (urgent)
-    Preempt(ctx, waiting, asked, board);
+    Preempt(ctx, ranked, waiting, asked, board);
 }
 
 }  // namespace
@@ -66,12 +68,13 @@
     return;
   mine.plan_due = false;
   mine.next_plan_at = ctx.now() + ctx.limits().plan_pause;
-  const std::vector<waiting_unit> waiting = WaitingUnits(ctx);
+  const job_ranks ranked = RankJobs(ctx);
+  const std::vector<waiting_unit> waiting = WaitingUnits(ctx, ranked);
   if (waiting.empty())
     return;
   placement::board board = FreeBoard(ctx);
   for (const waiting_unit& each : waiting)
-    PlaceOrPreempt(ctx, each, board);
+    PlaceOrPreempt(ctx, ranked, each, board);
 }
 
 }  // namespace parsleyhitch::dispatch
--- a/source/dispatch/restore.cc
+++ b/source/dispatch/restore.cc
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "dispatch/loads.h"
 #include "dispatch/parts.h"
 #include "dispatch/steps.h"
 
@@ -10,13 +11,10 @@
 
 namespace {
 
-std::vector<member> RestoredMembers(const context& ctx,
-                                    const work::unit_progress& saved) {
+std::vector<member> RestoredMembers(const work::unit_progress& saved) {
   std::vector<member> members;
   for (const work::worker_id& worker : saved.workers) {
-    members.push_back({.worker = worker,
-                       .state = member_state::kUnverified,
-                       .advanced_at = ctx.now()});
+    members.push_back({.worker = worker, .state = member_state::kUnverified});
   }
   return members;
 }
@@ -28,11 +26,7 @@
                   const work::step_spec& step) {
   for (std::uint32_t i = 0; i < restored.members.size(); ++i) {
     const work::worker_id& worker = restored.members[i].worker;
-    const worker_load* known = ctx.state.mine.loads.Find(worker);
-    worker_load load = known == nullptr ? worker_load() : *known;
-    load.tasks.insert({id, i});
-    load.used = load.used + NeedOf(step);
-    ctx.state.mine.loads.Put(worker, std::move(load));
+    AddToLoad(ctx, worker, id, i, NeedOf(step));
     if (ctx.state.mine.workers.Contains(worker))
       continue;
     // Its place in the registry is not read yet.
@@ -59,7 +53,7 @@
                 .failures = saved.failures,
                 .attempt = saved.attempt,
                 .checkpoint = saved.checkpoint,
-                .members = RestoredMembers(ctx, saved),
+                .members = RestoredMembers(saved),
                 .restored_attempt = saved.attempt,
                 .since = ctx.now()};
   if (saved.attempt_failed)
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -40,7 +40,6 @@
   timestamp sent_at;
   // Everything stored before this time has been read.
   timestamp confirmed_at;
-  timestamp answered_at;
   timestamp next_at;
 
   bool operator==(const feed_state&) const = default;
@@ -68,7 +67,6 @@
   timestamp next_at;
   // The batch may have been stored by an earlier try.
   bool maybe_stored = false;
-  std::uint32_t failures = 0;
 
   bool operator==(const outbox&) const = default;
 };
@@ -97,13 +95,6 @@
 
 enum class role { kFollower, kCandidate, kLeader };
 
-struct reply_seen {
-  timestamp at;
-  std::uint64_t catalog_version = 0;
-
-  bool operator==(const reply_seen&) const = default;
-};
-
 // Who leads, as far as this entry knows, and its own part in it.
 struct leadership {
   role mine = role::kFollower;
@@ -126,7 +117,8 @@
   // A leader's heartbeats.
   std::uint64_t heartbeat = 0;
   timestamp next_heartbeat_at;
-  std::map<work::entry_id, reply_seen> replies;
+  // When what each member replied was true.
+  std::map<work::entry_id, timestamp> replies;
   // Confirmations from before this time don't count: the process stood still.
   timestamp doubted_at;
 
@@ -197,8 +189,6 @@
   bool start_pending = false;
   // Lists that were asked for later than this show the task or it is not there.
   std::optional<timestamp> settled_at;
-  std::uint32_t percent = 0;
-  timestamp advanced_at;
 
   bool operator==(const member&) const = default;
 };
@@ -249,7 +239,6 @@
 struct stray {
   std::uint64_t attempt = 0;
   work::resources need;
-  std::optional<call_number> order;
   timestamp next_order_at;
 
   bool operator==(const stray&) const = default;
--- a/source/dispatch/steps.h
+++ b/source/dispatch/steps.h
@@ -14,6 +14,14 @@
   return *job.content.Get();
 }
 
+// The unit's member as a task.
+inline work::task_id TaskOf(const work::unit_id& id, std::uint32_t index) {
+  return {.job = id.job,
+          .occurrence = id.occurrence,
+          .step = id.step,
+          .index = id.index + index};
+}
+
 // How many times the steps run.
 inline std::uint32_t Occurrences(const live_job& job) {
   return std::max<std::uint32_t>(ContentOf(job).request.when.occurrences, 1);
