--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -181,18 +181,20 @@
 }
 
 placement::board FreeBoard(const context& ctx) {
-  placement::board board;
+  std::vector<placement::slot> slots;
   for (const auto& [worker, row] : ctx.state.mine.workers) {
     if (!TakesWork(row))
       continue;
     const worker_load& carried = LoadOf(ctx, worker);
-    board.slots[worker] = {.service = row.listed().service,
-                           .rack = row.listed().rack,
-                           .labels = row.listed().labels,
-                           .free = row.listed().capacity - carried.used,
-                           .leaving = carried.leaving,
-                           .shunned = ctx.now() < row.shunned_until};
+    slots.push_back({.worker = worker,
+                     .service = row.listed().service,
+                     .rack = row.listed().rack,
+                     .labels = row.listed().labels,
+                     .free = row.listed().capacity - carried.used,
+                     .leaving = carried.leaving,
+                     .shunned = ctx.now() < row.shunned_until});
   }
+  placement::board board(std::move(slots));
   for (const auto& [id, each] : ctx.state.mine.strays)
     board.Take(id.worker, each.need);
   return board;
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -112,13 +112,15 @@
   if (life > row.listed().life && row.listed().life != 0)
     row = Reborn(ctx, worker, row, life);
   const timestamp asked_at = row.hold_sent_at;
+  const bool took_work = TakesWork(row);
   Learn(ctx, row, event.worker_clock);
   row.fenced = true;
   row.acknowledged = std::max(row.acknowledged, row.hold_acknowledges);
   row.next_hold_at = ctx.now();
   ctx.state.mine.workers.Put(worker, std::move(row));
   TakeLists(ctx, worker, *event.listing, asked_at);
-  ctx.state.mine.plan_due = true;
+  if (!took_work)
+    ctx.state.mine.plan_due = true;
 }
 
 void OnUnheld(const context& ctx,
--- a/source/dispatch/planning.cc
+++ b/source/dispatch/planning.cc
@@ -1,6 +1,10 @@
 // One pass over the waiting units: each is placed, gets others stopped for it,
-// or is left waiting.
+// or is left waiting. What a pass has found impossible stays so until its end,
+// as room only shrinks meanwhile.
 
+#include <algorithm>
+#include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -13,48 +17,92 @@
 
 namespace {
 
-void TakeAll(placement::board& board,
-             const std::vector<work::worker_id>& workers,
-             const work::resources& need) {
-  for (const work::worker_id& worker : workers)
-    board.Take(worker, need);
-}
+class planning_pass {
+ public:
+  planning_pass(const context& ctx, const job_ranks& ranked)
+      : ctx_(ctx), ranked_(ranked), board_(FreeBoard(ctx)) {}
 
-// Stops victims for the unit and keeps their room from units behind it.
-void Preempt(const context& ctx,
-             const job_ranks& ranked,
-             const waiting_unit& waiting,
-             const placement::demand& asked,
-             placement::board& board) {
-  const auto chosen = placement::FindVictims(
-      board, asked, VictimsFor(ctx, ranked, waiting.importance));
-  if (!chosen)
-    return;
-  for (const work::unit_id& victim : chosen->stopped) {
-    ctx.Log("unit_preempted", NameOf(victim),
-            {Field("for", waiting.unit.job.value()),
-             Field("waited", waiting.waited)});
-    ctx.Count("units_preempted");
-    StopUnit(ctx, victim, "preempted");
+  void Consider(const waiting_unit& waiting) {
+    const placement::demand asked = DemandOf(ctx_, waiting);
+    if (!without_room_.contains(asked)) {
+      const auto room = placement::FindRoom(board_, asked);
+      if (room) {
+        TakeAll(*room, asked.need);
+        PlaceUnit(ctx_, waiting.unit, *room);
+        return;
+      }
+      without_room_.insert(asked);
+    }
+    const bool urgent =
+        ctx_.env.behaviour.may_preempt(waiting.importance, rank::kBackground);
+    if (urgent)
+      Preempt(waiting, asked);
   }
-  TakeAll(board, chosen->workers, asked.need);
-}
 
-void PlaceOrPreempt(const context& ctx,
-                    const job_ranks& ranked,
-                    const waiting_unit& waiting,
-                    placement::board& board) {
-  const placement::demand asked = DemandOf(ctx, waiting);
-  const auto room = placement::FindRoom(board, asked, placement::FreeRoom);
-  if (room) {
-    TakeAll(board, *room, asked.need);
-    PlaceUnit(ctx, waiting.unit, *room);
-    return;
+ private:
+  void TakeAll(const std::vector<work::worker_id>& workers,
+               const work::resources& need) {
+    for (const work::worker_id& worker : workers)
+      board_.Take(worker, need);
+  }
+
+  placement::victim_set& VictimsOf(rank importance) {
+    const auto found = victims_.find(importance);
+    if (found != victims_.end())
+      return found->second;
+    victims_.clear();
+    return victims_
+        .emplace(importance, placement::victim_set(
+                                 board_, VictimsFor(ctx_, ranked_, importance)))
+        .first->second;
   }
-  const bool urgent =
-      ctx.env.behaviour.may_preempt(waiting.importance, rank::kBackground);
-  if (urgent)
-    Preempt(ctx, ranked, waiting, asked, board);
+
+  // Stops victims for the unit and keeps their room from units behind it.
+  void Preempt(const waiting_unit& waiting, const placement::demand& asked) {
+    const std::pair<rank, placement::demand> key(waiting.importance, asked);
+    if (without_victims_.contains(key))
+      return;
+    placement::victim_set& victims = VictimsOf(waiting.importance);
+    const auto chosen = placement::FindVictims(board_, asked, victims);
+    if (!chosen) {
+      without_victims_.insert(key);
+      return;
+    }
+    for (const std::uint32_t index : chosen->stopped)
+      Stop(victims, index, waiting);
+    TakeAll(chosen->workers, asked.need);
+  }
+
+  void Stop(placement::victim_set& victims,
+            std::uint32_t index,
+            const waiting_unit& waiting) {
+    const placement::victim& each = victims.Get(index);
+    ctx_.Log("unit_preempted", NameOf(each.unit),
+             {Field("for", waiting.unit.job.value()),
+              Field("waited", waiting.waited)});
+    ctx_.Count("units_preempted");
+    StopUnit(ctx_, each.unit, "preempted");
+    for (const work::worker_id& worker : each.workers)
+      board_.NoteLeaving(worker, each.need);
+    victims.NoteStopped(index);
+  }
+
+  const context& ctx_;
+  const job_ranks& ranked_;
+  placement::board board_;
+  // Built when a rank first needs them. Invariant: a unit that was stopped for
+  // one rank is in no set of a later one.
+  std::map<rank, placement::victim_set> victims_;
+  std::set<placement::demand> without_room_;
+  std::set<std::pair<rank, placement::demand>> without_victims_;
+};
+
+// The longer the queue, the longer a pass takes and the rarer passes are.
+duration PauseAfter(const work::limits& limits, std::size_t waiting) {
+  const auto queued = static_cast<std::int64_t>(waiting);
+  return std::min(
+      limits.plan_pause + duration(queued / std::int64_t{limits.plan_rate}),
+      limits.plan_pause_max);
 }
 
 }  // namespace
@@ -67,14 +115,14 @@
   if (!due)
     return;
   mine.plan_due = false;
-  mine.next_plan_at = ctx.now() + ctx.limits().plan_pause;
   const job_ranks ranked = RankJobs(ctx);
   const std::vector<waiting_unit> waiting = WaitingUnits(ctx, ranked);
+  mine.next_plan_at = ctx.now() + PauseAfter(ctx.limits(), waiting.size());
   if (waiting.empty())
     return;
-  placement::board board = FreeBoard(ctx);
+  planning_pass pass(ctx, ranked);
   for (const waiting_unit& each : waiting)
-    PlaceOrPreempt(ctx, ranked, each, board);
+    pass.Consider(each);
 }
 
 }  // namespace parsleyhitch::dispatch
--- a/source/placement/preempt.cc
+++ b/source/placement/preempt.cc
@@ -1,11 +1,13 @@
-// For each alternative, members are given one by one the worker where the next
+// For each alternative, members are given one by one the slot where the next
 // one costs least; the cheapest alternative wins. What leaves already is used
 // before anything else is stopped.
 
 #include "placement/preempt.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
+#include <utility>
 
 #include "placement/room.h"
 
@@ -13,165 +15,172 @@
 
 namespace {
 
-// What one alternative costs so far.
-struct trial {
-  std::map<work::worker_id, work::resources> room;
-  std::map<work::worker_id, std::uint32_t> taken;
-  std::set<std::size_t> stopped;
-  std::uint64_t cost = 0;
-  std::vector<work::worker_id> workers;
-};
-
-using victims_by_worker = std::map<work::worker_id, std::vector<std::size_t>>;
-
-victims_by_worker IndexVictims(const std::vector<victim>& victims) {
-  victims_by_worker index;
-  for (std::size_t i = 0; i < victims.size(); ++i) {
-    for (const work::worker_id& worker : victims[i].workers) {
-      std::vector<std::size_t>& at = index[worker];
-      if (at.empty() || at.back() != i)
-        at.push_back(i);
+constexpr std::uint64_t kNever = std::numeric_limits<std::uint64_t>::max();
+
+// One alternative, member by member.
+class trial {
+ public:
+  trial(const board& offered,
+        const demand& asked,
+        const victim_set& victims,
+        const slot_range& range)
+      : offered_(offered), asked_(asked), victims_(victims), range_(range) {
+    for (std::uint32_t i = range.first; i < range.last; ++i) {
+      const slot& each = offered.slots()[i];
+      rooms_.push_back({.left = each.free + each.leaving,
+                        .more = Suits(asked, each) ? MoreOn(each) : 0});
     }
+    for (std::uint32_t i = range.first; i < range.last; ++i)
+      Reprice(i);
   }
-  for (auto& [worker, at] : index) {
-    std::ranges::stable_sort(at, [&](std::size_t a, std::size_t b) {
-      return victims[a].cost < victims[b].cost;
-    });
-  }
-  return index;
-}
 
-work::resources HeldOn(const victim& each, const work::worker_id& worker) {
-  work::resources held;
-  for (const work::worker_id& at : each.workers) {
-    if (at == worker)
-      held = held + each.need;
+  // Gives one more member its cheapest slot; false when there is none, or when
+  // the cost would reach `limit`.
+  bool PlaceOne(std::uint64_t limit) {
+    const auto best = std::ranges::min_element(rooms_, {}, &room::price);
+    if (best == rooms_.end() || best->price == kNever ||
+        cost_ + best->price >= limit)
+      return false;
+    Apply(range_.first + static_cast<std::uint32_t>(best - rooms_.begin()));
+    return true;
   }
-  return held;
-}
 
-// The victims, cheapest first, whose stop lets one more member fit.
-struct price {
-  std::vector<std::size_t> stops;
-  std::uint64_t cost = 0;
-};
+  std::uint64_t cost() const { return cost_; }
+  preemption Result() const {
+    return {.stopped = {stopped_.begin(), stopped_.end()}, .workers = chosen_};
+  }
 
-std::optional<price> PriceOn(const demand& asked,
-                             const work::worker_id& worker,
-                             const trial& so_far,
-                             const std::vector<victim>& victims,
-                             const std::vector<std::size_t>& here) {
-  work::resources room = so_far.room.at(worker);
-  price found;
-  for (const std::size_t index : here) {
-    if (Fits(asked.need, room))
-      break;
-    if (so_far.stopped.contains(index))
-      continue;
-    room = room + HeldOn(victims[index], worker);
-    found.stops.push_back(index);
-    found.cost += victims[index].cost;
+ private:
+  struct room {
+    work::resources left;
+    // How many members the bound of tasks a worker still allows.
+    std::uint32_t more = 0;
+    // Of one more member here.
+    std::uint64_t price = kNever;
+  };
+
+  std::uint32_t MoreOn(const slot& each) const {
+    return CountFits(
+        asked_, each,
+        {.cpu_millis = std::numeric_limits<std::int64_t>::max(),
+         .memory_mb = std::numeric_limits<std::int64_t>::max(),
+         .accelerators = std::numeric_limits<std::int64_t>::max()});
   }
-  if (!Fits(asked.need, room))
-    return {};
-  return found;
-}
 
-void Apply(trial& so_far,
-           const demand& asked,
-           const work::worker_id& worker,
-           const price& chosen,
-           const std::vector<victim>& victims) {
-  for (const std::size_t index : chosen.stops) {
-    so_far.stopped.insert(index);
-    for (const work::worker_id& freed : victims[index].workers) {
-      const auto found = so_far.room.find(freed);
-      if (found != so_far.room.end())
-        found->second = found->second + victims[index].need;
+  room& RoomOn(std::uint32_t slot) { return rooms_[slot - range_.first]; }
+
+  // Visits the victims to stop, cheapest first, until a member fits; false when
+  // it never does.
+  template <typename Visit>
+  bool StopsOn(std::uint32_t slot, Visit visit) {
+    work::resources left = RoomOn(slot).left;
+    for (const victim_set::holding& each : victims_.On(slot)) {
+      if (Fits(asked_.need, left))
+        return true;
+      if (victims_.IsStopped(each.victim) || stopped_.contains(each.victim))
+        continue;
+      left = left + each.held;
+      visit(each.victim);
     }
+    return Fits(asked_.need, left);
   }
-  so_far.cost += chosen.cost;
-  so_far.room.at(worker) = so_far.room.at(worker) - asked.need;
-  so_far.taken[worker] += 1;
-  so_far.workers.push_back(worker);
-}
 
-bool MayTakeMore(const demand& asked,
-                 const work::worker_id& worker,
-                 const trial& so_far) {
-  if (asked.max_per_worker == 0)
-    return true;
-  const auto siblings = asked.siblings.find(worker);
-  const auto taken = so_far.taken.find(worker);
-  const std::uint32_t has =
-      (siblings == asked.siblings.end() ? 0 : siblings->second) +
-      (taken == so_far.taken.end() ? 0 : taken->second);
-  return has < asked.max_per_worker;
-}
+  void Reprice(std::uint32_t slot) {
+    room& here = RoomOn(slot);
+    std::uint64_t price = 0;
+    const bool fits = here.more > 0 && StopsOn(slot, [&](std::uint32_t index) {
+                        price += victims_.Get(index).cost;
+                      });
+    here.price = fits ? price : kNever;
+  }
 
-// Gives one more member its cheapest worker; false when there is none.
-bool PlaceOne(trial& so_far,
-              const demand& asked,
-              const std::vector<victim>& victims,
-              const victims_by_worker& index) {
-  static const std::vector<std::size_t> none;
-  std::optional<price> best;
-  work::worker_id best_worker;
-  for (const auto& [worker, room] : so_far.room) {
-    if (!MayTakeMore(asked, worker, so_far))
-      continue;
-    const auto here = index.find(worker);
-    const std::optional<price> found =
-        PriceOn(asked, worker, so_far, victims,
-                here == index.end() ? none : here->second);
-    if (!found || (best && found->cost >= best->cost))
-      continue;
-    best = found;
-    best_worker = worker;
+  void Apply(std::uint32_t slot) {
+    std::vector<std::uint32_t> stops;
+    StopsOn(slot, [&](std::uint32_t index) { stops.push_back(index); });
+    cost_ += RoomOn(slot).price;
+    std::set<std::uint32_t> changed{slot};
+    for (const std::uint32_t index : stops) {
+      stopped_.insert(index);
+      for (const std::uint32_t freed : victims_.SlotsOf(index)) {
+        if (freed < range_.first || freed >= range_.last)
+          continue;
+        RoomOn(freed).left = RoomOn(freed).left + victims_.Get(index).need;
+        changed.insert(freed);
+      }
+    }
+    RoomOn(slot).left = RoomOn(slot).left - asked_.need;
+    RoomOn(slot).more -= 1;
+    chosen_.push_back(offered_.slots()[slot].worker);
+    for (const std::uint32_t each : changed)
+      Reprice(each);
   }
-  if (!best)
-    return false;
-  Apply(so_far, asked, best_worker, *best, victims);
-  return true;
-}
 
-std::optional<trial> TryRacks(const board& offered,
-                              const demand& asked,
-                              const std::vector<work::rack_id>& racks,
-                              const std::vector<victim>& victims,
-                              const victims_by_worker& index) {
-  trial so_far;
-  for (const auto& [worker, each] : offered.slots) {
-    if (Suits(asked, worker, each) &&
-        std::ranges::find(racks, each.rack) != racks.end())
-      so_far.room[worker] = SoonFreeRoom(worker, each);
+  const board& offered_;
+  const demand& asked_;
+  const victim_set& victims_;
+  const slot_range range_;
+  std::vector<room> rooms_;
+  std::set<std::uint32_t> stopped_;
+  std::uint64_t cost_ = 0;
+  std::vector<work::worker_id> chosen_;
+};
+
+}  // namespace
+
+victim_set::victim_set(const board& offered, std::vector<victim> victims)
+    : victims_(std::move(victims)),
+      slots_(victims_.size()),
+      on_slot_(offered.slots().size()),
+      held_on_slot_(offered.slots().size()),
+      stopped_(victims_.size()) {
+  for (std::uint32_t i = 0; i < victims_.size(); ++i) {
+    for (const work::worker_id& worker : victims_[i].workers) {
+      const auto slot = offered.IndexOf(worker);
+      if (!slot)
+        continue;
+      slots_[i].push_back(*slot);
+      held_on_slot_[*slot] = held_on_slot_[*slot] + victims_[i].need;
+      auto& here = on_slot_[*slot];
+      if (here.empty() || here.back().victim != i)
+        here.push_back({.victim = i});
+      here.back().held = here.back().held + victims_[i].need;
+    }
   }
-  for (std::uint32_t i = 0; i < asked.members; ++i) {
-    if (!PlaceOne(so_far, asked, victims, index))
-      return {};
+  for (std::vector<holding>& here : on_slot_) {
+    std::ranges::stable_sort(here, {}, [&](const holding& each) {
+      return victims_[each.victim].cost;
+    });
   }
-  return so_far;
 }
 
-}  // namespace
+work::resources victim_set::MostRoom(const board& offered,
+                                     const slot_range& range) const {
+  work::resources most;
+  for (std::uint32_t i = range.first; i < range.last; ++i) {
+    const slot& each = offered.slots()[i];
+    most = Largest(most, each.free + each.leaving + held_on_slot_[i]);
+  }
+  return most;
+}
 
 std::optional<preemption> FindVictims(const board& offered,
                                       const demand& asked,
-                                      const std::vector<victim>& victims) {
-  const victims_by_worker index = IndexVictims(victims);
-  std::optional<trial> best;
-  for (const std::vector<work::rack_id>& racks : Alternatives(offered, asked)) {
-    const std::optional<trial> found =
-        TryRacks(offered, asked, racks, victims, index);
-    if (found && (!best || found->cost < best->cost))
-      best = found;
+                                      const victim_set& victims) {
+  std::optional<preemption> best;
+  std::uint64_t best_cost = kNever;
+  for (const alternative& each : Alternatives(offered, asked)) {
+    if (!Fits(asked.need, victims.MostRoom(offered, each.slots)))
+      continue;
+    trial tried(offered, asked, victims, each.slots);
+    std::uint32_t placed = 0;
+    while (placed < asked.members && tried.PlaceOne(best_cost))
+      ++placed;
+    if (placed < asked.members)
+      continue;
+    best = tried.Result();
+    best_cost = tried.cost();
   }
-  if (!best)
-    return {};
-  preemption chosen{.workers = best->workers};
-  for (const std::size_t stopped : best->stopped)
-    chosen.stopped.push_back(victims[stopped].unit);
-  return chosen;
+  return best;
 }
 
 }  // namespace parsleyhitch::placement
--- a/source/placement/preempt.h
+++ b/source/placement/preempt.h
@@ -21,8 +21,43 @@
   std::uint64_t cost = 0;
 };
 
+// Victims by the slots of a board. Those stopped are left out from then on.
+class victim_set {
+ public:
+  // What a victim holds on a slot.
+  struct holding {
+    std::uint32_t victim = 0;
+    work::resources held;
+  };
+
+  victim_set(const board& offered, std::vector<victim> victims);
+
+  const victim& Get(std::uint32_t index) const { return victims_[index]; }
+  // The slots of a victim, one for each member that stands on the board.
+  const std::vector<std::uint32_t>& SlotsOf(std::uint32_t index) const {
+    return slots_[index];
+  }
+  // The cheapest first.
+  const std::vector<holding>& On(std::uint32_t slot) const {
+    return on_slot_[slot];
+  }
+  bool IsStopped(std::uint32_t index) const { return stopped_[index]; }
+  void NoteStopped(std::uint32_t index) { stopped_[index] = true; }
+  // At least the largest room that any slot of the range can be given.
+  work::resources MostRoom(const board& offered, const slot_range& range) const;
+
+ private:
+  std::vector<victim> victims_;
+  std::vector<std::vector<std::uint32_t>> slots_;
+  std::vector<std::vector<holding>> on_slot_;
+  // All that victims hold on each slot.
+  std::vector<work::resources> held_on_slot_;
+  std::vector<bool> stopped_;
+};
+
 struct preemption {
-  std::vector<work::unit_id> stopped;
+  // Indexes of the victims.
+  std::vector<std::uint32_t> stopped;
   // Where the demand is to go once they have left.
   std::vector<work::worker_id> workers;
 };
@@ -30,7 +65,7 @@
 // The cheapest set of victims found that makes room for the demand, or nothing.
 std::optional<preemption> FindVictims(const board& offered,
                                       const demand& asked,
-                                      const std::vector<victim>& victims);
+                                      const victim_set& victims);
 
 }  // namespace parsleyhitch::placement
 
--- a/source/placement/room.cc
+++ b/source/placement/room.cc
@@ -4,40 +4,29 @@
 #include "placement/room.h"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
-#include <utility>
 
 namespace parsleyhitch::placement {
 
 namespace {
 
 struct candidate {
-  work::worker_id worker;
-  work::resources room;
+  std::uint32_t slot = 0;
   std::uint32_t fits = 0;
 };
 
-bool Tighter(const candidate& a, const candidate& b) {
-  return std::tie(a.room.accelerators, a.room.cpu_millis, a.worker) <
-         std::tie(b.room.accelerators, b.room.cpu_millis, b.worker);
-}
-
 std::vector<candidate> CandidatesIn(const board& offered,
                                     const demand& asked,
-                                    const std::vector<work::rack_id>& racks,
-                                    const room_of& room) {
+                                    const slot_range& range) {
   std::vector<candidate> found;
-  for (const auto& [worker, each] : offered.slots) {
-    if (!Suits(asked, worker, each) ||
-        std::ranges::find(racks, each.rack) == racks.end())
+  for (std::uint32_t i = range.first; i < range.last; ++i) {
+    const slot& each = offered.slots()[i];
+    if (!Fits(asked.need, each.free) || !Suits(asked, each))
       continue;
-    const work::resources has = room(worker, each);
-    const std::uint32_t fits = CountFits(asked, worker, has);
+    const std::uint32_t fits = CountFits(asked, each, each.free);
     if (fits > 0)
-      found.push_back({.worker = worker, .room = has, .fits = fits});
+      found.push_back({.slot = i, .fits = fits});
   }
-  std::ranges::sort(found, Tighter);
   return found;
 }
 
@@ -48,77 +37,89 @@
   return count;
 }
 
-std::vector<work::worker_id> Fill(const std::vector<candidate>& candidates,
+std::vector<work::worker_id> Fill(const board& offered,
+                                  std::vector<candidate> candidates,
                                   std::uint32_t members) {
+  const auto tighter = [&](const candidate& a, const candidate& b) {
+    const slot& one = offered.slots()[a.slot];
+    const slot& other = offered.slots()[b.slot];
+    return std::tie(one.free.accelerators, one.free.cpu_millis, one.worker) <
+           std::tie(other.free.accelerators, other.free.cpu_millis,
+                    other.worker);
+  };
+  // Each candidate takes one member at least.
+  const std::size_t used = std::min<std::size_t>(members, candidates.size());
+  std::ranges::partial_sort(candidates, candidates.begin() + used, tighter);
   std::vector<work::worker_id> chosen;
   for (const candidate& each : candidates) {
     for (std::uint32_t i = 0; i < each.fits && chosen.size() < members; ++i)
-      chosen.push_back(each.worker);
+      chosen.push_back(offered.slots()[each.slot].worker);
   }
   return chosen;
 }
 
-}  // namespace
-
-work::resources FreeRoom(const work::worker_id&, const slot& offered) {
-  return offered.free;
+bool HasSuiting(const board& offered,
+                const demand& asked,
+                const slot_range& range) {
+  for (std::uint32_t i = range.first; i < range.last; ++i) {
+    if (Suits(asked, offered.slots()[i]))
+      return true;
+  }
+  return false;
 }
 
-work::resources SoonFreeRoom(const work::worker_id&, const slot& offered) {
-  return offered.free + offered.leaving;
-}
+}  // namespace
 
-std::vector<std::vector<work::rack_id>> Alternatives(const board& offered,
-                                                     const demand& asked) {
-  std::set<work::rack_id> racks;
-  for (const auto& [worker, each] : offered.slots) {
-    if (Suits(asked, worker, each))
-      racks.insert(each.rack);
+std::vector<alternative> Alternatives(const board& offered,
+                                      const demand& asked) {
+  const std::vector<rack_slots>& racks = offered.RacksOf(asked.service);
+  const auto at_data =
+      std::ranges::find(racks, asked.data_rack, &rack_slots::rack);
+  const bool has_data_rack = !asked.data_rack.value().empty() &&
+                             at_data != racks.end() &&
+                             HasSuiting(offered, asked, at_data->slots);
+  std::vector<alternative> found;
+  if (has_data_rack) {
+    found.push_back(
+        {.slots = at_data->slots, .is_one_rack = true, .is_at_data = true});
   }
-  const std::vector<work::rack_id> all(racks.begin(), racks.end());
-  std::vector<std::vector<work::rack_id>> alternatives;
-  const bool has_data_rack = racks.contains(asked.data_rack);
-  if (has_data_rack)
-    alternatives.push_back({asked.data_rack});
   if (has_data_rack && !asked.accepts_far)
-    return alternatives;
-  if (!asked.same_rack) {
-    alternatives.push_back(all);
-    return alternatives;
-  }
-  for (const work::rack_id& rack : all) {
-    if (rack != asked.data_rack || !has_data_rack)
-      alternatives.push_back({rack});
+    return found;
+  if (asked.same_rack) {
+    for (const rack_slots& each : racks) {
+      if (!has_data_rack || each.rack != asked.data_rack)
+        found.push_back({.slots = each.slots, .is_one_rack = true});
+    }
   }
-  if (asked.accepts_far)
-    alternatives.push_back(all);
-  return alternatives;
+  if (!asked.same_rack || asked.accepts_far)
+    found.push_back({.slots = offered.SlotsOf(asked.service)});
+  return found;
 }
 
 std::optional<std::vector<work::worker_id>> FindRoom(const board& offered,
-                                                     const demand& asked,
-                                                     const room_of& room) {
-  std::optional<std::vector<work::worker_id>> best;
+                                                     const demand& asked) {
+  if (!Fits(asked.need, offered.MostFree(asked.service)))
+    return {};
+  std::vector<candidate> best;
   std::uint64_t best_left = 0;
-  bool best_is_single = false;
-  for (const std::vector<work::rack_id>& racks : Alternatives(offered, asked)) {
-    const bool single = racks.size() == 1;
-    const bool at_data = single && racks.front() == asked.data_rack;
-    if (best && best_is_single && !single)
+  bool best_is_one_rack = false;
+  for (const alternative& each : Alternatives(offered, asked)) {
+    if (!best.empty() && best_is_one_rack && !each.is_one_rack)
       break;
-    const auto candidates = CandidatesIn(offered, asked, racks, room);
+    std::vector<candidate> candidates =
+        CandidatesIn(offered, asked, each.slots);
     const std::uint64_t count = CountAll(candidates);
-    if (count < asked.members)
-      continue;
-    if (best && count >= best_left)
+    if (count < asked.members || (!best.empty() && count >= best_left))
       continue;
-    best = Fill(candidates, asked.members);
+    best = std::move(candidates);
     best_left = count;
-    best_is_single = single;
-    if (at_data)
+    best_is_one_rack = each.is_one_rack;
+    if (each.is_at_data)
       break;
   }
-  return best;
+  if (best.empty())
+    return {};
+  return Fill(offered, std::move(best), asked.members);
 }
 
 }  // namespace parsleyhitch::placement
--- a/source/placement/room.h
+++ b/source/placement/room.h
@@ -3,7 +3,6 @@
 #ifndef PARSLEYHITCH_PLACEMENT_ROOM_H_
 #define PARSLEYHITCH_PLACEMENT_ROOM_H_
 
-#include <functional>
 #include <optional>
 #include <vector>
 
@@ -11,25 +10,22 @@
 
 namespace parsleyhitch::placement {
 
-// The room that a search may count on for a worker.
-using room_of =
-    std::function<work::resources(const work::worker_id&, const slot&)>;
+// Slots that an acceptable place may lie in. Invariant: all are on one rack
+// when `is_one_rack`, which is the data's when `is_at_data`.
+struct alternative {
+  slot_range slots;
+  bool is_one_rack = false;
+  bool is_at_data = false;
+};
 
-// What is free now, and what is free once everything that leaves has left.
-work::resources FreeRoom(const work::worker_id& worker, const slot& offered);
-work::resources SoonFreeRoom(const work::worker_id& worker,
-                             const slot& offered);
+// Where an acceptable place may lie, the best first. Without a need for
+// nearness all racks together are one alternative.
+std::vector<alternative> Alternatives(const board& offered,
+                                      const demand& asked);
 
 // One worker for each member, or nothing when there is no acceptable room.
 // Tight places go first, so that whole workers stay free for large tasks.
 std::optional<std::vector<work::worker_id>> FindRoom(const board& offered,
-                                                     const demand& asked,
-                                                     const room_of& room);
-
-// The racks that an acceptable place may lie in, the best ones first; one
-// element is one alternative. Without a need for nearness all racks together
-// are one alternative.
-std::vector<std::vector<work::rack_id>> Alternatives(const board& offered,
                                                      const demand& asked);
 
 }  // namespace parsleyhitch::placement
--- a/source/work/limits.h
+++ b/source/work/limits.h
@@ -69,6 +69,10 @@
 
   // Jobs.
   const duration plan_pause{20};
+  // Queued units for each further millisecond of that pause: a pass then takes
+  // under a fifth of the smallest entry's share (`tools/bench`).
+  const std::uint32_t plan_rate{10};
+  const duration plan_pause_max{200};
   // Attempt numbers that one epoch can use for a unit.
   const std::uint64_t attempts_per_epoch = 1000;
   // How much of the patience that the objective leaves is spent waiting for a
--- a/source/work/resources.h
+++ b/source/work/resources.h
@@ -3,6 +3,7 @@
 #ifndef PARSLEYHITCH_WORK_RESOURCES_H_
 #define PARSLEYHITCH_WORK_RESOURCES_H_
 
+#include <compare>
 #include <cstdint>
 
 namespace parsleyhitch::work {
@@ -15,7 +16,7 @@
   std::int64_t memory_mb = 0;
   std::int64_t accelerators = 0;
 
-  bool operator==(const resources&) const = default;
+  auto operator<=>(const resources&) const = default;
 };
 
 inline resources operator+(const resources& a, const resources& b) {
--- a/tests/placement/room_test.cc
+++ b/tests/placement/room_test.cc
@@ -23,14 +23,21 @@
 struct board_fixture {
   placement::board board;
 
-  board_fixture() {
+  explicit board_fixture(
+      const placement::slot& like = {.free = Accelerators(8)})
+      : board(Slots(like)) {}
+
+  static std::vector<placement::slot> Slots(const placement::slot& like) {
+    std::vector<placement::slot> slots;
     for (const char* name : {"a1", "a2", "b1", "b2"}) {
-      board.slots[work::worker_id(name)] = {
-          .service = kService,
-          .rack = work::rack_id(std::string(1, name[0])),
-          .labels = {name},
-          .free = Accelerators(8)};
+      placement::slot each = like;
+      each.worker = work::worker_id(name);
+      each.service = kService;
+      each.rack = work::rack_id(std::string(1, name[0]));
+      each.labels = {name};
+      slots.push_back(each);
     }
+    return slots;
   }
 
   void Use(const char* worker, std::int64_t accelerators) {
@@ -46,13 +53,20 @@
 
   std::vector<std::string> Find(const placement::demand& asked) const {
     std::vector<std::string> names;
-    const auto found = placement::FindRoom(board, asked, placement::FreeRoom);
+    const auto found = placement::FindRoom(board, asked);
     if (!found)
       return names;
     for (const work::worker_id& worker : *found)
       names.push_back(worker.value());
     return names;
   }
+
+  std::optional<placement::preemption> Stop(
+      const placement::demand& asked,
+      const std::vector<placement::victim>& victims) const {
+    return placement::FindVictims(board, asked,
+                                  placement::victim_set(board, victims));
+  }
 };
 
 using names = std::vector<std::string>;
@@ -103,9 +117,7 @@
 }
 
 Test(room, on_shunned_workers_is_found_only_where_they_are_accepted) {
-  board_fixture fixture;
-  for (auto& [worker, each] : fixture.board.slots)
-    each.shunned = true;
+  const board_fixture fixture({.free = Accelerators(8), .shunned = true});
   placement::demand asked = fixture.Demand(1, 1);
   cr_assert(fixture.Find(asked).empty());
   asked.accepts_shunned = true;
@@ -124,21 +136,15 @@
                        .cost = cost});
     cost -= 10;
   }
-  const auto chosen =
-      placement::FindVictims(fixture.board, fixture.Demand(1, 8), victims);
+  const auto chosen = fixture.Stop(fixture.Demand(1, 8), victims);
   cr_assert(chosen.has_value());
   cr_assert_eq(chosen->stopped.size(), 1U);
-  cr_assert_eq(chosen->stopped.front().job.value(), "b2");
+  cr_assert_eq(victims[chosen->stopped.front()].unit.job.value(), "b2");
 }
 
 Test(victims, are_not_needed_where_enough_is_leaving) {
-  board_fixture fixture;
-  for (auto& [worker, each] : fixture.board.slots) {
-    each.free = Accelerators(0);
-    each.leaving = Accelerators(8);
-  }
-  const auto chosen =
-      placement::FindVictims(fixture.board, fixture.Demand(2, 8), {});
+  const board_fixture fixture({.leaving = Accelerators(8)});
+  const auto chosen = fixture.Stop(fixture.Demand(2, 8), {});
   cr_assert(chosen.has_value());
   cr_assert(chosen->stopped.empty());
   cr_assert_eq(chosen->workers.size(), 2U);
@@ -151,7 +157,41 @@
       {.unit = {.job = work::job_id("x")},
        .workers = {work::worker_id("a1")},
        .need = Accelerators(4)}};
-  const auto chosen =
-      placement::FindVictims(fixture.board, fixture.Demand(5, 8), victims);
+  const auto chosen = fixture.Stop(fixture.Demand(5, 8), victims);
   cr_assert_not(chosen.has_value());
 }
+
+Test(victims, of_a_gang_free_room_on_each_of_their_workers) {
+  board_fixture fixture;
+  for (const char* name : {"a1", "a2", "b1", "b2"})
+    fixture.Use(name, 8);
+  const std::vector<placement::victim> victims{
+      {.unit = {.job = work::job_id("gang")},
+       .workers = {work::worker_id("a1"), work::worker_id("b2")},
+       .need = Accelerators(8),
+       .cost = 10},
+      {.unit = {.job = work::job_id("single")},
+       .workers = {work::worker_id("a2")},
+       .need = Accelerators(8),
+       .cost = 9}};
+  const auto chosen = fixture.Stop(fixture.Demand(2, 8), victims);
+  cr_assert(chosen.has_value());
+  cr_assert_eq(chosen->workers.size(), 2U);
+  cr_assert(std::ranges::find(chosen->stopped, 0U) != chosen->stopped.end());
+}
+
+Test(victims, that_were_stopped_already_are_not_counted_on_again) {
+  board_fixture fixture;
+  for (const char* name : {"a1", "a2", "b1", "b2"})
+    fixture.Use(name, 8);
+  placement::victim_set victims(fixture.board,
+                                {{.unit = {.job = work::job_id("x")},
+                                  .workers = {work::worker_id("a1")},
+                                  .need = Accelerators(8),
+                                  .cost = 1}});
+  const placement::demand asked = fixture.Demand(1, 8);
+  cr_assert(placement::FindVictims(fixture.board, asked, victims).has_value());
+  victims.NoteStopped(0);
+  cr_assert_not(
+      placement::FindVictims(fixture.board, asked, victims).has_value());
+}
--- a/tests/support/platform_stage.cc
+++ b/tests/support/platform_stage.cc
@@ -58,7 +58,7 @@
 }  // namespace
 
 platform_stage::platform_stage(const stage_options& options)
-    : random_(options.seed) {
+    : random_(options.seed), reduced_(options.reduced) {
   Publish(DefaultCatalog());
   workers_.resize(options.workers);
   missed_beats_.resize(options.workers);
@@ -197,9 +197,11 @@
     entry.held.push_back(std::move(event));
     return;
   }
+  const auto begun = std::chrono::steady_clock::now();
   dispatch::step step =
       dispatch::Reduce(*entry.environment, std::move(entry.state), event);
   entry.state = std::move(step.state);
+  reduced_(index, event, std::chrono::steady_clock::now() - begun);
   for (const work::effect& effect : step.effects) {
     if (entry.alive && entry.life == life)
       Perform(index, effect);
@@ -338,11 +340,9 @@
 }
 
 stage_worker* platform_stage::FindWorker(const work::worker_id& id) {
-  for (stage_worker& each : workers_) {
-    if (each.id == id)
-      return &each;
-  }
-  return nullptr;
+  // Its name ends with its index.
+  const std::size_t index = std::stoul(id.value().substr(2));
+  return index < workers_.size() ? &workers_[index] : nullptr;
 }
 
 void platform_stage::Do(std::uint32_t index, const work::start_run& effect) {
--- a/tests/support/platform_stage.h
+++ b/tests/support/platform_stage.h
@@ -5,6 +5,7 @@
 #ifndef PARSLEYHITCH_TESTS_SUPPORT_PLATFORM_STAGE_H_
 #define PARSLEYHITCH_TESTS_SUPPORT_PLATFORM_STAGE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -29,6 +30,11 @@
   std::uint32_t workers_per_rack = 3;
   std::uint64_t seed = 1;
   dispatch::hooks behaviour = dispatch::DefaultHooks();
+  // Told how long an entry took to reduce an event; for measurements.
+  std::function<
+      void(std::uint32_t entry, const work::event&, std::chrono::nanoseconds)>
+      reduced =
+          [](std::uint32_t, const work::event&, std::chrono::nanoseconds) {};
 };
 
 // What the model lets a test do to an entry.
@@ -143,6 +149,7 @@
   work::duration now_{0};
   std::uint64_t order_ = 0;
   std::mt19937_64 random_;
+  decltype(stage_options::reduced) reduced_;
   std::priority_queue<scheduled, std::vector<scheduled>, std::greater<>> queue_;
   stage_store store_;
   std::vector<stage_entry> entries_;
