Explain a request from the entries' logs

Change: parsleyhitch explain ID LOG... prints the request's lines, those of its workers and those of leaders and store within its time, and a summary. Decisions apart from reading files: report/explain.

--- a/source/parsleyhitch/commands.cc
+++ b/source/parsleyhitch/commands.cc
@@ -9,6 +9,7 @@
 #include "parsleyhitch/calls.h"
 #include "parsleyhitch/check.h"
 #include "parsleyhitch/exit_codes.h"
+#include "parsleyhitch/explain_command.h"
 #include "parsleyhitch/output.h"
 #include "parsleyhitch/replay_command.h"
 #include "settings/manifest_file.h"
@@ -123,6 +124,8 @@
        RunDrain},
       {"burn", "burn [--trace FILE --html FILE]",
        "Reports service-level burn over all entries given.", RunBurn},
+      {"explain", "explain ID LOG...",
+       "Tells from the entries' logs what became of a request.", RunExplain},
       {"replay", "replay TRACE...",
        "Runs traces or recordings through the reducer and checks their stated "
        "outcomes.",
--- /dev/null
+++ b/source/report/explain.cc
@@ -0,0 +1,275 @@
+// Two passes: the first finds the request's own lines, its workers and the time
+// it took; the second adds what happened to those workers and to the entries
+// within that time.
+
+#include "report/explain.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace parsleyhitch::report {
+
+namespace {
+
+using json = nlohmann::json;
+
+// Decisions about an entry, its leader or its store.
+bool IsOfEntry(const std::string& decision) {
+  static const std::set<std::string> of_entries{
+      "started",          "stopped",          "stalled",
+      "shutdown_asked",   "store_lost",       "store_regained",
+      "leadership_won",   "leadership_lost",  "jobs_restored",
+      "workers_settled",  "catalog_in_force", "settings_reloaded",
+      "writer_displaced", "feed_trimmed"};
+  return of_entries.contains(decision);
+}
+
+std::optional<logged_decision> ParseLine(std::string_view line) {
+  const std::size_t brace = line.find('{');
+  if (brace == std::string_view::npos)
+    return {};
+  const json parsed = json::parse(line.substr(brace), nullptr, false);
+  if (!parsed.is_object() || !parsed.contains("decision"))
+    return {};
+  const auto text = [&](const char* name) {
+    const auto found = parsed.find(name);
+    return found != parsed.end() && found->is_string()
+               ? found->get<std::string>()
+               : std::string();
+  };
+  static const std::set<std::string> named{"at", "level", "process", "decision",
+                                           "subject"};
+  std::map<std::string, std::string> fields;
+  for (const auto& [name, value] : parsed.items()) {
+    if (!named.contains(name))
+      fields[name] =
+          value.is_string() ? value.get<std::string>() : value.dump();
+  }
+  return logged_decision{.at = text("at"),
+                         .process = text("process"),
+                         .decision = text("decision"),
+                         .subject = text("subject"),
+                         .fields = std::move(fields)};
+}
+
+std::string FieldOf(const logged_decision& line, const std::string& name) {
+  const auto found = line.fields.find(name);
+  return found == line.fields.end() ? std::string() : found->second;
+}
+
+// A path that ends with the ID, a unit or task whose name begins with it, or a
+// field that holds it.
+bool Names(const logged_decision& line, const std::string& id) {
+  const std::string& subject = line.subject;
+  if (subject == id || subject.starts_with(id + ".") ||
+      subject.ends_with("/" + id))
+    return true;
+  return std::ranges::any_of(
+      line.fields, [&](const auto& field) { return field.second == id; });
+}
+
+struct parsed_logs {
+  std::vector<logged_decision> lines;
+  std::size_t skipped = 0;
+};
+
+parsed_logs Parse(std::string_view text) {
+  parsed_logs found;
+  while (!text.empty()) {
+    const std::size_t end = std::min(text.find('\n'), text.size());
+    const std::string_view line = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    if (line.empty())
+      continue;
+    auto parsed = ParseLine(line);
+    if (parsed)
+      found.lines.push_back(std::move(*parsed));
+    else
+      found.skipped += 1;
+  }
+  return found;
+}
+
+std::vector<const logged_decision*> ByTime(
+    const std::vector<logged_decision>& lines) {
+  std::vector<const logged_decision*> sorted;
+  sorted.reserve(lines.size());
+  for (const logged_decision& line : lines)
+    sorted.push_back(&line);
+  std::ranges::stable_sort(sorted, {}, &logged_decision::at);
+  return sorted;
+}
+
+// What the request's own lines say of it.
+struct footprint {
+  std::set<std::string> workers;
+  std::string first;
+  std::string last;
+};
+
+footprint FootprintOf(const std::vector<logged_decision>& lines,
+                      const std::string& id) {
+  footprint found;
+  for (const logged_decision& line : lines) {
+    if (!Names(line, id))
+      continue;
+    const std::string worker = FieldOf(line, "worker");
+    if (!worker.empty())
+      found.workers.insert(worker);
+    if (found.first.empty() || line.at < found.first)
+      found.first = line.at;
+    found.last = std::max(found.last, line.at);
+  }
+  return found;
+}
+
+std::optional<relation> RelationOf(const logged_decision& line,
+                                   const footprint& seen,
+                                   const std::string& id) {
+  if (Names(line, id))
+    return relation::kRequest;
+  if (line.at < seen.first || line.at > seen.last)
+    return {};
+  const bool of_task = line.decision.starts_with("unit_") ||
+                       line.decision.starts_with("task_") ||
+                       line.decision == "start_rejected";
+  if (!of_task && seen.workers.contains(line.subject))
+    return relation::kWorker;
+  if (IsOfEntry(line.decision))
+    return relation::kEntry;
+  return {};
+}
+
+void Add(std::map<std::string, std::uint64_t>& counts,
+         const std::string& what) {
+  if (!what.empty())
+    counts[what] += 1;
+}
+
+std::string Joined(const std::map<std::string, std::uint64_t>& counts) {
+  std::string text;
+  for (const auto& [what, count] : counts) {
+    text += text.empty() ? "" : ", ";
+    text += what + " " + std::to_string(count);
+  }
+  return text;
+}
+
+// Counts over the lines of one request.
+struct tally {
+  std::map<std::string, std::uint64_t> answers;
+  std::map<std::string, std::uint64_t> ends;
+  std::map<std::string, std::uint64_t> stops;
+  std::map<std::string, std::uint64_t> failed_on;
+  std::map<std::string, std::uint64_t> lost_with;
+  std::map<std::string, std::uint64_t> entries;
+  std::uint64_t starts = 0;
+  std::uint64_t longest_wait_ms = 0;
+  std::string longest_wait_of;
+  std::string phase;
+  std::string took_ms;
+};
+
+void CountRequestLine(tally& counts, const logged_decision& line) {
+  if (line.decision == "answered")
+    Add(counts.answers, FieldOf(line, "call") + ": " + FieldOf(line, "answer"));
+  if (line.decision == "unit_stopped")
+    Add(counts.stops, FieldOf(line, "why"));
+  if (line.decision == "task_ended") {
+    Add(counts.ends, FieldOf(line, "how"));
+    if (FieldOf(line, "how") == "failed")
+      Add(counts.failed_on, FieldOf(line, "worker"));
+  }
+  if (line.decision == "job_closed") {
+    counts.phase = FieldOf(line, "phase");
+    counts.took_ms = FieldOf(line, "took_ms");
+  }
+  if (line.decision != "unit_placed")
+    return;
+  counts.starts += 1;
+  const std::string waited = FieldOf(line, "waited_ms");
+  const std::uint64_t wait_ms =
+      waited.empty() ? 0 : std::strtoull(waited.c_str(), nullptr, 10);
+  if (wait_ms < counts.longest_wait_ms || counts.starts == 1)
+    return;
+  counts.longest_wait_ms = wait_ms;
+  counts.longest_wait_of = line.subject + " at " + line.at;
+}
+
+tally TallyOf(const std::vector<explained_line>& lines) {
+  tally counts;
+  for (const explained_line& each : lines) {
+    if (each.why == relation::kRequest)
+      CountRequestLine(counts, each.line);
+    if (each.why == relation::kWorker && each.line.decision == "tasks_lost")
+      Add(counts.lost_with,
+          each.line.subject + " (" + FieldOf(each.line, "why") + ")");
+    if (each.why == relation::kEntry)
+      Add(counts.entries, each.line.decision);
+  }
+  return counts;
+}
+
+std::vector<std::string> SummaryOf(const tally& counts) {
+  std::vector<std::string> summary;
+  const auto say = [&](const std::string& what, const std::string& found) {
+    if (!found.empty())
+      summary.push_back(what + ": " + found);
+  };
+  say("ended", counts.phase.empty()
+                   ? std::string()
+                   : counts.phase + " after " + counts.took_ms + " ms");
+  say("answers", Joined(counts.answers));
+  say("failed on workers", Joined(counts.failed_on));
+  say("lost with workers", Joined(counts.lost_with));
+  say("stopped for", Joined(counts.stops));
+  if (counts.starts > 0) {
+    say("placed", std::to_string(counts.starts) + " times; waited longest " +
+                      std::to_string(counts.longest_wait_ms) + " ms (" +
+                      counts.longest_wait_of + ")");
+  }
+  say("ends of tasks", Joined(counts.ends));
+  say("meanwhile", Joined(counts.entries));
+  return summary;
+}
+
+}  // namespace
+
+explanation Explain(std::string_view text, const std::string& id) {
+  const parsed_logs logs = Parse(text);
+  const footprint seen = FootprintOf(logs.lines, id);
+  std::vector<explained_line> lines;
+  for (const logged_decision* line : ByTime(logs.lines)) {
+    const auto why = RelationOf(*line, seen, id);
+    if (why)
+      lines.push_back({.why = *why, .line = *line});
+  }
+  if (seen.first.empty())
+    return {.skipped = logs.skipped};
+  std::vector<std::string> summary = SummaryOf(TallyOf(lines));
+  return {.lines = std::move(lines),
+          .summary = std::move(summary),
+          .skipped = logs.skipped};
+}
+
+std::string ExplanationTable(const explanation& explained) {
+  static const std::map<relation, std::string> marks{{relation::kRequest, "  "},
+                                                     {relation::kWorker, "w "},
+                                                     {relation::kEntry, "e "}};
+  std::string table;
+  for (const explained_line& each : explained.lines) {
+    table += marks.at(each.why) + each.line.at + " " + each.line.process + " " +
+             each.line.decision + " " + each.line.subject;
+    for (const auto& [name, value] : each.line.fields)
+      table += " " + name + "=" + value;
+    table += "\n";
+  }
+  for (const std::string& line : explained.summary)
+    table += line + "\n";
+  return table;
+}
+
+}  // namespace parsleyhitch::report
--- /dev/null
+++ b/tests/report/explain_test.cc
@@ -0,0 +1,73 @@
+// What logs tell of a request.
+
+#include "report/explain.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+namespace report = parsleyhitch::report;
+
+namespace {
+
+// A job of one task that was lost with its worker, under another leader's
+// lines.
+constexpr char kLogs[] =
+    R"(  1.0 front-2 {"at":"2026-05-18T14:00:05.000Z","level":"info","process":"front-2","decision":"job_closed","subject":"a1","phase":"completed","took_ms":"4900"}
+{"at":"2026-05-18T14:00:00.100Z","level":"info","process":"front-1","decision":"answered","subject":"/jobs/a1","call":"submit","answer":"accepted"}
+{"at":"2026-05-18T14:00:00.200Z","level":"info","process":"front-1","decision":"unit_placed","subject":"a1.0.0.0","attempt":"1","worker":"w-1","waited_ms":"20"}
+{"at":"2026-05-18T14:00:01.000Z","level":"warning","process":"front-1","decision":"tasks_lost","subject":"w-1","count":"1","why":"lease lapsed"}
+{"at":"2026-05-18T14:00:01.100Z","level":"info","process":"front-1","decision":"leadership_lost","subject":"front-1"}
+{"at":"2026-05-18T14:00:03.000Z","level":"info","process":"front-2","decision":"unit_placed","subject":"a1.0.0.0","attempt":"1001","worker":"w-2","waited_ms":"2000"}
+{"at":"2026-05-18T14:00:03.100Z","level":"info","process":"front-2","decision":"unit_placed","subject":"b2.0.0.0","attempt":"1","worker":"w-2","waited_ms":"1"}
+{"at":"2026-05-18T14:00:09.000Z","level":"info","process":"front-2","decision":"store_lost","subject":"store"}
+not a line of a log
+)";
+
+struct explain_fixture {
+  report::explanation found = report::Explain(kLogs, "a1");
+
+  bool Has(report::relation why, const std::string& decision) const {
+    return std::ranges::any_of(found.lines, [&](const auto& each) {
+      return each.why == why && each.line.decision == decision;
+    });
+  }
+
+  bool Says(const std::string& line) const {
+    return std::ranges::find(found.summary, line) != found.summary.end();
+  }
+};
+
+}  // namespace
+
+Test(explain, request_of_several_processes_is_told_by_time) {
+  const explain_fixture fixture;
+  cr_assert_eq(fixture.found.lines.size(), 6U);
+  cr_assert_eq(fixture.found.lines.front().line.decision, "answered");
+  cr_assert_eq(fixture.found.lines.back().line.decision, "job_closed");
+  cr_assert_eq(fixture.found.skipped, 1U);
+}
+
+Test(explain, request_that_lost_its_worker_names_the_worker_and_why) {
+  const explain_fixture fixture;
+  cr_assert(fixture.Has(report::relation::kWorker, "tasks_lost"));
+  cr_assert(fixture.Says("lost with workers: w-1 (lease lapsed) 1"));
+}
+
+Test(explain, request_under_a_change_of_leader_tells_of_it_within_its_time) {
+  const explain_fixture fixture;
+  cr_assert(fixture.Has(report::relation::kEntry, "leadership_lost"));
+  cr_assert_not(fixture.Has(report::relation::kEntry, "store_lost"));
+}
+
+Test(explain, request_that_waited_names_its_longest_wait) {
+  const explain_fixture fixture;
+  cr_assert(
+      fixture.Says("placed: 2 times; waited longest 2000 ms (a1.0.0.0 at "
+                   "2026-05-18T14:00:03.000Z)"));
+  cr_assert(fixture.Says("ended: completed after 4900 ms"));
+}
+
+Test(explain, request_that_no_log_names_has_no_lines) {
+  cr_assert(report::Explain(kLogs, "c3").lines.empty());
+}
