--- /dev/null
+++ b/tests/process/platform_test.cc
@@ -0,0 +1,172 @@
+// Entries on the platform's stand-in, with real processes: they are killed,
+// frozen, stopped and cut off, and no rule of the platform is broken.
+
+#include <criterion/criterion.h>
+
+#include <csignal>
+
+#include "support/platform_site.h"
+
+using parsleyhitch::test::platform_site;
+using parsleyhitch::test::site_reply;
+using parsleyhitch::test::site_step;
+
+namespace {
+
+constexpr char kJob[] = "00000000000000a1";
+constexpr char kOtherJob[] = "00000000000000b2";
+constexpr site_step kGang{.tasks = 4,
+                          .accelerators = 8,
+                          .task_ms = 1500,
+                          .gang = true};
+constexpr site_step kSingles{.tasks = 12, .accelerators = 4, .task_ms = 800};
+
+struct site_fixture {
+  platform_site site;
+
+  void AwaitRunning() {
+    site.Await("tasks run", [&] { return site.Journal().running > 0; });
+  }
+
+  void ExpectNoBreach() const {
+    cr_expect(site.Breach().empty(), "%s", site.Breach().c_str());
+  }
+};
+
+}  // namespace
+
+Test(platform_job, accepted_at_one_entry_is_shown_completed_by_another) {
+  site_fixture fixture;
+  cr_assert_eq(fixture.site.Submit(0, kJob, kSingles).status, 200);
+  fixture.site.AwaitState(1, kJob, "completed");
+  // The first job has one task.
+  cr_expect_eq(fixture.site.Journal().starts, 1U + kSingles.tasks);
+  fixture.ExpectNoBreach();
+}
+
+Test(platform_job, cancelled_while_it_runs_is_gone_from_the_workers) {
+  site_fixture fixture;
+  fixture.site.Submit(0, kJob, {.tasks = 2, .task_ms = 60000});
+  fixture.AwaitRunning();
+  cr_assert_eq(fixture.site.Cancel(1, kJob).status, 200);
+  fixture.site.Await("nothing runs",
+                     [&] { return fixture.site.Journal().running == 0; });
+  fixture.site.AwaitState(2, kJob, "cancelled");
+  fixture.ExpectNoBreach();
+}
+
+Test(platform_job, with_each_entry_killed_in_turn_ends_without_a_breach) {
+  site_fixture fixture;
+  fixture.site.Submit(1, kJob, kGang);
+  fixture.site.Submit(2, kOtherJob, kSingles);
+  fixture.AwaitRunning();
+  for (std::uint32_t entry = 0; entry < 3; ++entry) {
+    fixture.site.Signal(entry, SIGKILL);
+    fixture.site.Start(entry);
+    fixture.site.Await("it is ready",
+                       [&] { return fixture.site.IsReady(entry); });
+  }
+  fixture.site.AwaitState(0, kJob, "completed");
+  fixture.site.AwaitState(0, kOtherJob, "completed");
+  fixture.ExpectNoBreach();
+}
+
+Test(platform_job, accepted_before_all_entries_were_killed_ends) {
+  site_fixture fixture;
+  cr_assert_eq(fixture.site.Submit(0, kJob, kGang).status, 200);
+  for (std::uint32_t entry = 0; entry < 3; ++entry)
+    fixture.site.Signal(entry, SIGKILL);
+  for (std::uint32_t entry = 0; entry < 3; ++entry)
+    fixture.site.Start(entry);
+  fixture.site.AwaitState(2, kJob, "completed");
+  fixture.ExpectNoBreach();
+}
+
+Test(platform_job, with_each_entry_frozen_in_turn_ends_without_a_breach) {
+  site_fixture fixture;
+  fixture.site.Submit(0, kJob, kGang);
+  fixture.AwaitRunning();
+  for (std::uint32_t entry = 0; entry < 3; ++entry) {
+    fixture.site.Signal(entry, SIGSTOP);
+    const std::uint32_t other = (entry + 1) % 3;
+    fixture.site.Submit(other, "00000000000000c" + std::to_string(entry),
+                        kSingles);
+    fixture.site.AwaitState(other, "00000000000000c" + std::to_string(entry),
+                            "completed");
+    fixture.site.Signal(entry, SIGCONT);
+  }
+  fixture.site.AwaitState(0, kJob, "completed");
+  fixture.ExpectNoBreach();
+}
+
+Test(platform_submission, while_the_store_is_down_is_refused_and_never_runs) {
+  site_fixture fixture;
+  fixture.site.Control(R"({"store_down":true})");
+  // What was under way as the store went may be refused late or left open.
+  fixture.site.Await("the entries know", [&] {
+    return fixture.site.Submit(0, kOtherJob, {}).status == 503;
+  });
+  const std::uint64_t before = fixture.site.Journal().starts;
+  cr_assert_eq(fixture.site.Submit(0, kJob, {}).status, 503);
+  fixture.site.Control("{}");
+  fixture.site.Await("work is accepted again", [&] {
+    return fixture.site.Submit(1, "00000000000000d4", {}).status == 200;
+  });
+  fixture.site.AwaitState(1, "00000000000000d4", "completed");
+  cr_expect(fixture.site.StateOf(1, kJob).empty());
+  cr_expect_leq(fixture.site.Journal().starts, before + 2);
+  fixture.ExpectNoBreach();
+}
+
+Test(platform_submission, whose_append_answers_are_lost_runs_once) {
+  site_fixture fixture;
+  fixture.site.Control(R"({"lose_answers":2})");
+  const site_reply reply = fixture.site.Submit(0, kJob, {});
+  cr_assert(reply.status == 200 || reply.status == 504, "status %u",
+            reply.status);
+  fixture.site.AwaitState(1, kJob, "completed");
+  cr_expect_eq(fixture.site.Journal().starts, 2U);
+  fixture.ExpectNoBreach();
+}
+
+Test(platform_worker, out_of_reach_has_its_tasks_started_elsewhere) {
+  site_fixture fixture;
+  fixture.site.Submit(0, kJob,
+                      {.tasks = 12, .accelerators = 4, .task_ms = 2500});
+  fixture.AwaitRunning();
+  fixture.site.Control(R"({"cut":[0,1]})");
+  fixture.site.AwaitState(1, kJob, "completed");
+  fixture.ExpectNoBreach();
+}
+
+Test(platform_worker, that_starts_anew_has_its_tasks_started_elsewhere) {
+  site_fixture fixture;
+  fixture.site.Submit(0, kJob, kGang);
+  fixture.AwaitRunning();
+  fixture.site.Control(R"({"restart":[0,1,2,3,4,5]})");
+  fixture.site.AwaitState(1, kJob, "completed");
+  fixture.ExpectNoBreach();
+}
+
+Test(platform_entry, told_to_stop_ends_by_itself_and_others_serve_on) {
+  site_fixture fixture;
+  fixture.site.Submit(0, kJob, kGang);
+  fixture.AwaitRunning();
+  for (std::uint32_t entry = 0; entry < 2; ++entry) {
+    fixture.site.Signal(entry, SIGTERM);
+    cr_expect_eq(fixture.site.AwaitExit(entry), 0);
+  }
+  fixture.site.AwaitState(2, kJob, "completed");
+  fixture.ExpectNoBreach();
+}
+
+Test(platform_configuration, published_anew_is_in_force_at_every_entry) {
+  site_fixture fixture;
+  fixture.site.Publish(2, "later");
+  for (std::uint32_t entry = 0; entry < 3; ++entry) {
+    fixture.site.Await("the old queue is gone", [&] {
+      return fixture.site.Submit(entry, kJob, {}).status == 404;
+    });
+  }
+  fixture.ExpectNoBreach();
+}
--- a/tests/stand_ins/log_stand_in.cc
+++ b/tests/stand_ins/log_stand_in.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "replay/fake_log.h"
+#include "stand_ins/query.h"
 #include "stand_ins/stand_in.h"
 #include "wire/json_codec.h"
 #include "wire/log_codec.h"
@@ -33,13 +34,6 @@
 
 constexpr std::size_t kPageRecords = 256;
 
-std::uint64_t QueryNumber(const std::string& query, const std::string& name) {
-  const std::size_t at = query.find(name + "=");
-  return at == std::string::npos
-             ? 0
-             : std::stoull(query.substr(at + name.size() + 1));
-}
-
 class log_stand_in {
  public:
   log_stand_in(asio::io_context& io, const std::vector<std::string>& addresses)
--- a/tests/stand_ins/main.cc
+++ b/tests/stand_ins/main.cc
@@ -1,4 +1,4 @@
-// stand_ins --role log|vms|worker --listen ip:port[,ip:port...]
+// stand_ins --role log|vms|worker|site --listen ip:port[,ip:port...]
 
 #include <gflags/gflags.h>
 #include <sys/prctl.h>
@@ -9,9 +9,10 @@
 #include <iostream>
 
 #include "settings/comma_list.h"
+#include "stand_ins/site_stand_in.h"
 #include "stand_ins/stand_in.h"
 
-DEFINE_string(role, "", "log, vms or worker");
+DEFINE_string(role, "", "log, vms, worker or site");
 DEFINE_string(listen, "", "addresses to listen at, with commas between them");
 DEFINE_uint32(accelerators, 8, "accelerators of a worker");
 DEFINE_int64(task_ms, 1000, "run time of a worker's tasks");
@@ -31,6 +32,9 @@
   } else if (FLAGS_role == "worker") {
     parsleyhitch::stand_ins::RunWorker(io, FLAGS_listen, FLAGS_accelerators,
                                        FLAGS_task_ms);
+  } else if (FLAGS_role == "site") {
+    parsleyhitch::stand_ins::RunSite(
+        io, parsleyhitch::settings::SplitByComma(FLAGS_listen));
   } else {
     std::cerr << "unknown --role\n";
     return 2;
--- /dev/null
+++ b/tests/stand_ins/store_stand_in.cc
@@ -0,0 +1,188 @@
+// Appends, reads and the newest records as the platform's page gives them.
+
+#include "stand_ins/store_stand_in.h"
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/endian/conversion.hpp>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "platform/store_codec.h"
+#include "stand_ins/query.h"
+
+namespace parsleyhitch::stand_ins {
+
+namespace {
+
+using json = nlohmann::json;
+
+wire::http_reply JsonReply(std::uint32_t status, const json& body) {
+  return {.status = status,
+          .content_type = "application/json",
+          .body = body.dump()};
+}
+
+std::string Big64(std::uint64_t value) {
+  std::string bytes(sizeof(value), '\0');
+  boost::endian::store_big_u64(reinterpret_cast<unsigned char*>(bytes.data()),
+                               value);
+  return bytes;
+}
+
+std::string Base64(const std::string& bytes) {
+  using boost::archive::iterators::base64_from_binary;
+  using boost::archive::iterators::transform_width;
+  using encoder =
+      base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
+  std::string text(encoder(bytes.begin()), encoder(bytes.end()));
+  while (text.size() % 4 != 0)
+    text.push_back('=');
+  return text;
+}
+
+}  // namespace
+
+void store_stand_in::Take(const wire::http_call& call,
+                          const runtime::http_responder& respond) {
+  if (down) {
+    respond(JsonReply(503, json::object()));
+    return;
+  }
+  if (call.path == "/log-append") {
+    const wire::http_reply reply = Append(call);
+    const bool lost = reply.status == 200 && lose_answers > 0;
+    lose_answers -= lost ? 1 : 0;
+    respond(lost ? JsonReply(500, json::object()) : reply);
+    return;
+  }
+  if (call.path == "/log-newest") {
+    respond(Newest(QueryText(call.query, "topic")));
+    return;
+  }
+  if (call.path == "/log-read") {
+    Read(call, respond);
+    return;
+  }
+  respond(JsonReply(404, json::object()));
+}
+
+wire::http_reply store_stand_in::Append(const wire::http_call& call) {
+  const std::string topic = QueryText(call.query, "topic");
+  const std::uint64_t epoch = QueryNumber(call.query, "epoch");
+  const std::uint64_t sequence = QueryNumber(call.query, "sequence");
+  writer& from = writers_[topic + "/" + QueryText(call.query, "producer")];
+  if (epoch < from.epoch)
+    return JsonReply(409, {{"reason", "fenced"}});
+  const auto known = from.ends.find(sequence);
+  if (epoch == from.epoch && known != from.ends.end())
+    return JsonReply(200, {{"end", known->second}});
+  if (epoch == from.epoch && sequence != from.next)
+    return JsonReply(409, {{"reason", "seq"}, {"sequence", from.next}});
+  // A page is its end and first position, and then records in the same form.
+  const auto page = wire::ValueOf([&] {
+    return platform::DecodeLogPage(Big64(0) + Big64(0) + call.body, 0);
+  });
+  if (!page)
+    return JsonReply(400, json::object());
+  if (epoch > from.epoch)
+    from.ends.clear();
+  from.epoch = epoch;
+  from.next = sequence + 1;
+  topic_log& log = topics_[topic];
+  for (const platform::keyed_record& each : page->records)
+    log.records.push_back({.key = each.key, .value = each.value});
+  from.ends[sequence] = log.records.size();
+  WakeReaders(topic);
+  return JsonReply(200, {{"end", log.records.size()}});
+}
+
+void store_stand_in::Put(const std::string& topic,
+                         std::string key,
+                         std::string value) {
+  topics_[topic].records.push_back(
+      {.key = std::move(key), .value = std::move(value)});
+  WakeReaders(topic);
+}
+
+void store_stand_in::Compact() {
+  for (auto& [name, log] : topics_)
+    log.first = log.records.size();
+}
+
+wire::http_reply store_stand_in::Newest(const std::string& topic) const {
+  const auto found = topics_.find(topic);
+  if (found == topics_.end())
+    return JsonReply(404, json::object());
+  std::map<std::string, std::uint64_t> newest;
+  const std::vector<stored_record>& records = found->second.records;
+  for (std::uint64_t i = 0; i < records.size(); ++i)
+    newest[records[i].key] = i;
+  json items = json::array();
+  for (const auto& [key, offset] : newest) {
+    if (records[offset].value.empty())
+      continue;
+    items.push_back({{"key", key},
+                     {"value", Base64(records[offset].value)},
+                     {"offset", offset}});
+  }
+  return JsonReply(200, {{"items", std::move(items)},
+                         {"hasMore", false},
+                         {"end", records.size()}});
+}
+
+wire::http_reply store_stand_in::Page(const std::string& topic,
+                                      std::uint64_t from) const {
+  static const topic_log none;
+  const auto found = topics_.find(topic);
+  const topic_log& log = found == topics_.end() ? none : found->second;
+  if (from < log.first)
+    return JsonReply(410, {{"first", log.first}});
+  std::string body = Big64(log.records.size()) + Big64(log.first);
+  for (std::uint64_t i = from; i < log.records.size(); ++i)
+    body += platform::EncodeKeyed(log.records[i].key, log.records[i].value);
+  return {.status = 200,
+          .content_type = "application/octet-stream",
+          .body = std::move(body)};
+}
+
+void store_stand_in::Read(const wire::http_call& call,
+                          const runtime::http_responder& respond) {
+  const std::string topic = QueryText(call.query, "topic");
+  const std::uint64_t from = QueryNumber(call.query, "from");
+  const std::chrono::milliseconds wait(QueryNumber(call.query, "waitMs"));
+  if (from < topics_[topic].records.size() || wait.count() == 0) {
+    respond(Page(topic, from));
+    return;
+  }
+  auto parked = std::make_shared<parked_read>(
+      parked_read{.topic = topic,
+                  .from = from,
+                  .respond = respond,
+                  .timer = asio::steady_timer(io_, wait)});
+  parked_.push_back(parked);
+  parked->timer.async_wait([this, parked](const auto&) {
+    if (parked->answered)
+      return;
+    parked->answered = true;
+    parked_.remove(parked);
+    parked->respond(Page(parked->topic, parked->from));
+  });
+}
+
+void store_stand_in::WakeReaders(const std::string& topic) {
+  std::list<std::shared_ptr<parked_read>> others;
+  for (const auto& parked : std::exchange(parked_, {})) {
+    if (parked->topic != topic) {
+      others.push_back(parked);
+      continue;
+    }
+    parked->answered = true;
+    parked->timer.cancel();
+    parked->respond(Page(parked->topic, parked->from));
+  }
+  parked_.splice(parked_.end(), others);
+}
+
+}  // namespace parsleyhitch::stand_ins
--- /dev/null
+++ b/tests/support/child_process.cc
@@ -0,0 +1,89 @@
+// Spawning, ending and finding ports.
+
+#include "support/child_process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <stdexcept>
+
+namespace parsleyhitch::test {
+
+namespace {
+
+// True when every port of the block can be listened at now.
+bool AreFree(std::uint16_t first, std::size_t count) {
+  asio::io_context io;
+  std::vector<asio::ip::tcp::acceptor> held;
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto port = static_cast<std::uint16_t>(first + i);
+    held.emplace_back(io);
+    asio::error_code error;
+    held.back().open(asio::ip::tcp::v4(), error);
+    held.back().set_option(asio::socket_base::reuse_address(true), error);
+    held.back().bind({asio::ip::address_v4::loopback(), port}, error);
+    if (error)
+      return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+// A port that was merely free a moment ago may be taken by a connection (ip(7),
+// ip_local_port_range) or by a test beside this one.
+std::vector<std::uint16_t> FreePorts(std::size_t count) {
+  constexpr std::uint32_t kFirstPort = 10000;
+  constexpr std::uint32_t kBlocks = 400;
+  constexpr std::uint32_t kBlockPorts = 50;
+  auto block = static_cast<std::uint32_t>(getpid()) % kBlocks;
+  auto first = static_cast<std::uint16_t>(kFirstPort + block * kBlockPorts);
+  while (!AreFree(first, count)) {
+    block = (block + 1) % kBlocks;
+    first = static_cast<std::uint16_t>(kFirstPort + block * kBlockPorts);
+  }
+  std::vector<std::uint16_t> ports;
+  for (std::size_t i = 0; i < count; ++i)
+    ports.push_back(static_cast<std::uint16_t>(first + i));
+  return ports;
+}
+
+std::string Binary(const std::string& path) {
+  return std::string(PARSLEYHITCH_BUILD_DIR) + "/" + path;
+}
+
+pid_t Spawn(const std::vector<std::string>& arguments, const std::string& log) {
+  std::vector<char*> raw;
+  raw.reserve(arguments.size() + 1);
+  for (const std::string& argument : arguments)
+    raw.push_back(const_cast<char*>(argument.c_str()));
+  raw.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  for (const int output : {STDOUT_FILENO, STDERR_FILENO}) {
+    posix_spawn_file_actions_addopen(&actions, output, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
+  }
+  pid_t pid = 0;
+  const int error =
+      posix_spawn(&pid, raw.front(), &actions, nullptr, raw.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0)
+    throw std::runtime_error("can't start " + arguments.front());
+  return pid;
+}
+
+void End(pid_t pid) {
+  if (pid == 0)
+    return;
+  kill(pid, SIGKILL);
+  waitpid(pid, nullptr, 0);
+}
+
+}  // namespace parsleyhitch::test
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -2,21 +2,18 @@
 
 #include "support/cluster.h"
 
-#include <fcntl.h>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <fstream>
 #include <optional>
 #include <stdexcept>
 #include <utility>
 
+#include "support/child_process.h"
 #include "wire/json_codec.h"
 
 namespace parsleyhitch::test {
@@ -33,43 +30,6 @@
 "services":[{"id":"log","owner":"coop","default_deadline_ms":5000},
 {"id":"pickup","owner":"laundry","rank":"urgent","default_deadline_ms":3000}]})";
 
-// True when every port of the block can be listened at now.
-bool AreFree(std::uint16_t first, std::size_t count) {
-  asio::io_context io;
-  std::vector<asio::ip::tcp::acceptor> held;
-  for (std::size_t i = 0; i < count; ++i) {
-    const auto port = static_cast<std::uint16_t>(first + i);
-    held.emplace_back(io);
-    asio::error_code error;
-    held.back().open(asio::ip::tcp::v4(), error);
-    held.back().set_option(asio::socket_base::reuse_address(true), error);
-    held.back().bind({asio::ip::address_v4::loopback(), port}, error);
-    if (error)
-      return false;
-  }
-  return true;
-}
-
-// A block of ports below those that the kernel gives to outgoing connections
-// (ip(7), ip_local_port_range), and another for each test process: a port that
-// was merely free a moment ago may be taken by a connection or by a test beside
-// this one.
-std::vector<std::uint16_t> FreePorts(std::size_t count) {
-  constexpr std::uint32_t kFirstPort = 10000;
-  constexpr std::uint32_t kBlocks = 400;
-  constexpr std::uint32_t kBlockPorts = 50;
-  auto block = static_cast<std::uint32_t>(getpid()) % kBlocks;
-  auto first = static_cast<std::uint16_t>(kFirstPort + block * kBlockPorts);
-  while (!AreFree(first, count)) {
-    block = (block + 1) % kBlocks;
-    first = static_cast<std::uint16_t>(kFirstPort + block * kBlockPorts);
-  }
-  std::vector<std::uint16_t> ports;
-  for (std::size_t i = 0; i < count; ++i)
-    ports.push_back(static_cast<std::uint16_t>(first + i));
-  return ports;
-}
-
 std::string HeaderOf(const runtime::http_response& response,
                      const std::string& name) {
   const auto found = response.headers.find(name);
@@ -122,10 +82,6 @@
   return FindField(wire::json::parse(reply.body, nullptr, false), name);
 }
 
-std::string Binary(const std::string& path) {
-  return std::string(PARSLEYHITCH_BUILD_DIR) + "/" + path;
-}
-
 }  // namespace
 
 cluster::cluster(const cluster_shape& shape)
@@ -190,12 +146,8 @@
   std::vector<pid_t> all = entries_;
   all.insert(all.end(), workers_.begin(), workers_.end());
   all.insert(all.end(), others_.begin(), others_.end());
-  for (const pid_t pid : all) {
-    if (pid == 0)
-      continue;
-    kill(pid, SIGKILL);
-    waitpid(pid, nullptr, 0);
-  }
+  for (const pid_t pid : all)
+    End(pid);
   std::error_code ignored;
   std::filesystem::remove_all(folder_, ignored);
 }
@@ -306,10 +258,7 @@
 }
 
 void cluster::StartEntry(std::uint32_t entry) {
-  if (entries_.at(entry) != 0) {
-    kill(entries_.at(entry), SIGKILL);
-    waitpid(entries_.at(entry), nullptr, 0);
-  }
+  End(entries_.at(entry));
   const std::string path =
       (folder_ / ("entry-" + std::to_string(entry) + ".yaml")).string();
   std::ofstream(path) << ConfigOf(entry);
@@ -385,23 +334,7 @@
 }
 
 pid_t cluster::Spawn(const std::vector<std::string>& arguments) const {
-  std::vector<char*> raw;
-  raw.reserve(arguments.size() + 1);
-  for (const std::string& argument : arguments)
-    raw.push_back(const_cast<char*>(argument.c_str()));
-  raw.push_back(nullptr);
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  const std::string log = (folder_ / "log").string();
-  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
-  pid_t pid = 0;
-  const int error =
-      posix_spawn(&pid, raw.front(), &actions, nullptr, raw.data(), environ);
-  posix_spawn_file_actions_destroy(&actions);
-  if (error != 0)
-    throw std::runtime_error("can't start " + arguments.front());
-  return pid;
+  return test::Spawn(arguments, (folder_ / "log").string());
 }
 
 }  // namespace parsleyhitch::test
--- /dev/null
+++ b/tests/support/platform_site.cc
@@ -0,0 +1,257 @@
+// The stand-in listens at the first ports: the store's, that of control calls,
+// and one for each worker.
+
+#include "support/platform_site.h"
+
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+#include <utility>
+
+#include "runtime/http_client.h"
+#include "support/child_process.h"
+
+namespace parsleyhitch::test {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr model::duration kCallTimeout{4000};
+constexpr std::chrono::seconds kLongestWait{60};
+constexpr std::chrono::milliseconds kBetweenLooks{20};
+constexpr std::uint32_t kControl = 1;
+constexpr std::uint32_t kFirstWorker = 2;
+constexpr char kHost[] = "jobs.example";
+constexpr char kKey[] = "key-1";
+constexpr char kFirstJob[] = "0000000000000001";
+
+json Queue(const std::string& name, std::uint32_t priority) {
+  return {{"name", name},
+          {"host", kHost},
+          {"pathPrefix", "/" + name + "/"},
+          {"service", "pool"},
+          {"priority", priority},
+          {"maxAttempts", 3},
+          {"stretch", 2},
+          {"targetLatencyMs", 1000}};
+}
+
+}  // namespace
+
+platform_site::platform_site(const site_shape& shape)
+    : shape_(shape),
+      ports_(
+          FreePorts(kFirstWorker + shape.workers +
+                    shape.entries * static_cast<std::uint32_t>(port::kCount))),
+      folder_(std::filesystem::temp_directory_path() /
+              ("parsleyhitch-site-" + std::to_string(getpid()))),
+      entries_(shape.entries) {
+  try {
+    StartAll();
+  } catch (...) {
+    // No destructor runs for a site that was not completed.
+    EndAll();
+    throw;
+  }
+}
+
+platform_site::~platform_site() {
+  EndAll();
+}
+
+void platform_site::StartAll() {
+  std::filesystem::create_directories(folder_);
+  std::string addresses = Address(0);
+  for (std::uint32_t i = 1; i < kFirstWorker + shape_.workers; ++i)
+    addresses += "," + Address(i);
+  platform_ = Spawn({Binary("tests/stand_ins/stand_ins"), "--role", "site",
+                     "--listen", addresses},
+                    (folder_ / "platform.log").string());
+  Await("the platform's stand-in", [&] {
+    return Call("GET", Address(kControl), "/journal", "").status == 200;
+  });
+  Publish(1, "normal");
+  for (std::uint32_t entry = 0; entry < shape_.entries; ++entry)
+    Start(entry);
+  for (std::uint32_t entry = 0; entry < shape_.entries; ++entry)
+    Await("an entry is ready", [&] { return IsReady(entry); });
+  Submit(0, kFirstJob, {});
+  AwaitState(0, kFirstJob, "completed");
+}
+
+void platform_site::EndAll() const {
+  for (const pid_t pid : entries_)
+    End(pid);
+  End(platform_);
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+void platform_site::Publish(std::uint32_t version,
+                            const std::string& queue) const {
+  const json tenant{
+      {"name", "team"}, {"apiKeys", {kKey}}, {"guaranteed", {{"gpu", 16}}}};
+  const json configuration{
+      {"version", version},
+      {"routes", {Queue("urgent", 0), Queue(queue, 1), Queue("background", 2)}},
+      {"services", {json{{"name", "pool"}}}},
+      {"tenants", {tenant}}};
+  Call("POST", Address(kControl), "/operator", configuration.dump());
+}
+
+site_reply platform_site::Submit(std::uint32_t entry,
+                                 const std::string& job,
+                                 const site_step& step) const {
+  const json steps{{{"count", step.tasks},
+                    {"cpu", 1000},
+                    {"memMb", 1024},
+                    {"gpu", step.accelerators},
+                    {"estimateMs", step.task_ms},
+                    {"gang", step.gang}}};
+  return Call("POST", EntryAddress(entry, port::kCallers), "/normal/" + job,
+              json{{"spec", steps.dump()}, {"phases", steps}}.dump());
+}
+
+site_reply platform_site::Cancel(std::uint32_t entry,
+                                 const std::string& job) const {
+  return Call("DELETE", EntryAddress(entry, port::kCallers), "/normal/" + job,
+              "");
+}
+
+std::string platform_site::StateOf(std::uint32_t entry,
+                                   const std::string& job) const {
+  const site_reply reply =
+      Call("GET", EntryAddress(entry, port::kCallers), "/normal/" + job, "");
+  const json body = json::parse(reply.body, nullptr, false);
+  return body.is_object() ? body.value("state", std::string()) : std::string();
+}
+
+void platform_site::AwaitState(std::uint32_t entry,
+                               const std::string& job,
+                               const std::string& state) const {
+  Await(job + " is " + state, [&] { return StateOf(entry, job) == state; });
+}
+
+bool platform_site::IsReady(std::uint32_t entry) const {
+  return Call("GET", EntryAddress(entry, port::kProbes), "/readiness", "")
+             .status == 200;
+}
+
+void platform_site::Control(const std::string& control) const {
+  Call("POST", Address(kControl), "/control", control);
+}
+
+stand_ins::site_journal platform_site::Journal() const {
+  const site_reply reply = Call("GET", Address(kControl), "/journal", "");
+  auto decoded = wire::ValueOf(
+      [&] { return wire::FromJson<stand_ins::site_journal>(reply.body); });
+  if (!decoded)
+    throw std::runtime_error("no journal: " + reply.body);
+  return *decoded;
+}
+
+std::string platform_site::Breach() const {
+  const stand_ins::site_journal journal = Journal();
+  return journal.breaches.empty() ? std::string() : journal.breaches.front();
+}
+
+void platform_site::Signal(std::uint32_t entry, int signal) const {
+  kill(entries_.at(entry), signal);
+}
+
+void platform_site::Start(std::uint32_t entry) {
+  End(entries_.at(entry));
+  const std::string name = "entry-" + std::to_string(entry);
+  const std::string path = (folder_ / (name + ".yaml")).string();
+  std::ofstream(path) << SettingsOf(entry);
+  entries_.at(entry) =
+      Spawn({Binary("source/parsleyhitchd/parsleyhitchd"), "--config", path},
+            (folder_ / (name + ".log")).string());
+}
+
+int platform_site::AwaitExit(std::uint32_t entry) {
+  int status = 0;
+  Await("the exit of an entry", [&] {
+    return waitpid(entries_.at(entry), &status, WNOHANG) == entries_.at(entry);
+  });
+  entries_.at(entry) = 0;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+void platform_site::Await(const std::string& what,
+                          const std::function<bool()>& condition) const {
+  const auto end = std::chrono::steady_clock::now() + kLongestWait;
+  asio::io_context io;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > end)
+      throw std::runtime_error("did not come: " + what + "\n" + Logs());
+    asio::steady_timer(io, kBetweenLooks).wait();
+  }
+}
+
+std::string platform_site::Logs() const {
+  std::ostringstream text;
+  for (std::uint32_t entry = 0; entry < shape_.entries; ++entry) {
+    const std::string name = "entry-" + std::to_string(entry) + ".log";
+    std::ifstream log(folder_ / name);
+    if (log.peek() != std::ifstream::traits_type::eof())
+      text << log.rdbuf();
+  }
+  return text.str();
+}
+
+std::string platform_site::Address(std::uint32_t index) const {
+  return "127.0.0.1:" + std::to_string(ports_.at(index));
+}
+
+std::string platform_site::EntryAddress(std::uint32_t entry, port use) const {
+  return Address(kFirstWorker + shape_.workers +
+                 entry * static_cast<std::uint32_t>(port::kCount) +
+                 static_cast<std::uint32_t>(use));
+}
+
+std::string platform_site::SettingsOf(std::uint32_t entry) const {
+  return "entry: entry-" + std::to_string(entry) +
+         "\nfailure_domain: fd-1"
+         "\ncallers_listen: \"" +
+         EntryAddress(entry, port::kCallers) + "\"\nprobes_listen: \"" +
+         EntryAddress(entry, port::kProbes) + "\"\npeers_listen: \"" +
+         EntryAddress(entry, port::kPeers) + "\"\nmetrics_listen: \"" +
+         EntryAddress(entry, port::kMetrics) + "\"\nstore_address: \"" +
+         Address(0) + "\"\n";
+}
+
+site_reply platform_site::Call(const std::string& method,
+                               const std::string& address,
+                               const std::string& path,
+                               const std::string& body) const {
+  asio::io_context io(1);
+  runtime::http_client client(io);
+  site_reply result;
+  client.Send(
+      {.method = method,
+       .url = "http://" + address + path,
+       .headers = {std::string("Host: ") + kHost,
+                   std::string("X-Api-Key: ") + kKey, "X-Deadline: 3000"},
+       .body = body,
+       .timeout = kCallTimeout,
+       .own_connection = true},
+      [&](const runtime::http_outcome& outcome) {
+        const auto* response = std::get_if<runtime::http_response>(&outcome);
+        if (response != nullptr)
+          result = {.status = response->status, .body = response->body};
+        io.stop();
+      });
+  io.run();
+  return result;
+}
+
+}  // namespace parsleyhitch::test
--- a/tests/support/platform_stage.cc
+++ b/tests/support/platform_stage.cc
@@ -51,14 +51,12 @@
   return work::duration(500 + static_cast<std::int64_t>(mixed % 1500));
 }
 
-work::unit_id GangOf(const work::task_id& task) {
-  return {.job = task.job, .occurrence = task.occurrence, .step = task.step};
-}
-
 }  // namespace
 
 platform_stage::platform_stage(const stage_options& options)
-    : random_(options.seed), reduced_(options.reduced) {
+    : random_(options.seed),
+      reduced_(options.reduced),
+      monitor_(workers_, MonitorHooks()) {
   Publish(DefaultCatalog());
   workers_.resize(options.workers);
   missed_beats_.resize(options.workers);
@@ -71,7 +69,7 @@
     each.capacity = {
         .cpu_millis = 64000, .memory_mb = 65536, .accelerators = 8};
     each.clock_rate = i % 2 == 0 ? 1.0 : 0.98;
-    ListenTo(each);
+    monitor_.ListenTo(each);
     Beat(i);
   }
   entries_.resize(options.entries);
@@ -86,70 +84,18 @@
   }
 }
 
-void platform_stage::ListenTo(stage_worker& worker) {
-  worker.spec_of = [this](const work::task_id& task) {
-    return steps_.at(task.job.value()).at(task.step);
-  };
-  worker.work_of = WorkOf;
-  worker.gang_present = [this, &worker](const work::task_id& task,
-                                        std::uint64_t attempt) {
-    const work::step_spec step = worker.spec_of(task);
-    if (!step.gang)
-      return true;
-    std::uint32_t present = 0;
-    for (const stage_worker& each : workers_) {
-      for (const auto& [other, run] : each.running())
-        present += GangOf(other) == GangOf(task) && run.attempt == attempt;
-    }
-    return present >= step.tasks;
-  };
-  worker.started = [this, &worker](const work::task_id& task) {
-    ++starts_;
-    running_[task] += 1;
-    if (running_[task] > 1)
-      breaches_.push_back("two runs at a time of " + task.job.value());
-    started_at_[task] = now_;
-    if (noted_.contains(task))
-      breaches_.push_back("started again after its end of " + task.job.value());
-    if (handed_in_.contains(task.job.value()) &&
-        !maybe_accepted_.contains(task.job.value()))
-      breaches_.push_back("started though refused: " + task.job.value());
-    for (const std::uint32_t earlier : worker.spec_of(task).after) {
-      const work::task_id first{
-          .job = task.job, .occurrence = task.occurrence, .step = earlier};
-      if (!done_.contains(first))
-        breaches_.push_back("started out of order: " + task.job.value());
-    }
-  };
-  worker.ended = [this, &worker](const work::task_id& task,
-                                 work::run_end_kind how) {
-    running_[task] -= 1;
-    if (how == work::run_end_kind::kDone)
-      done_.insert(task);
-    if (!worker.spec_of(task).gang || how == work::run_end_kind::kBroken)
-      return;
-    // The members of a gang end together.
-    for (stage_worker& each : workers_) {
-      const auto running = each.running();
-      for (const auto& [other, run] : running) {
-        if (GangOf(other) != GangOf(task) || !each.alive)
-          continue;
-        if (how == work::run_end_kind::kDone)
-          each.FinishWith(other);
-        else
-          each.Break(other);
-      }
-    }
-  };
-  worker.noted = [this](const work::task_id& task, work::duration ended_at) {
-    noted_.insert(task);
-    if (started_at_[task] > ended_at)
-      breaches_.push_back("an end was noted though its task started later: " +
-                          task.job.value());
-  };
-  worker.breach = [this](const std::string& what) {
-    breaches_.push_back(what);
-  };
+monitor_hooks platform_stage::MonitorHooks() {
+  return {.spec_of =
+              [this](const work::task_id& task) {
+                return steps_.at(task.job.value()).at(task.step);
+              },
+          .work_of = WorkOf,
+          .now = [this] { return now_; },
+          .may_run =
+              [this](const std::string& job) {
+                return !handed_in_.contains(job) ||
+                       maybe_accepted_.contains(job);
+              }};
 }
 
 void platform_stage::At(work::duration when, std::function<void()> act) {
--- a/tests/support/platform_stage.h
+++ b/tests/support/platform_stage.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "dispatch/reduce.h"
+#include "support/run_monitor.h"
 #include "support/stage_store.h"
 #include "support/stage_worker.h"
 
@@ -97,10 +98,12 @@
   std::optional<std::uint32_t> Leader() const;
 
   // Breaches of the platform's rules, in words.
-  const std::vector<std::string>& breaches() const { return breaches_; }
+  const std::vector<std::string>& breaches() const {
+    return monitor_.breaches();
+  }
   // What the entries logged of the subject, a line each.
   std::string LogOf(const std::string& subject) const;
-  std::uint64_t starts() const { return starts_; }
+  std::uint64_t starts() const { return monitor_.starts(); }
 
  private:
   struct scheduled {
@@ -144,7 +147,7 @@
                        const std::string& queue);
   void Beat(std::uint32_t worker);
   void AdvanceWorkers();
-  void ListenTo(stage_worker& worker);
+  monitor_hooks MonitorHooks();
 
   work::duration now_{0};
   std::uint64_t order_ = 0;
@@ -158,16 +161,10 @@
   std::map<std::string, std::vector<work::step_spec>> steps_;
   std::map<std::uint64_t, stage_call> calls_;
   std::uint64_t last_call_ = 0;
-  std::vector<std::string> breaches_;
   // Jobs some call of which was not refused.
   std::set<std::string> maybe_accepted_;
   std::set<std::string> handed_in_;
-  std::map<work::task_id, std::uint32_t> running_;
-  std::set<work::task_id> done_;
-  // Tasks whose end as done was taken note of, and when each last started.
-  std::set<work::task_id> noted_;
-  std::map<work::task_id, work::duration> started_at_;
-  std::uint64_t starts_ = 0;
+  run_monitor monitor_;
   std::vector<std::string> log_;
 };
 
