--- /dev/null
+++ b/soak/callers.cc
@@ -0,0 +1,127 @@
+// A definite answer is an acceptance or a refusal; anything else is tried
+// again at another entry.
+
+#include "soak/callers.h"
+
+#include <array>
+#include <cstdio>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+namespace parsleyhitch::soak {
+
+namespace {
+
+constexpr std::uint32_t kMostTries = 6;
+constexpr std::uint32_t kCancelOneIn = 12;
+constexpr std::uint32_t kOk = 200;
+constexpr std::uint32_t kTooMany = 429;
+constexpr std::uint32_t kUnavailable = 503;
+
+// 0 when no whole answer came.
+std::uint32_t StatusOf(const wire::http_outcome& outcome) {
+  const auto* response = std::get_if<wire::http_response>(&outcome);
+  return response == nullptr ? 0 : response->status;
+}
+
+bool IsClosed(const std::string& state) {
+  return state == "completed" || state == "failed" || state == "cancelled";
+}
+
+std::string JobName(std::size_t number) {
+  std::array<char, 17> name{};
+  std::snprintf(name.data(), name.size(), "%016zx", number + 0x1000);
+  return name.data();
+}
+
+}  // namespace
+
+std::uint32_t callers::AnyEntry() {
+  return static_cast<std::uint32_t>(random_() % site_.entries());
+}
+
+void callers::HandIn() {
+  const bool gang = random_() % 3 == 0;
+  const auto tasks = static_cast<std::uint32_t>(1 + random_() % 4);
+  const auto accelerators = static_cast<std::uint32_t>(1 + random_() % 8);
+  const auto task_ms = static_cast<std::uint32_t>(100 + random_() % 1500);
+  const std::string job = JobName(jobs_.size());
+  jobs_[job] = {};
+  Try(job, {.tasks = tasks,
+            .accelerators = accelerators,
+            .task_ms = task_ms,
+            .gang = gang});
+}
+
+void callers::Try(const std::string& job, const test::site_step& step) {
+  jobs_[job].tries += 1;
+  open_ += 1;
+  client_.Send(site_.SubmitRequest(AnyEntry(), job, step),
+               [this, job, step](const wire::http_outcome& outcome) {
+                 open_ -= 1;
+                 OnSubmitted(job, step, outcome);
+               });
+}
+
+void callers::OnSubmitted(const std::string& job,
+                          const test::site_step& step,
+                          const wire::http_outcome& outcome) {
+  told_job& told = jobs_[job];
+  const std::uint32_t status = StatusOf(outcome);
+  const bool refused = status == kTooMany || status == kUnavailable;
+  if (status == kOk) {
+    told.accepted = true;
+    return;
+  }
+  const auto* failure = std::get_if<wire::http_failure>(&outcome);
+  const bool unsent = failure != nullptr && !failure->sent;
+  told.uncertain = told.uncertain || !(refused || unsent);
+  if (told.tries < kMostTries)
+    Try(job, step);
+}
+
+void callers::LookAtOne() {
+  if (jobs_.empty())
+    return;
+  const auto at = std::next(
+      jobs_.begin(), static_cast<std::ptrdiff_t>(random_() % jobs_.size()));
+  const std::string job = at->first;
+  if (random_() % kCancelOneIn == 0) {
+    Cancel(job);
+    return;
+  }
+  open_ += 1;
+  client_.Send(site_.JobRequest("GET", AnyEntry(), job),
+               [this, job](const wire::http_outcome& outcome) {
+                 open_ -= 1;
+                 OnRead(job, outcome);
+               });
+}
+
+void callers::Cancel(const std::string& job) {
+  jobs_[job].cancel_asked = true;
+  open_ += 1;
+  client_.Send(site_.JobRequest("DELETE", AnyEntry(), job),
+               [this](const wire::http_outcome&) { open_ -= 1; });
+}
+
+void callers::OnRead(const std::string& job,
+                     const wire::http_outcome& outcome) {
+  const auto* response = std::get_if<wire::http_response>(&outcome);
+  if (response == nullptr || response->status != kOk)
+    return;
+  const auto body = nlohmann::json::parse(response->body, nullptr, false);
+  if (!body.is_object())
+    return;
+  const std::string state = body.value("state", std::string());
+  told_job& told = jobs_[job];
+  // An entry that lags may show an earlier state, though never another end.
+  const bool contradicts =
+      IsClosed(told.state) && IsClosed(state) && state != told.state;
+  if (contradicts)
+    breaches_.push_back(job + " was " + told.state + " and is " + state);
+  if (!IsClosed(told.state))
+    told.state = state;
+}
+
+}  // namespace parsleyhitch::soak
--- /dev/null
+++ b/soak/soak.h
@@ -0,0 +1,34 @@
+// One run: faults while callers call, then all is mended and the promises are
+// checked.
+
+#ifndef PARSLEYHITCH_SOAK_SOAK_H_
+#define PARSLEYHITCH_SOAK_SOAK_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "support/platform_site.h"
+
+namespace parsleyhitch::soak {
+
+struct soak_result {
+  std::uint64_t faults = 0;
+  std::uint64_t jobs = 0;
+  std::uint64_t accepted = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t starts = 0;
+  // Promises that were broken, in words; empty when all held.
+  std::vector<std::string> broken;
+  // What the entries logged, when something was broken.
+  std::string logs;
+};
+
+soak_result RunSoak(std::uint64_t seed,
+                    std::chrono::milliseconds length,
+                    const test::site_shape& shape);
+
+}  // namespace parsleyhitch::soak
+
+#endif  // PARSLEYHITCH_SOAK_SOAK_H_
--- a/source/dispatch/environment.h
+++ b/source/dispatch/environment.h
@@ -18,6 +18,8 @@
   std::string peer_address;
   // Thousandths of a core.
   std::uint32_t cpu_millis = 1000;
+  // Workers shorten longer leases to this.
+  work::duration longest_lease{10000};
   work::limits limits;
   hooks behaviour;
 };
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -48,6 +48,21 @@
     ctx.state.mine.strays.Erase(each);
 }
 
+// Tasks that may have reached the worker's new life are asked for there: a
+// start that was answered does not tell which life answered.
+void AskAgain(const context& ctx, const work::worker_id& worker) {
+  const auto tasks = LoadOf(ctx, worker).tasks;
+  for (const auto& [unit_name, index] : tasks) {
+    if (StopPending(ctx, unit_name, index))
+      continue;
+    unit placed = *ctx.state.mine.units.Find(unit_name);
+    if (placed.members[index].state == member_state::kEnded)
+      continue;
+    placed.members[index].state = member_state::kUnverified;
+    ctx.state.mine.units.Put(unit_name, std::move(placed));
+  }
+}
+
 // The worker started again: it knows nothing of before.
 worker_row Reborn(const context& ctx,
                   const work::worker_id& worker,
@@ -55,11 +70,9 @@
                   std::uint64_t life) {
   ctx.Log("worker_reborn", worker.value(),
           {Field("life", life), Field("previous", row.listed().life)});
-  const auto tasks = LoadOf(ctx, worker).tasks;
-  for (const auto& [unit, index] : tasks) {
-    if (!StopPending(ctx, unit, index))
-      EndMember(ctx, unit, index, gang_effect::kLeavesTheRest);
-  }
+  // Its ends are numbered anew: those being stored are the former life's.
+  ctx.state.mine.saving.erase(worker);
+  AskAgain(ctx, worker);
   const work::worker_entry& before = row.listed();
   worker_row next;
   next.entry.Put({.worker = before.worker,
@@ -70,6 +83,11 @@
                   .capacity = before.capacity,
                   .draining = false,
                   .life = life});
+  // What its new life was told to start may be held for as long as it allows.
+  next.lapsed_by =
+      ctx.now() + ctx.env.longest_lease +
+      ctx.env.longest_lease * ctx.limits().clock_drift_permille / 1000 +
+      ctx.limits().lapse_margin;
   return next;
 }
 
@@ -107,8 +125,10 @@
             worker_row row,
             const work::hold_answered& event) {
   const std::uint64_t life = event.listing->life;
-  if (life < row.listed().life)
+  if (life < row.listed().life) {
+    ctx.state.mine.workers.Put(worker, std::move(row));
     return;
+  }
   if (life > row.listed().life && row.listed().life != 0)
     row = Reborn(ctx, worker, row, life);
   const timestamp asked_at = row.hold_sent_at;
@@ -260,9 +280,10 @@
   // An entry that was written before the worker's present start.
   if (life > entry.life)
     return;
-  if (life != 0 && entry.life > life)
+  const bool reborn = life != 0 && entry.life > life;
+  if (reborn)
     row = Reborn(ctx, entry.worker, row, entry.life);
-  const bool news = known == nullptr || !known->is_listed ||
+  const bool news = reborn || known == nullptr || !known->is_listed ||
                     known->listed().draining != entry.draining;
   row.entry.Put(entry);
   row.is_listed = true;
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -309,6 +309,13 @@
       next.start_pending = true;
       PutMember(ctx, about.unit, about.member, std::move(next));
       return;
+    case work::order_outcome::kOutdated:
+      // This attempt has ended there: its end is listed, or was long ago.
+      next.state = member_state::kRunning;
+      next.settled_at = ctx.now();
+      PutMember(ctx, about.unit, about.member, std::move(next));
+      HoldIfNeeded(ctx, event.worker);
+      return;
     default:
       PutMember(ctx, about.unit, about.member, std::move(next));
       OnNotStarted(ctx, about, event.worker, event.outcome);
--- a/source/dispatch/outbox.cc
+++ b/source/dispatch/outbox.cc
@@ -162,10 +162,8 @@
     if (row.noted > row.durable)
       due.push_back(worker);
   }
-  for (const work::worker_id& worker : due) {
-    worker_row row = *mine.workers.Find(worker);
-    mine.saving[worker] = row.noted;
-  }
+  for (const work::worker_id& worker : due)
+    mine.saving[worker] = mine.workers.Find(worker)->noted;
 }
 
 void CollectProgress(const context& ctx) {
--- a/source/runtime/dispatch_process.cc
+++ b/source/runtime/dispatch_process.cc
@@ -45,6 +45,7 @@
       .me = settings.entry,
       .peer_address = settings.peers_listen,
       .cpu_millis = static_cast<std::uint32_t>(settings.cpu_share * kMillis),
+      .longest_lease = settings.longest_lease,
       .limits = settings.limits,
       .behaviour = dispatch::DefaultHooks()};
 }
--- a/tests/dispatch/jobs_test.cc
+++ b/tests/dispatch/jobs_test.cc
@@ -109,6 +109,27 @@
   cr_assert_geq(waited, work::limits().preempted_base.count());
 }
 
+Test(worker, started_again_before_its_task_keeps_it_when_the_registry_tells) {
+  stage_fixture fixture({.workers = 1, .longest_hold = work::duration(2000)});
+  fixture.stage.worker(0).Restart(fixture.stage.now());
+  fixture.stage.Submit(0, kJob, {Step(1, 1)});
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  cr_assert(!fixture.LinesOf("worker_reborn").empty());
+  cr_assert(fixture.Breach().empty(), "%s", fixture.Breach().c_str());
+  cr_assert_eq(fixture.stage.starts(), 1U);
+}
+
+Test(worker, that_ended_a_task_before_its_start_was_repeated_runs_it_once) {
+  stage_fixture fixture({.longest_hold = work::duration(2000),
+                         .task_takes = work::duration(100)});
+  for (std::uint32_t i = 0; i < fixture.stage.worker_count(); ++i)
+    fixture.stage.worker(i).mute_orders = 1;
+  fixture.stage.Submit(0, kJob, {Step(1, 1)});
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  cr_assert_eq(fixture.stage.starts(), 1U);
+  cr_assert(fixture.Breach().empty(), "%s", fixture.Breach().c_str());
+}
+
 Test(worker, that_drains_gets_no_new_task) {
   stage_fixture fixture;
   for (std::uint32_t i = 1; i < fixture.stage.worker_count(); ++i)
--- a/tests/stand_ins/main.cc
+++ b/tests/stand_ins/main.cc
@@ -1,4 +1,4 @@
-// stand_ins --role log|vms|worker|site --listen ip:port[,ip:port...]
+// stand_ins --role log|vms|worker|site|proxy --listen ip:port[,ip:port...]
 
 #include <gflags/gflags.h>
 #include <sys/prctl.h>
@@ -9,11 +9,15 @@
 #include <iostream>
 
 #include "settings/comma_list.h"
+#include "stand_ins/proxy_stand_in.h"
 #include "stand_ins/site_stand_in.h"
 #include "stand_ins/stand_in.h"
 
-DEFINE_string(role, "", "log, vms, worker or site");
+DEFINE_string(role, "", "log, vms, worker, site or proxy");
 DEFINE_string(listen, "", "addresses to listen at, with commas between them");
+DEFINE_string(advertise,
+              "",
+              "addresses at which a site's workers are registered, if others");
 DEFINE_uint32(accelerators, 8, "accelerators of a worker");
 DEFINE_int64(task_ms, 1000, "run time of a worker's tasks");
 
@@ -34,6 +38,10 @@
                                        FLAGS_task_ms);
   } else if (FLAGS_role == "site") {
     parsleyhitch::stand_ins::RunSite(
+        io, parsleyhitch::settings::SplitByComma(FLAGS_listen),
+        parsleyhitch::settings::SplitByComma(FLAGS_advertise));
+  } else if (FLAGS_role == "proxy") {
+    parsleyhitch::stand_ins::RunProxy(
         io, parsleyhitch::settings::SplitByComma(FLAGS_listen));
   } else {
     std::cerr << "unknown --role\n";
--- a/tests/stand_ins/site_journal.h
+++ b/tests/stand_ins/site_journal.h
@@ -39,8 +39,10 @@
   // Tasks that were started, repeats included, and those that run now.
   const std::uint64_t starts = 0;
   const std::uint64_t running = 0;
+  // Jobs of which a worker was told to start a task.
+  const std::vector<std::string> jobs{};
 };
-PARSLEYHITCH_DESCRIBE(site_journal, breaches, starts, running)
+PARSLEYHITCH_DESCRIBE(site_journal, breaches, starts, running, jobs)
 
 }  // namespace parsleyhitch::stand_ins
 
--- a/tests/stand_ins/site_stand_in.cc
+++ b/tests/stand_ins/site_stand_in.cc
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 #include "platform/client_codec.h"
@@ -85,11 +86,14 @@
 
 class site_stand_in {
  public:
-  site_stand_in(asio::io_context& io, const std::vector<std::string>& addresses)
+  site_stand_in(asio::io_context& io,
+                const std::vector<std::string>& addresses,
+                const std::vector<std::string>& advertised)
       : io_(io),
         store_(io),
         workers_(addresses.size() - kFirstWorker),
         missed_beats_(workers_.size()),
+        addresses_(advertised),
         monitor_(workers_, MonitorHooks()),
         step_timer_(io),
         beat_timer_(io) {
@@ -142,7 +146,8 @@
         work::rack_id("rack-" + std::to_string(index / kWorkersPerRack));
     each.capacity = {
         .cpu_millis = 64000, .memory_mb = 65536, .accelerators = 8};
-    addresses_.push_back(address);
+    if (addresses_.size() <= index)
+      addresses_.push_back(address);
     monitor_.ListenTo(each);
     Serve(address, [this, index](const auto& call, const auto& respond) {
       TakeOrder(index, call, respond);
@@ -230,9 +235,13 @@
     std::uint64_t running = 0;
     for (const tests::stage_worker& each : workers_)
       running += each.running().size();
+    std::set<std::string> jobs;
+    for (const auto& [job, steps] : steps_)
+      jobs.insert(job.value());
     return wire::ToJson(site_journal{.breaches = monitor_.breaches(),
                                      .starts = monitor_.starts(),
-                                     .running = running});
+                                     .running = running,
+                                     .jobs = {jobs.begin(), jobs.end()}});
   }
 
   void TakeOrder(std::size_t index,
@@ -373,8 +382,10 @@
 
 }  // namespace
 
-void RunSite(asio::io_context& io, const std::vector<std::string>& addresses) {
-  const site_stand_in site(io, addresses);
+void RunSite(asio::io_context& io,
+             const std::vector<std::string>& addresses,
+             const std::vector<std::string>& advertised) {
+  const site_stand_in site(io, addresses, advertised);
   io.run();
 }
 
--- a/tests/stand_ins/site_stand_in.h
+++ b/tests/stand_ins/site_stand_in.h
@@ -13,9 +13,14 @@
 // Serves until the loop ends. `addresses`: the store's, that of the control
 // calls, and one for each worker.
 //
+// The registry names the workers' `advertised` addresses, or their own when
+// there are none.
+//
 // Control calls: POST /operator publishes its body as the configuration, POST
 // /control inflicts and mends failures, GET /journal tells what was seen.
-void RunSite(asio::io_context& io, const std::vector<std::string>& addresses);
+void RunSite(asio::io_context& io,
+             const std::vector<std::string>& addresses,
+             const std::vector<std::string>& advertised);
 
 }  // namespace parsleyhitch::stand_ins
 
--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -46,11 +46,16 @@
 
 }  // namespace
 
+std::size_t platform_site::PortsOf(const site_shape& shape) {
+  const std::uint32_t of_proxy =
+      shape.proxied ? 1 + shape.entries + shape.workers : 0;
+  return kFirstWorker + shape.workers +
+         shape.entries * static_cast<std::uint32_t>(port::kCount) + of_proxy;
+}
+
 platform_site::platform_site(const site_shape& shape)
     : shape_(shape),
-      ports_(
-          FreePorts(kFirstWorker + shape.workers +
-                    shape.entries * static_cast<std::uint32_t>(port::kCount))),
+      ports_(FreePorts(PortsOf(shape))),
       folder_(std::filesystem::temp_directory_path() /
               ("parsleyhitch-site-" + std::to_string(getpid()))),
       entries_(shape.entries) {
@@ -72,9 +77,14 @@
   std::string addresses = Address(0);
   for (std::uint32_t i = 1; i < kFirstWorker + shape_.workers; ++i)
     addresses += "," + Address(i);
+  std::string advertised;
+  for (std::uint32_t i = 0; shape_.proxied && i < shape_.workers; ++i)
+    advertised += (i == 0 ? "" : ",") + LinkAddress(shape_.entries + i);
   platform_ = Spawn({Binary("tests/stand_ins/stand_ins"), "--role", "site",
-                     "--listen", addresses},
+                     "--listen", addresses, "--advertise", advertised},
                     (folder_ / "platform.log").string());
+  if (shape_.proxied)
+    StartProxy();
   Await("the platform's stand-in", [&] {
     return Call("GET", Address(kControl), "/journal", "").status == 200;
   });
@@ -90,11 +100,28 @@
 void platform_site::EndAll() const {
   for (const pid_t pid : entries_)
     End(pid);
+  End(proxy_);
   End(platform_);
   std::error_code ignored;
   std::filesystem::remove_all(folder_, ignored);
 }
 
+void platform_site::StartProxy() {
+  std::string addresses = ProxyControl();
+  for (std::uint32_t entry = 0; entry < shape_.entries; ++entry)
+    addresses += "," + LinkAddress(entry) + "," + Address(0);
+  for (std::uint32_t i = 0; i < shape_.workers; ++i) {
+    addresses +=
+        "," + LinkAddress(shape_.entries + i) + "," + Address(kFirstWorker + i);
+  }
+  proxy_ = Spawn({Binary("tests/stand_ins/stand_ins"), "--role", "proxy",
+                  "--listen", addresses},
+                 (folder_ / "proxy.log").string());
+  Await("the proxy", [&] {
+    return Call("POST", ProxyControl(), "/control", "{}").status == 200;
+  });
+}
+
 void platform_site::Publish(std::uint32_t version,
                             const std::string& queue) const {
   const json tenant{
@@ -107,23 +134,35 @@
   Call("POST", Address(kControl), "/operator", configuration.dump());
 }
 
-site_reply platform_site::Submit(std::uint32_t entry,
-                                 const std::string& job,
-                                 const site_step& step) const {
+wire::http_request platform_site::SubmitRequest(std::uint32_t entry,
+                                                const std::string& job,
+                                                const site_step& step) const {
   const json steps{{{"count", step.tasks},
                     {"cpu", 1000},
                     {"memMb", 1024},
                     {"gpu", step.accelerators},
                     {"estimateMs", step.task_ms},
                     {"gang", step.gang}}};
-  return Call("POST", EntryAddress(entry, port::kCallers), "/normal/" + job,
-              json{{"spec", steps.dump()}, {"phases", steps}}.dump());
+  return Request("POST", EntryAddress(entry, port::kCallers), "/normal/" + job,
+                 json{{"spec", steps.dump()}, {"phases", steps}}.dump());
+}
+
+wire::http_request platform_site::JobRequest(const std::string& method,
+                                             std::uint32_t entry,
+                                             const std::string& job) const {
+  return Request(method, EntryAddress(entry, port::kCallers), "/normal/" + job,
+                 "");
+}
+
+site_reply platform_site::Submit(std::uint32_t entry,
+                                 const std::string& job,
+                                 const site_step& step) const {
+  return Send(SubmitRequest(entry, job, step));
 }
 
 site_reply platform_site::Cancel(std::uint32_t entry,
                                  const std::string& job) const {
-  return Call("DELETE", EntryAddress(entry, port::kCallers), "/normal/" + job,
-              "");
+  return Send(JobRequest("DELETE", entry, job));
 }
 
 std::string platform_site::StateOf(std::uint32_t entry,
@@ -149,6 +188,10 @@
   Call("POST", Address(kControl), "/control", control);
 }
 
+void platform_site::ControlLinks(const std::string& control) const {
+  Call("POST", ProxyControl(), "/control", control);
+}
+
 stand_ins::site_journal platform_site::Journal() const {
   const site_reply reply = Call("GET", Address(kControl), "/journal", "");
   auto decoded = wire::ValueOf(
@@ -218,6 +261,17 @@
                  static_cast<std::uint32_t>(use));
 }
 
+std::string platform_site::ProxyControl() const {
+  return Address(kFirstWorker + shape_.workers +
+                 shape_.entries * static_cast<std::uint32_t>(port::kCount));
+}
+
+std::string platform_site::LinkAddress(std::uint32_t link) const {
+  return Address(1 + kFirstWorker + shape_.workers +
+                 shape_.entries * static_cast<std::uint32_t>(port::kCount) +
+                 link);
+}
+
 std::string platform_site::SettingsOf(std::uint32_t entry) const {
   return "entry: entry-" + std::to_string(entry) +
          "\nfailure_domain: fd-1"
@@ -226,30 +280,39 @@
          EntryAddress(entry, port::kProbes) + "\"\npeers_listen: \"" +
          EntryAddress(entry, port::kPeers) + "\"\nmetrics_listen: \"" +
          EntryAddress(entry, port::kMetrics) + "\"\nstore_address: \"" +
-         Address(0) + "\"\n";
+         (shape_.proxied ? LinkAddress(entry) : Address(0)) + "\"\n";
+}
+
+wire::http_request platform_site::Request(const std::string& method,
+                                          const std::string& address,
+                                          const std::string& path,
+                                          const std::string& body) const {
+  return {.method = method,
+          .url = "http://" + address + path,
+          .headers = {std::string("Host: ") + kHost,
+                      std::string("X-Api-Key: ") + kKey, "X-Deadline: 3000"},
+          .body = body,
+          .timeout = kCallTimeout,
+          .own_connection = true};
 }
 
 site_reply platform_site::Call(const std::string& method,
                                const std::string& address,
                                const std::string& path,
                                const std::string& body) const {
+  return Send(Request(method, address, path, body));
+}
+
+site_reply platform_site::Send(const wire::http_request& request) {
   asio::io_context io(1);
   runtime::http_client client(io);
   site_reply result;
-  client.Send(
-      {.method = method,
-       .url = "http://" + address + path,
-       .headers = {std::string("Host: ") + kHost,
-                   std::string("X-Api-Key: ") + kKey, "X-Deadline: 3000"},
-       .body = body,
-       .timeout = kCallTimeout,
-       .own_connection = true},
-      [&](const runtime::http_outcome& outcome) {
-        const auto* response = std::get_if<runtime::http_response>(&outcome);
-        if (response != nullptr)
-          result = {.status = response->status, .body = response->body};
-        io.stop();
-      });
+  client.Send(request, [&](const wire::http_outcome& outcome) {
+    const auto* response = std::get_if<wire::http_response>(&outcome);
+    if (response != nullptr)
+      result = {.status = response->status, .body = response->body};
+    io.stop();
+  });
   io.run();
   return result;
 }
--- a/tests/support/platform_site.h
+++ b/tests/support/platform_site.h
@@ -13,12 +13,16 @@
 #include <vector>
 
 #include "stand_ins/site_journal.h"
+#include "wire/http_exchange.h"
 
 namespace parsleyhitch::test {
 
 struct site_shape {
   std::uint32_t entries = 3;
   std::uint32_t workers = 6;
+  // The entries reach the store and the workers through proxies that harm
+  // connections: link i is entry i's to the store, the workers' follow.
+  bool proxied = false;
 };
 
 // What a caller got; status 0 when no whole answer came.
@@ -45,6 +49,14 @@
   platform_site(const platform_site&) = delete;
   platform_site& operator=(const platform_site&) = delete;
 
+  // Calls of callers, for those who make them by themselves.
+  wire::http_request SubmitRequest(std::uint32_t entry,
+                                   const std::string& job,
+                                   const site_step& step) const;
+  wire::http_request JobRequest(const std::string& method,
+                                std::uint32_t entry,
+                                const std::string& job) const;
+
   site_reply Submit(std::uint32_t entry,
                     const std::string& job,
                     const site_step& step) const;
@@ -57,6 +69,11 @@
   bool IsReady(std::uint32_t entry) const;
 
   void Control(const std::string& control) const;
+  // Of a site with proxies: replaces all that harms links.
+  void ControlLinks(const std::string& control) const;
+  std::uint32_t links() const { return shape_.entries + shape_.workers; }
+  std::uint32_t entries() const { return shape_.entries; }
+  std::uint32_t workers() const { return shape_.workers; }
   void Publish(std::uint32_t version, const std::string& queue) const;
   stand_ins::site_journal Journal() const;
   // The first breach of the platform's rules, or nothing.
@@ -81,21 +98,32 @@
     kCount
   };
 
+  static std::size_t PortsOf(const site_shape& shape);
   void StartAll();
   void EndAll() const;
   std::string Address(std::uint32_t index) const;
   std::string EntryAddress(std::uint32_t entry, port use) const;
+  // Where the proxy takes control calls, and where it listens for a link.
+  std::string ProxyControl() const;
+  std::string LinkAddress(std::uint32_t link) const;
+  void StartProxy();
   std::string SettingsOf(std::uint32_t entry) const;
+  wire::http_request Request(const std::string& method,
+                             const std::string& address,
+                             const std::string& path,
+                             const std::string& body) const;
   site_reply Call(const std::string& method,
                   const std::string& address,
                   const std::string& path,
                   const std::string& body) const;
+  static site_reply Send(const wire::http_request& request);
 
   const site_shape shape_;
   std::vector<std::uint16_t> ports_;
   std::filesystem::path folder_;
   std::vector<pid_t> entries_;
   pid_t platform_ = 0;
+  pid_t proxy_ = 0;
 };
 
 }  // namespace parsleyhitch::test
--- a/tests/support/platform_stage.cc
+++ b/tests/support/platform_stage.cc
@@ -56,6 +56,8 @@
 platform_stage::platform_stage(const stage_options& options)
     : random_(options.seed),
       reduced_(options.reduced),
+      longest_hold_(options.longest_hold),
+      task_takes_(options.task_takes),
       monitor_(workers_, MonitorHooks()) {
   Publish(DefaultCatalog());
   workers_.resize(options.workers);
@@ -85,17 +87,20 @@
 }
 
 monitor_hooks platform_stage::MonitorHooks() {
-  return {.spec_of =
-              [this](const work::task_id& task) {
-                return steps_.at(task.job.value()).at(task.step);
-              },
-          .work_of = WorkOf,
-          .now = [this] { return now_; },
-          .may_run =
-              [this](const std::string& job) {
-                return !handed_in_.contains(job) ||
-                       maybe_accepted_.contains(job);
-              }};
+  return {
+      .spec_of =
+          [this](const work::task_id& task) {
+            return steps_.at(task.job.value()).at(task.step);
+          },
+      .work_of =
+          [this](const work::task_id& task) {
+            return task_takes_ > work::duration(0) ? task_takes_ : WorkOf(task);
+          },
+      .now = [this] { return now_; },
+      .may_run =
+          [this](const std::string& job) {
+            return !handed_in_.contains(job) || maybe_accepted_.contains(job);
+          }};
 }
 
 void platform_stage::At(work::duration when, std::function<void()> act) {
@@ -344,7 +349,7 @@
     const bool held = outcome == work::order_outcome::kDone;
     // A long call ends early with an end; here it is simply shorter.
     const work::duration wait =
-        held ? std::min(effect.wait, work::duration(50)) + Delay()
+        held ? std::min(effect.wait, longest_hold_) + Delay()
              : (reached ? Delay() : effect.timeout);
     At(now_ + wait, [this, index, life, effect, outcome, held, worker] {
       std::optional<work::duration> clock;
--- a/tests/support/platform_stage.h
+++ b/tests/support/platform_stage.h
@@ -30,6 +30,10 @@
   std::uint32_t workers = 6;
   std::uint32_t workers_per_rack = 3;
   std::uint64_t seed = 1;
+  // A long call to a worker is answered after so long, though nothing ended.
+  work::duration longest_hold{50};
+  // What every task takes; by its job and step when 0.
+  work::duration task_takes{0};
   dispatch::hooks behaviour = dispatch::DefaultHooks();
   // Told how long an entry took to reduce an event; for measurements.
   std::function<
@@ -153,6 +157,8 @@
   std::uint64_t order_ = 0;
   std::mt19937_64 random_;
   decltype(stage_options::reduced) reduced_;
+  const work::duration longest_hold_;
+  const work::duration task_takes_;
   std::priority_queue<scheduled, std::vector<scheduled>, std::greater<>> queue_;
   stage_store store_;
   std::vector<stage_entry> entries_;
