--- a/source/placement/room.cc
+++ b/source/placement/room.cc
@@ -48,7 +48,8 @@
                     other.worker);
   };
   // Each candidate takes one member at least.
-  const std::size_t used = std::min<std::size_t>(members, candidates.size());
+  const auto used = static_cast<std::ptrdiff_t>(
+      std::min<std::size_t>(members, candidates.size()));
   std::ranges::partial_sort(candidates, candidates.begin() + used, tighter);
   std::vector<work::worker_id> chosen;
   for (const candidate& each : candidates) {
--- a/source/report/explain.cc
+++ b/source/report/explain.cc
@@ -261,10 +261,13 @@
                                                      {relation::kEntry, "e "}};
   std::string table;
   for (const explained_line& each : explained.lines) {
-    table += marks.at(each.why) + each.line.at + " " + each.line.process + " " +
-             each.line.decision + " " + each.line.subject;
+    table += marks.at(each.why);
+    table += each.line.at;
+    for (const std::string* word :
+         {&each.line.process, &each.line.decision, &each.line.subject})
+      table.append(" ").append(*word);
     for (const auto& [name, value] : each.line.fields)
-      table += " " + name + "=" + value;
+      table.append(" ").append(name).append("=").append(value);
     table += "\n";
   }
   for (const std::string& line : explained.summary)
