Read the dispatcher's change once more: one pause, one lapse, one set of victims

Nothing behaves differently. Found by reading the diff: - a pause that doubles up to a maximum stood twice (shunned workers, preempted units): backoff.h, DoubledPause; - the time after which a lease has surely lapsed stood twice: TimeToLapse; - a pass kept victims in a map that never held more than one rank's: one set and its rank; - a waiting unit's rank was looked up twice in every plan; - demands.cc had two unnamed namespaces; a start's outdated answer repeated the lines of a good one.

Left as they are: state names in dispatch/names.cc and platform/client_codec.cc are log words and the platform's words, which may part; the stand-in writes the names of ends itself, so that it checks the decoder.

--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -8,6 +8,7 @@
 #include <set>
 #include <utility>
 
+#include "dispatch/backoff.h"
 #include "dispatch/loads.h"
 #include "dispatch/parts.h"
 #include "dispatch/steps.h"
@@ -60,6 +61,17 @@
   return step.estimate * beyond / 1000 + content.target_latency;
 }
 
+// Background work that was stopped for others waits before it starts again, so
+// that a crest does not stop it over and over.
+bool IsBackingOff(const context& ctx, const unit& each, rank importance) {
+  if (importance != rank::kBackground || each.preemptions == 0)
+    return false;
+  const duration pause =
+      DoubledPause(ctx.limits().preempted_base, ctx.limits().preempted_max,
+                   each.preemptions - 1);
+  return ctx.now() - each.since < pause;
+}
+
 }  // namespace
 
 job_ranks RankJobs(const context& ctx) {
@@ -85,22 +97,6 @@
   return found;
 }
 
-namespace {
-
-// Background work that was stopped for others waits before it starts again, so
-// that a crest does not stop it over and over.
-bool IsBackingOff(const context& ctx, const unit& each, rank importance) {
-  if (importance != rank::kBackground || each.preemptions == 0)
-    return false;
-  const std::uint32_t doublings = std::min(each.preemptions - 1, 10U);
-  const duration pause =
-      std::min(ctx.limits().preempted_base * (1 << doublings),
-               ctx.limits().preempted_max);
-  return ctx.now() - each.since < pause;
-}
-
-}  // namespace
-
 std::vector<waiting_unit> WaitingUnits(const context& ctx,
                                        const job_ranks& ranked) {
   const leader_state& mine = ctx.state.mine;
@@ -116,12 +112,13 @@
     const bool started_here = each.attempt >= FirstAttempt(ctx);
     if (mine.cautious && !started_here && job.accepted < mine.caught_up_at)
       continue;
-    if (IsBackingOff(ctx, each, ranked.at(id.job)))
+    const rank importance = ranked.at(id.job);
+    if (IsBackingOff(ctx, each, importance))
       continue;
     const work::step_spec& step = StepOf(job, id);
     const duration waited = ctx.now() - job.content.Get()->submitted_at;
     waiting.push_back({.unit = id,
-                       .importance = ranked.at(id.job),
+                       .importance = importance,
                        .accepted = job.accepted,
                        .members = MembersOf(step),
                        .accelerators = step.need.accelerators,
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "dispatch/backoff.h"
 #include "dispatch/loads.h"
 #include "dispatch/parts.h"
 
@@ -25,6 +26,12 @@
   return *row.clock + since - since * ctx.limits().clock_drift_permille / 1000;
 }
 
+// After which a lease given now has surely lapsed, on the slowest clock.
+duration TimeToLapse(const context& ctx, duration lease) {
+  return lease + lease * ctx.limits().clock_drift_permille / 1000 +
+         ctx.limits().lapse_margin;
+}
+
 // Whatever was started on the worker has lapsed.
 bool HasLapsed(const context& ctx, const worker_row& row) {
   const bool early = ctx.now() < row.lapsed_by;
@@ -84,10 +91,7 @@
                   .draining = false,
                   .life = life});
   // What its new life was told to start may be held for as long as it allows.
-  next.lapsed_by =
-      ctx.now() + ctx.env.longest_lease +
-      ctx.env.longest_lease * ctx.limits().clock_drift_permille / 1000 +
-      ctx.limits().lapse_margin;
+  next.lapsed_by = ctx.now() + TimeToLapse(ctx, ctx.env.longest_lease);
   return next;
 }
 
@@ -260,10 +264,8 @@
 }  // namespace
 
 timestamp EarlierLeasesLapse(const context& ctx) {
-  const work::limits& limits = ctx.limits();
-  return ctx.state.mine.elected_at + limits.authority + limits.lease +
-         limits.lease * limits.clock_drift_permille / 1000 +
-         limits.lapse_margin;
+  return ctx.state.mine.elected_at + ctx.limits().authority +
+         TimeToLapse(ctx, ctx.limits().lease);
 }
 
 duration ClockNow(const context& ctx, const worker_row& row) {
@@ -393,10 +395,9 @@
   row.failures += 1;
   row.last_failed = job;
   if (row.failures >= ctx.limits().failures_to_shun) {
-    const std::uint32_t doublings =
-        std::min(row.failures - ctx.limits().failures_to_shun, 10U);
-    const duration shun = std::min(ctx.limits().shun_base * (1 << doublings),
-                                   ctx.limits().shun_max);
+    const duration shun =
+        DoubledPause(ctx.limits().shun_base, ctx.limits().shun_max,
+                     row.failures - ctx.limits().failures_to_shun);
     row.shunned_until = ctx.now() + shun;
     ctx.Log("worker_shunned", worker.value(),
             {Field("why", std::string(why)), Field("failures", row.failures),
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -301,21 +301,18 @@
   next.order.reset();
   switch (event.outcome) {
     case work::order_outcome::kDone:
+    // An outdated attempt has ended there: its end is listed, or was long ago.
+    case work::order_outcome::kOutdated:
       next.state = member_state::kRunning;
       next.settled_at = ctx.now();
       PutMember(ctx, about.unit, about.member, std::move(next));
+      if (event.outcome == work::order_outcome::kOutdated)
+        HoldIfNeeded(ctx, event.worker);
       return;
     case work::order_outcome::kUnknown:
       next.start_pending = true;
       PutMember(ctx, about.unit, about.member, std::move(next));
       return;
-    case work::order_outcome::kOutdated:
-      // This attempt has ended there: its end is listed, or was long ago.
-      next.state = member_state::kRunning;
-      next.settled_at = ctx.now();
-      PutMember(ctx, about.unit, about.member, std::move(next));
-      HoldIfNeeded(ctx, event.worker);
-      return;
     default:
       PutMember(ctx, about.unit, about.member, std::move(next));
       OnNotStarted(ctx, about, event.worker, event.outcome);
--- a/source/dispatch/planning.cc
+++ b/source/dispatch/planning.cc
@@ -3,7 +3,7 @@
 // as room only shrinks meanwhile.
 
 #include <algorithm>
-#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -47,14 +47,11 @@
   }
 
   placement::victim_set& VictimsOf(rank importance) {
-    const auto found = victims_.find(importance);
-    if (found != victims_.end())
-      return found->second;
-    victims_.clear();
-    return victims_
-        .emplace(importance, placement::victim_set(
-                                 board_, VictimsFor(ctx_, ranked_, importance)))
-        .first->second;
+    if (!victims_ || victims_for_ != importance) {
+      victims_.emplace(board_, VictimsFor(ctx_, ranked_, importance));
+      victims_for_ = importance;
+    }
+    return *victims_;
   }
 
   // Stops victims for the unit and keeps their room from units behind it.
@@ -97,9 +94,9 @@
   const context& ctx_;
   const job_ranks& ranked_;
   placement::board board_;
-  // Built when a rank first needs them. Invariant: a unit that was stopped for
-  // one rank is in no set of a later one.
-  std::map<rank, placement::victim_set> victims_;
+  // Those of the rank that needed them last, as units come by rank.
+  std::optional<placement::victim_set> victims_;
+  rank victims_for_ = rank::kBackground;
   std::set<placement::demand> without_room_;
   std::set<std::pair<rank, placement::demand>> without_victims_;
 };
