Tests: one copy of waiting, calling and the store's writers

The cluster and the platform's site each waited for conditions, for the end of a process and for one call's answer by themselves: child_process has them. The store under the manual clock and the stand-in over HTTP each kept writers by epoch and sequence: store_writers. The stand-in has one JsonReply and reads a job's steps once. The soak's AwaitEntries is named after what it does.

No check, bound or expectation changes.

--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -59,7 +59,7 @@
     Step();
     io_.run();
     try {
-      MendAll();
+      AwaitEntries();
       CheckJobs();
     } catch (const std::runtime_error& error) {
       Break(error.what());
@@ -171,7 +171,7 @@
     site_.ControlLinks(json{{"links", links}}.dump());
   }
 
-  void MendAll() {
+  void AwaitEntries() {
     for (std::uint32_t entry = 0; entry < site_.entries(); ++entry) {
       site_.Await("entry " + std::to_string(entry) + " is ready",
                   [&] { return site_.IsReady(entry); });
--- a/tests/stand_ins/site_stand_in.cc
+++ b/tests/stand_ins/site_stand_in.cc
@@ -271,7 +271,8 @@
     if (!task)
       return work::order_outcome::kRefused;
     const std::string spec = body.value("spec", std::string());
-    steps_.emplace(task->job, StepsOf(spec));
+    if (!steps_.contains(task->job))
+      steps_.emplace(task->job, StepsOf(spec));
     return workers_[index].Start(
         {.target = {.token = body.value("fencingToken", std::uint64_t{0})},
          .task = *task,
--- a/tests/stand_ins/store_stand_in.cc
+++ b/tests/stand_ins/store_stand_in.cc
@@ -11,6 +11,7 @@
 
 #include "platform/store_codec.h"
 #include "stand_ins/query.h"
+#include "stand_ins/stand_in.h"
 
 namespace parsleyhitch::stand_ins {
 
@@ -18,10 +19,8 @@
 
 using json = nlohmann::json;
 
-wire::http_reply JsonReply(std::uint32_t status, const json& body) {
-  return {.status = status,
-          .content_type = "application/json",
-          .body = body.dump()};
+wire::http_reply Json(std::uint32_t status, const json& body) {
+  return JsonReply(status, body.dump());
 }
 
 std::string Big64(std::uint64_t value) {
@@ -47,14 +46,14 @@
 void store_stand_in::Take(const wire::http_call& call,
                           const runtime::http_responder& respond) {
   if (down) {
-    respond(JsonReply(503, json::object()));
+    respond(Json(503, json::object()));
     return;
   }
   if (call.path == "/log-append") {
     const wire::http_reply reply = Append(call);
     const bool lost = reply.status == 200 && lose_answers > 0;
     lose_answers -= lost ? 1 : 0;
-    respond(lost ? JsonReply(500, json::object()) : reply);
+    respond(lost ? Json(500, json::object()) : reply);
     return;
   }
   if (call.path == "/log-newest") {
@@ -65,37 +64,35 @@
     Read(call, respond);
     return;
   }
-  respond(JsonReply(404, json::object()));
+  respond(Json(404, json::object()));
 }
 
 wire::http_reply store_stand_in::Append(const wire::http_call& call) {
   const std::string topic = QueryText(call.query, "topic");
-  const std::uint64_t epoch = QueryNumber(call.query, "epoch");
-  const std::uint64_t sequence = QueryNumber(call.query, "sequence");
-  writer& from = writers_[topic + "/" + QueryText(call.query, "producer")];
-  if (epoch < from.epoch)
-    return JsonReply(409, {{"reason", "fenced"}});
-  const auto known = from.ends.find(sequence);
-  if (epoch == from.epoch && known != from.ends.end())
-    return JsonReply(200, {{"end", known->second}});
-  if (epoch == from.epoch && sequence != from.next)
-    return JsonReply(409, {{"reason", "seq"}, {"sequence", from.next}});
   // A page is its end and first position, and then records in the same form.
   const auto page = wire::ValueOf([&] {
     return platform::DecodeLogPage(Big64(0) + Big64(0) + call.body, 0);
   });
   if (!page)
-    return JsonReply(400, json::object());
-  if (epoch > from.epoch)
-    from.ends.clear();
-  from.epoch = epoch;
-  from.next = sequence + 1;
-  topic_log& log = topics_[topic];
-  for (const platform::keyed_record& each : page->records)
-    log.records.push_back({.key = each.key, .value = each.value});
-  from.ends[sequence] = log.records.size();
-  WakeReaders(topic);
-  return JsonReply(200, {{"end", log.records.size()}});
+    return Json(400, json::object());
+  const auto verdict =
+      writers_.Take(topic + "/" + QueryText(call.query, "producer"),
+                    QueryNumber(call.query, "epoch"),
+                    QueryNumber(call.query, "sequence"), [&] {
+                      for (const platform::keyed_record& each : page->records)
+                        topics_[topic].records.push_back(
+                            {.key = each.key, .value = each.value});
+                      WakeReaders(topic);
+                      return topics_[topic].records.size();
+                    });
+  switch (verdict.outcome) {
+    case work::append_outcome::kStored:
+      return Json(200, {{"end", verdict.end}});
+    case work::append_outcome::kFenced:
+      return Json(409, {{"reason", "fenced"}});
+    default:
+      return Json(409, {{"reason", "seq"}, {"sequence", verdict.expected}});
+  }
 }
 
 void store_stand_in::Put(const std::string& topic,
@@ -114,7 +111,7 @@
 wire::http_reply store_stand_in::Newest(const std::string& topic) const {
   const auto found = topics_.find(topic);
   if (found == topics_.end())
-    return JsonReply(404, json::object());
+    return Json(404, json::object());
   std::map<std::string, std::uint64_t> newest;
   const std::vector<stored_record>& records = found->second.records;
   for (std::uint64_t i = 0; i < records.size(); ++i)
@@ -127,9 +124,9 @@
                      {"value", Base64(records[offset].value)},
                      {"offset", offset}});
   }
-  return JsonReply(200, {{"items", std::move(items)},
-                         {"hasMore", false},
-                         {"end", records.size()}});
+  return Json(200, {{"items", std::move(items)},
+                    {"hasMore", false},
+                    {"end", records.size()}});
 }
 
 wire::http_reply store_stand_in::Page(const std::string& topic,
@@ -138,7 +135,7 @@
   const auto found = topics_.find(topic);
   const topic_log& log = found == topics_.end() ? none : found->second;
   if (from < log.first)
-    return JsonReply(410, {{"first", log.first}});
+    return Json(410, {{"first", log.first}});
   std::string body = Big64(log.records.size()) + Big64(log.first);
   for (std::uint64_t i = from; i < log.records.size(); ++i)
     body += platform::EncodeKeyed(log.records[i].key, log.records[i].value);
--- a/tests/stand_ins/store_stand_in.h
+++ b/tests/stand_ins/store_stand_in.h
@@ -14,7 +14,7 @@
 #include <vector>
 
 #include "runtime/http_server.h"
-#include "wire/http_exchange.h"
+#include "support/store_writers.h"
 
 namespace parsleyhitch::stand_ins {
 
@@ -46,12 +46,6 @@
     // Reads from below this position fail.
     std::uint64_t first = 0;
   };
-  struct writer {
-    std::uint64_t epoch = 0;
-    std::uint64_t next = 0;
-    // The end that each append of the epoch was answered with.
-    std::map<std::uint64_t, std::uint64_t> ends;
-  };
   struct parked_read {
     std::string topic;
     std::uint64_t from = 0;
@@ -69,7 +63,7 @@
 
   asio::io_context& io_;
   std::map<std::string, topic_log> topics_;
-  std::map<std::string, writer> writers_;
+  tests::store_writers writers_;
   std::list<std::shared_ptr<parked_read>> parked_;
 };
 
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -9,14 +9,22 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <optional>
 #include <stdexcept>
 
+#include "runtime/http_client.h"
+
 namespace parsleyhitch::test {
 
 namespace {
 
+constexpr std::chrono::seconds kLongestWait{60};
+constexpr std::chrono::milliseconds kBetweenLooks{20};
+
 // True when every port of the block can be listened at now.
 bool AreFree(std::uint16_t first, std::size_t count) {
   asio::io_context io;
@@ -86,4 +94,35 @@
   waitpid(pid, nullptr, 0);
 }
 
+int AwaitEnd(pid_t pid) {
+  int status = 0;
+  AwaitCondition("the end of a process",
+                 [&] { return waitpid(pid, &status, WNOHANG) == pid; });
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+void AwaitCondition(const std::string& what,
+                    const std::function<bool()>& condition,
+                    const std::function<std::string()>& report) {
+  const auto end = std::chrono::steady_clock::now() + kLongestWait;
+  asio::io_context io;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > end)
+      throw std::runtime_error("did not come: " + what + report());
+    asio::steady_timer(io, kBetweenLooks).wait();
+  }
+}
+
+wire::http_outcome CallOnce(const wire::http_request& request) {
+  asio::io_context io(1);
+  runtime::http_client client(io);
+  std::optional<wire::http_outcome> result;
+  client.Send(request, [&](const wire::http_outcome& outcome) {
+    result.emplace(outcome);
+    io.stop();
+  });
+  io.run();
+  return *result;
+}
+
 }  // namespace parsleyhitch::test
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -2,11 +2,9 @@
 
 #include "support/cluster.h"
 
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <csignal>
 #include <fstream>
 #include <optional>
@@ -21,8 +19,6 @@
 namespace {
 
 constexpr model::duration kCallTimeout{20000};
-constexpr std::chrono::seconds kLongestWait{60};
-constexpr std::chrono::milliseconds kBetweenLooks{20};
 
 constexpr char kManifest[] = R"({"version":1,"base":0,
 "workspaces":[{"id":"coop","guarantees":[{"name":"wear","capacity":
@@ -154,13 +150,7 @@
 
 void cluster::Await(const std::string& what,
                     const std::function<bool()>& condition) const {
-  const auto end = std::chrono::steady_clock::now() + kLongestWait;
-  asio::io_context io;
-  while (!condition()) {
-    if (std::chrono::steady_clock::now() > end)
-      throw std::runtime_error("did not come: " + what);
-    asio::steady_timer(io, kBetweenLooks).wait();
-  }
+  AwaitCondition(what, condition);
 }
 
 std::vector<reply> cluster::SendTogether(
@@ -185,20 +175,11 @@
                            const std::string& method,
                            const std::string& path,
                            const std::string& body) const {
-  asio::io_context io(1);
-  runtime::http_client client(io);
-  reply result;
-  client.Send({.method = method,
-               .url = "http://" + address + path,
-               .body = body,
-               .timeout = kCallTimeout,
-               .own_connection = true},
-              [&](const runtime::http_outcome& outcome) {
-                result = ReplyOf(outcome);
-                io.stop();
-              });
-  io.run();
-  return result;
+  return ReplyOf(CallOnce({.method = method,
+                           .url = "http://" + address + path,
+                           .body = body,
+                           .timeout = kCallTimeout,
+                           .own_connection = true}));
 }
 
 reply cluster::Call(std::uint32_t entry,
@@ -249,12 +230,9 @@
 }
 
 int cluster::AwaitExit(std::uint32_t entry) {
-  int status = 0;
-  Await("the exit of an entry", [&] {
-    return waitpid(entries_.at(entry), &status, WNOHANG) == entries_.at(entry);
-  });
+  const int code = AwaitEnd(entries_.at(entry));
   entries_.at(entry) = 0;
-  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  return code;
 }
 
 void cluster::StartEntry(std::uint32_t entry) {
--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -3,11 +3,8 @@
 
 #include "support/platform_site.h"
 
-#include <sys/wait.h>
 #include <unistd.h>
 
-#include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <csignal>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -15,7 +12,6 @@
 #include <stdexcept>
 #include <utility>
 
-#include "runtime/http_client.h"
 #include "support/child_process.h"
 
 namespace parsleyhitch::test {
@@ -25,8 +21,6 @@
 using json = nlohmann::json;
 
 constexpr model::duration kCallTimeout{4000};
-constexpr std::chrono::seconds kLongestWait{60};
-constexpr std::chrono::milliseconds kBetweenLooks{20};
 constexpr std::uint32_t kControl = 1;
 constexpr std::uint32_t kFirstWorker = 2;
 constexpr char kHost[] = "jobs.example";
@@ -221,23 +215,14 @@
 }
 
 int platform_site::AwaitExit(std::uint32_t entry) {
-  int status = 0;
-  Await("the exit of an entry", [&] {
-    return waitpid(entries_.at(entry), &status, WNOHANG) == entries_.at(entry);
-  });
+  const int code = AwaitEnd(entries_.at(entry));
   entries_.at(entry) = 0;
-  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  return code;
 }
 
 void platform_site::Await(const std::string& what,
                           const std::function<bool()>& condition) const {
-  const auto end = std::chrono::steady_clock::now() + kLongestWait;
-  asio::io_context io;
-  while (!condition()) {
-    if (std::chrono::steady_clock::now() > end)
-      throw std::runtime_error("did not come: " + what + "\n" + Logs());
-    asio::steady_timer(io, kBetweenLooks).wait();
-  }
+  AwaitCondition(what, condition, [this] { return "\n" + Logs(); });
 }
 
 std::string platform_site::Logs() const {
@@ -304,17 +289,11 @@
 }
 
 site_reply platform_site::Send(const wire::http_request& request) {
-  asio::io_context io(1);
-  runtime::http_client client(io);
-  site_reply result;
-  client.Send(request, [&](const wire::http_outcome& outcome) {
-    const auto* response = std::get_if<wire::http_response>(&outcome);
-    if (response != nullptr)
-      result = {.status = response->status, .body = response->body};
-    io.stop();
-  });
-  io.run();
-  return result;
+  const wire::http_outcome outcome = CallOnce(request);
+  const auto* response = std::get_if<wire::http_response>(&outcome);
+  if (response == nullptr)
+    return {};
+  return {.status = response->status, .body = response->body};
 }
 
 }  // namespace parsleyhitch::test
--- a/tests/support/stage_store.cc
+++ b/tests/support/stage_store.cc
@@ -7,29 +7,13 @@
 namespace parsleyhitch::tests {
 
 work::append_answered stage_store::Append(const work::append_records& effect) {
-  writer& from = writers_[effect.writer];
-  const auto answer = [&](work::append_outcome outcome, std::uint64_t end) {
-    return work::append_answered{
-        .call = effect.call, .outcome = outcome, .end = end};
-  };
-  if (effect.epoch < from.epoch)
-    return answer(work::append_outcome::kFenced, 0);
-  if (effect.epoch == from.epoch && from.answers.contains(effect.sequence)) {
-    return answer(work::append_outcome::kStored,
-                  from.answers.at(effect.sequence));
-  }
-  if (effect.epoch == from.epoch && effect.sequence != from.next)
-    return answer(work::append_outcome::kOutOfSequence, 0);
-  if (effect.epoch > from.epoch) {
-    from.epoch = effect.epoch;
-    from.answers.clear();
-  }
-  for (const work::record& each : effect.records)
-    Put(work::feed::kRecords, records::KeyOf(each), each);
-  from.next = effect.sequence + 1;
-  const std::uint64_t end = logs_.at(work::feed::kRecords).items.size();
-  from.answers[effect.sequence] = end;
-  return answer(work::append_outcome::kStored, end);
+  const store_writers::verdict verdict =
+      writers_.Take(effect.writer, effect.epoch, effect.sequence, [&] {
+        for (const work::record& each : effect.records)
+          Put(work::feed::kRecords, records::KeyOf(each), each);
+        return logs_.at(work::feed::kRecords).items.size();
+      });
+  return {.call = effect.call, .outcome = verdict.outcome, .end = verdict.end};
 }
 
 bool stage_store::HasNews(const work::read_feed& effect) const {
--- a/tests/support/stage_store.h
+++ b/tests/support/stage_store.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "support/store_writers.h"
 #include "work/effect.h"
 
 namespace parsleyhitch::tests {
@@ -42,16 +43,10 @@
     // Reads from below this position fail.
     std::uint64_t first = 0;
   };
-  struct writer {
-    std::uint64_t epoch = 0;
-    std::uint64_t next = 0;
-    std::map<std::uint64_t, std::uint64_t> answers;
-  };
-
   std::map<work::feed, log> logs_{{work::feed::kRecords, {}},
                                   {work::feed::kCatalog, {}},
                                   {work::feed::kWorkers, {}}};
-  std::map<std::string, writer> writers_;
+  store_writers writers_;
 };
 
 }  // namespace parsleyhitch::tests
