Decide a job's end by the order of the records

Change: the first cancellation or closed progress record in the log decides, at every entry. The leader rewrites its record when it reads a cancellation that came first.

Before: records and dispatch tests of the pattern fail (2 of 10, 1 of 8).

--- a/source/dispatch/jobs.cc
+++ b/source/dispatch/jobs.cc
@@ -97,6 +97,24 @@
     ctx.state.leader.jobs.Erase(id);
 }
 
+// Ends the job as cancelled, also when it was closed otherwise before the
+// cancellation was read: every entry shows the end that comes first in the
+// records.
+void CancelJob(const context& ctx, const work::job_id& id) {
+  active_job job = *ctx.state.leader.jobs.Find(id);
+  if (!work::IsClosed(job.phase)) {
+    CloseJob(ctx, id, work::job_phase::kCancelled);
+    return;
+  }
+  if (job.phase == work::job_phase::kCancelled)
+    return;
+  ctx.Log("job_cancelled_before_end", id.value(),
+          {Field("phase", NameOf(job.phase))});
+  job.phase = work::job_phase::kCancelled;
+  ctx.state.leader.jobs.Put(id, std::move(job));
+  ctx.state.leader.unsaved_jobs.insert(id);
+}
+
 }  // namespace
 
 void CreateUnits(const context& ctx,
@@ -161,8 +179,10 @@
     AddJob(ctx, id, *entry);
     return;
   }
-  if (job != nullptr && entry->cancelled && !work::IsClosed(job->phase))
-    CloseJob(ctx, id, work::job_phase::kCancelled);
+  const bool cancelled =
+      records::PhaseOf(*entry) == work::job_phase::kCancelled;
+  if (job != nullptr && cancelled)
+    CancelJob(ctx, id);
   EraseJobIfStored(ctx, id);
 }
 
--- a/source/dispatch/restore.cc
+++ b/source/dispatch/restore.cc
@@ -82,7 +82,7 @@
       RestoreUnit(ctx, id, each);
     ctx.state.leader.jobs.Put(id, job);
   }
-  if (entry.cancelled)
+  if (records::PhaseOf(entry) == work::job_phase::kCancelled)
     CloseJob(ctx, id, work::job_phase::kCancelled);
   else
     FinishSteps(ctx, id);
--- a/source/records/ledger.cc
+++ b/source/records/ledger.cc
@@ -2,6 +2,7 @@
 
 #include "records/ledger.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace parsleyhitch::records {
@@ -26,11 +27,16 @@
   folded.jobs.Put(job, std::move(stored));
 }
 
+std::uint64_t Earlier(const std::optional<std::uint64_t>& known,
+                      std::uint64_t offset) {
+  return known ? std::min(*known, offset) : offset;
+}
+
 void FoldInto(ledger& folded,
-              std::uint64_t,
+              std::uint64_t offset,
               const work::job_cancelled& record) {
   stored_job stored = JobOrDefault(folded, record.job);
-  stored.cancelled = true;
+  stored.cancelled_at = Earlier(stored.cancelled_at, offset);
   folded.jobs.Put(record.job, std::move(stored));
 }
 
@@ -38,10 +44,14 @@
               std::uint64_t offset,
               const work::job_progressed& record) {
   stored_job stored = JobOrDefault(folded, record.job);
-  if (stored.progress.Get() != nullptr && stored.progressed >= offset)
-    return;
-  stored.progress.Put(record);
-  stored.progressed = offset;
+  if (work::IsClosed(record.phase))
+    stored.closed_at = Earlier(stored.closed_at, offset);
+  const bool newest =
+      stored.progress.Get() == nullptr || stored.progressed < offset;
+  if (newest) {
+    stored.progress.Put(record);
+    stored.progressed = offset;
+  }
   folded.jobs.Put(record.job, std::move(stored));
 }
 
@@ -89,11 +99,12 @@
 
 work::job_phase PhaseOf(const stored_job& job) {
   const work::job_progressed* progress = job.progress.Get();
-  const work::job_phase phase =
-      progress == nullptr ? work::job_phase::kQueued : progress->phase;
-  if (!work::IsClosed(phase) && job.cancelled)
+  const bool cancelled_first =
+      job.cancelled_at &&
+      (!job.closed_at || *job.cancelled_at < *job.closed_at);
+  if (cancelled_first)
     return work::job_phase::kCancelled;
-  return phase;
+  return progress == nullptr ? work::job_phase::kQueued : progress->phase;
 }
 
 bool HasLeaderRestarted(const ledger& folded) {
--- a/source/records/ledger.h
+++ b/source/records/ledger.h
@@ -21,10 +21,13 @@
   model::value_cell<work::submission> content;
   // Offset of the submission; jobs are served in this order.
   std::uint64_t accepted = 0;
-  bool cancelled = false;
   model::value_cell<work::job_progressed> progress;
   // Offset of the newest progress record.
   std::uint64_t progressed = 0;
+  // Offsets of the first cancellation and of the first progress record of a
+  // closed phase. The earlier of the two decides how the job ended.
+  std::optional<std::uint64_t> cancelled_at;
+  std::optional<std::uint64_t> closed_at;
 
   bool operator==(const stored_job&) const = default;
 };
--- a/tests/dispatch/jobs_test.cc
+++ b/tests/dispatch/jobs_test.cc
@@ -54,6 +54,34 @@
       [&] { return !fixture.IsRunning(kJob); }, work::duration(1000)));
 }
 
+Test(job, cancelled_while_its_leader_reads_no_records_ends_alike_everywhere) {
+  simulation_fixture fixture({.task_duration = work::duration(1000)});
+  fixture.simulation.Submit(0, kJob, {Step(1, 1)});
+  cr_assert(fixture.simulation.RunUntil([&] { return fixture.IsRunning(kJob); },
+                                        work::duration(3000)));
+  const std::uint32_t leader = fixture.Leader();
+  const std::uint32_t follower = fixture.Follower();
+  fixture.simulation.RunFor(work::duration(600));
+  // For less than the time after which the leader would be replaced.
+  fixture.simulation.entry(leader).cut_from_store = true;
+  const auto cancel = fixture.simulation.Cancel(follower, kJob);
+  cr_assert(fixture.simulation.RunUntil(
+      [&] { return !fixture.LinesOf("job_closed").empty(); },
+      work::duration(900)));
+  cr_assert(
+      fixture.simulation.IsAnswered(cancel, work::answer_kind::kAccepted));
+  fixture.simulation.entry(leader).cut_from_store = false;
+  fixture.simulation.RunFor(work::duration(3000));
+  cr_assert_eq(fixture.Leader(), leader);
+  for (std::uint32_t entry = 0; entry < 3; ++entry) {
+    const auto read = fixture.simulation.Read(entry, kJob);
+    fixture.simulation.RunFor(work::duration(200));
+    cr_assert(fixture.simulation.CallOf(read).answer->phase ==
+              work::job_phase::kCancelled);
+  }
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCancelled));
+}
+
 Test(job, that_no_worker_can_hold_stays_queued_and_does_not_block_others) {
   simulation_fixture fixture;
   fixture.simulation.Submit(0, kJob, {Step(1, 9)}, "urgent");
--- a/tests/records/ledger_test.cc
+++ b/tests/records/ledger_test.cc
@@ -72,6 +72,26 @@
   cr_assert(fixture.Phase() == work::job_phase::kCompleted);
 }
 
+Test(ledger, job_cancelled_before_it_completed_stays_cancelled) {
+  ledger_fixture fixture;
+  fixture.Fold(1, Submitted());
+  fixture.Fold(2, work::job_cancelled{.job = kJob});
+  cr_assert(fixture.Phase() == work::job_phase::kCancelled);
+  fixture.Fold(3, work::job_progressed{.job = kJob,
+                                       .phase = work::job_phase::kCompleted});
+  cr_assert(fixture.Phase() == work::job_phase::kCancelled);
+}
+
+Test(ledger, end_and_cancellation_read_in_either_order_give_the_same_phase) {
+  ledger_fixture fixture;
+  fixture.Fold(1, Submitted());
+  fixture.Fold(4, work::job_progressed{.job = kJob,
+                                       .phase = work::job_phase::kCompleted});
+  fixture.Fold(3, work::job_cancelled{.job = kJob});
+  fixture.Fold(5, work::job_cancelled{.job = kJob});
+  cr_assert(fixture.Phase() == work::job_phase::kCancelled);
+}
+
 Test(ledger, queue_with_one_job_waiting_and_one_running_counts_one) {
   ledger_fixture fixture;
   fixture.Fold(1, Submitted());
