Mend three faults that random failures found, and leave leaving workers in time

The answer to a start carries the worker's clock, which starts anew, so the restart is now known before the next hold. Orders carry the time until which the authority holds; the runtime and the simulation don't send them later (order_expired). Idle silent workers are probed every second. A focused test fails without the change.

--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -17,6 +17,9 @@
 // Consecutive unanswered orders after which a worker counts as unreachable.
 constexpr std::uint32_t kUnansweredOrdersUntilSilent = 2;
 
+// How often a silent worker without tasks is asked whether it is back.
+constexpr duration kIdleProbeInterval{1000};
+
 bool IsBusy(const context& ctx, const work::worker_id& worker) {
   return !LoadOf(ctx, worker).tasks.empty() ||
          !OrphanTasksOn(ctx, worker).empty();
@@ -167,7 +170,9 @@
     ctx.Warn("worker_silent", worker.value(),
              {Field("answered_ago", ctx.now() - row.answered_at)});
   }
-  row.next_hold_at = ctx.now() + ctx.limits().order_retry;
+  const bool busy = IsBusy(ctx, worker);
+  row.next_hold_at =
+      ctx.now() + (busy ? ctx.limits().order_retry : kIdleProbeInterval);
   ctx.state.leader.workers.Put(worker, std::move(row));
 }
 
@@ -307,6 +312,7 @@
                        known->listed().draining != entry.draining;
   row.entry.Put(entry);
   row.is_listed = true;
+  NoteDeparture(ctx, row);
   workers.Put(entry.worker, std::move(row));
   if (!changed)
     return;
@@ -317,6 +323,20 @@
   HoldIfNeeded(ctx, entry.worker);
 }
 
+void ObserveWorkerClock(const context& ctx,
+                        const work::worker_id& worker,
+                        const std::optional<duration>& clock) {
+  const worker_state* row = ctx.state.leader.workers.Find(worker);
+  const bool known = clock && row != nullptr && row->clock;
+  // The clock was read at most one time-out before the answer arrived.
+  if (!known ||
+      *clock + ctx.limits().order_timeout >= ClockLowerBound(ctx, *row))
+    return;
+  ctx.state.leader.workers.Put(
+      worker, RestartedWorker(ctx, worker, *row, row->listed().life));
+  HoldIfNeeded(ctx, worker);
+}
+
 void MarkWorkerUnlisted(const context& ctx, const work::worker_id& worker) {
   const worker_state* known = ctx.state.leader.workers.Find(worker);
   if (known == nullptr || !known->is_listed)
@@ -337,16 +357,16 @@
   const bool busy = IsBusy(ctx, worker);
   const bool has_unacknowledged_end =
       known->last_durable_end > known->last_acknowledged_end;
-  if (known->fenced && !busy && !has_unacknowledged_end)
+  const bool silent = known->unanswered_orders > 0;
+  if (known->fenced && !busy && !has_unacknowledged_end && !silent)
     return;
   worker_state row = *known;
-  const bool may_wait =
-      row.fenced && !has_unacknowledged_end && row.unanswered_orders == 0;
+  const bool may_wait = row.fenced && !has_unacknowledged_end && !silent;
   const duration wait = may_wait ? ctx.limits().hold_wait : duration(0);
   std::optional<duration> lease_until;
   // No lease for a worker that does not answer: its tasks are replaced only
   // after its lease has expired.
-  if (row.clock && busy && row.unanswered_orders == 0) {
+  if (row.clock && busy && !silent) {
     lease_until = ClockNow(ctx, row) + ctx.limits().lease;
     row.lease_until = std::max(row.lease_until, *lease_until);
   }
@@ -356,7 +376,8 @@
   ctx.Emit(work::hold_worker{.call = *row.hold,
                              .target = {.worker = worker,
                                         .address = row.listed().address,
-                                        .token = ctx.state.leader.epoch},
+                                        .token = ctx.state.leader.epoch,
+                                        .valid_until = AuthorityExpiresAt(ctx)},
                              .lease_until = lease_until,
                              .acknowledged = row.last_durable_end,
                              .wait = wait,
@@ -396,6 +417,7 @@
     all.push_back(worker);
   for (const work::worker_id& worker : all)
     AdvanceWorker(ctx, worker);
+  EvacuateLeavingWorkers(ctx);
   ResolveEarlierTasksIfDue(ctx);
   FinishReconcilingIfDue(ctx);
 }
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -4,8 +4,10 @@
 // token.
 
 #include <algorithm>
+#include <functional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "dispatch/parts.h"
 
@@ -174,13 +176,21 @@
   s.leadership.leader_reached_store_at = ctx.now();
 }
 
-// True when a majority of the members, this entry included, is known to have
-// followed this leader at or after `since`.
-bool MajorityReplied(const context& ctx, timestamp since) {
-  std::size_t replied = 1;
+// The latest time at which a majority of the members, this entry included, is
+// known to have followed this leader; the clock's epoch if there is none.
+timestamp MajorityConfirmedAt(const context& ctx) {
+  const std::size_t others_needed = ctx.state.ledger.members.size() / 2;
+  if (others_needed == 0)
+    return ctx.now();
+  std::vector<timestamp> replies;
   for (const auto& [entry, reply] : ctx.state.leadership.replies)
-    replied += reply >= since ? 1 : 0;
-  return 2 * replied > ctx.state.ledger.members.size();
+    replies.push_back(reply);
+  if (replies.size() < others_needed)
+    return {};
+  const auto last_needed =
+      replies.begin() + static_cast<std::ptrdiff_t>(others_needed - 1);
+  std::ranges::nth_element(replies, last_needed, std::greater<>());
+  return *last_needed;
 }
 
 }  // namespace
@@ -299,15 +309,20 @@
   leadership.epoch = std::max(leadership.epoch, epoch);
 }
 
-bool HasAuthority(const context& ctx) {
+timestamp AuthorityExpiresAt(const context& ctx) {
   const state& s = ctx.state;
   if (s.leadership.current_role != role::kLeader)
-    return false;
-  const timestamp since =
-      std::max(ctx.now() - ctx.limits().authority, s.leadership.last_stall_at);
-  const timestamp proven =
-      std::max(s.records.confirmed_at, s.leader.elected_at);
-  return proven >= since || MajorityReplied(ctx, since);
+    return {};
+  const timestamp confirmed = std::max(
+      {s.records.confirmed_at, s.leader.elected_at, MajorityConfirmedAt(ctx)});
+  return confirmed < s.leadership.last_stall_at
+             ? timestamp()
+             : confirmed + ctx.limits().authority;
+}
+
+bool HasAuthority(const context& ctx) {
+  return ctx.state.leadership.current_role == role::kLeader &&
+         ctx.now() <= AuthorityExpiresAt(ctx);
 }
 
 }  // namespace parsleyhitch::dispatch
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -38,7 +38,8 @@
                             const worker_state& row) {
   return {.worker = worker,
           .address = row.listed().address,
-          .token = ctx.state.leader.epoch};
+          .token = ctx.state.leader.epoch,
+          .valid_until = AuthorityExpiresAt(ctx)};
 }
 
 call_number NewOrder(const context& ctx,
@@ -296,7 +297,9 @@
   return true;
 }
 
-void OnStartAnswered(const context& ctx, const work::start_answered& event) {
+namespace {
+
+void ApplyStartAnswer(const context& ctx, const work::start_answered& event) {
   const auto answered = CompleteOrder(ctx, event.call, event.outcome);
   if (!answered)
     return;
@@ -325,6 +328,13 @@
   }
 }
 
+}  // namespace
+
+void OnStartAnswered(const context& ctx, const work::start_answered& event) {
+  ApplyStartAnswer(ctx, event);
+  ObserveWorkerClock(ctx, event.worker, event.worker_clock);
+}
+
 void OnStopAnswered(const context& ctx, const work::stop_answered& event) {
   const auto answered = CompleteOrder(ctx, event.call, event.outcome);
   if (!answered)
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -4,6 +4,7 @@
 #ifndef PARSLEYHITCH_DISPATCH_PARTS_H_
 #define PARSLEYHITCH_DISPATCH_PARTS_H_
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -63,6 +64,9 @@
 void ObserveEpoch(const context& ctx,
                   std::uint64_t epoch,
                   std::string_view why);
+// Until when this entry may send orders: its leadership was confirmed one
+// authority period before. The clock's epoch if it has no authority.
+timestamp AuthorityExpiresAt(const context& ctx);
 // True when this entry leads and its authority was confirmed recently enough to
 // send orders.
 bool HasAuthority(const context& ctx);
@@ -108,6 +112,12 @@
 void AdvanceWorkers(const context& ctx);
 // Estimates the worker's clock now. The worker's clock must be known.
 duration ClockNow(const context& ctx, const worker_state& row);
+// Detects a restart of the worker by its clock, which starts anew. Until the
+// restart is known, acknowledgements meant for the old process could make the
+// new one forget ends that nobody has read.
+void ObserveWorkerClock(const context& ctx,
+                        const work::worker_id& worker,
+                        const std::optional<duration>& clock);
 // True when units may be placed on the worker.
 bool IsSchedulable(const worker_state& row);
 // Counts a failure against the worker: it failed a task of the job, or refused
@@ -117,6 +127,11 @@
                          const work::job_id& job,
                          std::string_view why);
 
+// evacuation.cc: moving units off workers that are about to leave.
+// Records when the worker leaves, according to its registry entry.
+void NoteDeparture(const context& ctx, worker_state& row);
+void EvacuateLeavingWorkers(const context& ctx);
+
 // orders.cc: orders to start and stop tasks.
 // The lowest attempt number of this leader's epoch.
 std::uint64_t FirstAttemptOfEpoch(const context& ctx);
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -139,6 +139,8 @@
   model::value_cell<work::registered_worker> entry;
   bool is_listed = true;
   timestamp unlisted_since;
+  // The earliest time at which a draining worker leaves, if it announced one.
+  std::optional<timestamp> leaves_at;
   // The worker has answered an order of this epoch, and so refuses those of
   // earlier leaders.
   bool fenced = false;
--- a/source/platform/worker_codec.cc
+++ b/source/platform/worker_codec.cc
@@ -127,6 +127,7 @@
   const work::resources capacity = DecodeCapacity(entry.Object("capacity"));
   // The worker's start time distinguishes its incarnations.
   const std::uint64_t life = entry.Number("born");
+  const std::uint64_t leaves_in_ms = draining ? entry.Number("remainingMs") : 0;
   if (!findings.empty())
     return boost::leaf::new_error(std::move(findings));
   work::rack_id rack(labels.size() > kRackLabel ? labels[kRackLabel] : "");
@@ -138,6 +139,7 @@
       .labels = std::move(labels),
       .capacity = capacity,
       .draining = draining,
+      .leaves_in = work::duration(static_cast<std::int64_t>(leaves_in_ms)),
       .life = life};
 }
 
--- a/source/report/explain.cc
+++ b/source/report/explain.cc
@@ -25,7 +25,8 @@
       "leadership_won",   "leadership_lost",
       "jobs_restored",    "workers_reconciled",
       "catalog_in_force", "settings_reloaded",
-      "writer_fenced",    "feed_trimmed"};
+      "writer_fenced",    "feed_trimmed",
+      "order_expired"};
   return process_events.contains(decision);
 }
 
--- a/source/runtime/dispatch_process.cc
+++ b/source/runtime/dispatch_process.cc
@@ -174,14 +174,28 @@
   void Execute(const work::read_newest& effect) {
     SendRequest(platform::RequestFor(settings_->store_address, effect), effect);
   }
-  void Execute(const work::start_run& effect) {
-    SendRequest(platform::RequestFor(effect), effect);
-  }
-  void Execute(const work::stop_run& effect) {
-    SendRequest(platform::RequestFor(effect), effect);
-  }
-  void Execute(const work::hold_worker& effect) {
-    SendRequest(platform::RequestFor(effect), effect);
+  void Execute(const work::start_run& effect) { SendOrder(effect); }
+  void Execute(const work::stop_run& effect) { SendOrder(effect); }
+  void Execute(const work::hold_worker& effect) { SendOrder(effect); }
+
+  // Sends an order unless this process was paused beyond its validity.
+  template <typename Effect>
+  void SendOrder(const Effect& effect) {
+    const model::timestamp now = clock_.Now();
+    if (now <= effect.target.valid_until) {
+      SendRequest(platform::RequestFor(effect), effect);
+      return;
+    }
+    Execute(work::write_log{
+        .level = work::log_level::kWarning,
+        .decision = "order_expired",
+        .subject = effect.target.worker.value(),
+        .fields = {{.name = "late_ms",
+                    .value = std::to_string(
+                        (now - effect.target.valid_until).count())}}});
+    loop_.Post(
+        platform::DecodeOutcome(effect, wire::http_failure{.sent = false}, now)
+            .event);
   }
 
   void Execute(const work::send_to_peer& effect) {
--- a/source/work/effect.h
+++ b/source/work/effect.h
@@ -53,6 +53,9 @@
   const worker_id worker;
   const std::string address;
   const std::uint64_t token = 0;
+  // When the sender's authority expires unless it is renewed. A process that
+  // was paused since the order was decided must not send it afterwards.
+  const timestamp valid_until{};
   bool operator==(const order_target&) const = default;
 };
 
--- a/source/work/worker.h
+++ b/source/work/worker.h
@@ -21,6 +21,9 @@
   const std::vector<std::string> labels{};
   const resources capacity;
   const bool draining = false;
+  // While draining: the least time until the worker leaves, with all that runs
+  // on it. Zero when it gave none.
+  const duration leaves_in{0};
   // Identifies one run of the worker process; increases with each restart.
   const std::uint64_t life = 0;
 
--- a/tests/dispatch/properties_test.cc
+++ b/tests/dispatch/properties_test.cc
@@ -170,8 +170,12 @@
     const auto* submitted = std::get_if<work::job_submitted>(&record);
     if (submitted == nullptr)
       continue;
-    const auto phase =
-        fixture.simulation.PhaseOf(submitted->content.job.value()).value();
+    const std::string& job = submitted->content.job.value();
+    const auto phase = fixture.simulation.PhaseOf(job).value();
+    if (!work::IsClosed(phase)) {
+      std::cerr << fixture.simulation.LogOf("leadership")
+                << fixture.simulation.LogOf(job);
+    }
     RC_ASSERT(work::IsClosed(phase));
   }
 }
--- a/tests/dispatch/takeover_test.cc
+++ b/tests/dispatch/takeover_test.cc
@@ -226,3 +226,12 @@
   cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
   cr_assert_eq(fixture.simulation.starts(), 4U);
 }
+
+Test(workers, all_out_of_reach_for_some_seconds_are_used_again) {
+  running_fixture fixture({Step(6, 8)});
+  const std::uint32_t leader = fixture.Leader();
+  fixture.simulation.entry(leader).cut_from_workers = true;
+  fixture.simulation.RunFor(work::duration(9000));
+  fixture.simulation.entry(leader).cut_from_workers = false;
+  fixture.ExpectCompletedWithoutViolation();
+}
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -308,7 +308,8 @@
 void platform_simulation::Apply(std::uint32_t index,
                                 const work::start_run& effect) {
   const std::uint64_t life = entries_[index].life;
-  const bool cut = entries_[index].cut_from_workers;
+  const bool cut = entries_[index].cut_from_workers ||
+                   Timestamp() > effect.target.valid_until;
   Schedule(now_ + RandomDelay(), [this, index, life, effect, cut] {
     simulated_worker* worker = FindWorker(effect.target.worker);
     const bool reached = !cut && worker->alive && !worker->cut;
@@ -317,16 +318,18 @@
     const bool answer_lost = reached && worker->lose_order_answers > 0;
     worker->lose_order_answers -= answer_lost ? 1 : 0;
     const bool answered = reached && !answer_lost;
+    const std::optional<work::duration> clock =
+        answered ? std::optional(worker->Clock(now_)) : std::nullopt;
     Schedule(now_ + (answered ? RandomDelay() : effect.timeout),
-             [this, index, life, effect, outcome, answered] {
-               Deliver(
-                   index, life,
-                   work::start_answered{
-                       .at = Timestamp(),
-                       .call = effect.call,
-                       .worker = effect.target.worker,
-                       .outcome =
-                           answered ? outcome : work::order_outcome::kUnknown});
+             [this, index, life, effect, outcome, answered, clock] {
+               Deliver(index, life,
+                       work::start_answered{
+                           .at = Timestamp(),
+                           .call = effect.call,
+                           .worker = effect.target.worker,
+                           .outcome = answered ? outcome
+                                               : work::order_outcome::kUnknown,
+                           .worker_clock = clock});
              });
   });
 }
@@ -334,7 +337,8 @@
 void platform_simulation::Apply(std::uint32_t index,
                                 const work::stop_run& effect) {
   const std::uint64_t life = entries_[index].life;
-  const bool cut = entries_[index].cut_from_workers;
+  const bool cut = entries_[index].cut_from_workers ||
+                   Timestamp() > effect.target.valid_until;
   Schedule(now_ + RandomDelay(), [this, index, life, effect, cut] {
     simulated_worker* worker = FindWorker(effect.target.worker);
     const bool reached = !cut && worker->alive && !worker->cut;
@@ -354,7 +358,8 @@
 void platform_simulation::Apply(std::uint32_t index,
                                 const work::hold_worker& effect) {
   const std::uint64_t life = entries_[index].life;
-  const bool cut = entries_[index].cut_from_workers;
+  const bool cut = entries_[index].cut_from_workers ||
+                   Timestamp() > effect.target.valid_until;
   Schedule(now_ + RandomDelay(), [this, index, life, effect, cut] {
     simulated_worker* worker = FindWorker(effect.target.worker);
     const bool reached = !cut && worker->alive && !worker->cut;
@@ -552,19 +557,31 @@
   store_.Put(work::feed::kCatalog, "config", ToPublishedCatalog(catalog));
 }
 
+void platform_simulation::Drain(std::uint32_t index, work::duration notice) {
+  workers_[index].draining = true;
+  workers_[index].leaves_at = now_ + notice;
+  PublishWorker(index);
+}
+
+void platform_simulation::PublishWorker(std::uint32_t index) {
+  const simulated_worker& each = workers_[index];
+  store_.Put(
+      work::feed::kWorkers, each.id.value(),
+      work::registered_worker{.worker = each.id,
+                              .service = work::service_id("pool"),
+                              .address = each.id.value() + ":1",
+                              .rack = each.rack,
+                              .labels = {"a", each.rack.value()},
+                              .capacity = each.capacity,
+                              .draining = each.draining,
+                              .leaves_in = each.leaves_at.value_or(now_) - now_,
+                              .life = each.life});
+}
+
 void platform_simulation::SendHeartbeat(std::uint32_t index) {
   const simulated_worker& each = workers_[index];
-  if (each.alive && !each.cut && !store_.down) {
-    store_.Put(work::feed::kWorkers, each.id.value(),
-               work::registered_worker{.worker = each.id,
-                                       .service = work::service_id("pool"),
-                                       .address = each.id.value() + ":1",
-                                       .rack = each.rack,
-                                       .labels = {"a", each.rack.value()},
-                                       .capacity = each.capacity,
-                                       .draining = each.draining,
-                                       .life = each.life});
-  }
+  if (each.alive && !each.cut && !store_.down)
+    PublishWorker(index);
   // The registry drops a worker after three missed heartbeats.
   constexpr std::uint32_t kMaxMissedHeartbeats = 3;
   const bool silent = !each.alive || each.cut;
@@ -575,8 +592,11 @@
 }
 
 void platform_simulation::AdvanceWorkers() {
-  for (simulated_worker& worker : workers_)
+  for (simulated_worker& worker : workers_) {
     worker.Advance(now_);
+    if (worker.alive && worker.leaves_at && now_ >= *worker.leaves_at)
+      worker.Crash();
+  }
   Schedule(now_ + kAdvanceInterval, [this] { AdvanceWorkers(); });
 }
 
--- a/tests/support/platform_simulation.h
+++ b/tests/support/platform_simulation.h
@@ -100,6 +100,8 @@
   // Requests a graceful shutdown, as SIGTERM does.
   void Shutdown(std::uint32_t entry, work::duration grace);
   void Publish(const work::catalog& catalog);
+  // Announces that the worker leaves after `notice`, and removes it then.
+  void Drain(std::uint32_t worker, work::duration notice);
   simulated_store& store() { return store_; }
   simulated_entry& entry(std::uint32_t index) { return entries_[index]; }
   simulated_worker& worker(std::uint32_t index) { return workers_[index]; }
@@ -161,6 +163,8 @@
                           const std::string& job,
                           std::optional<work::job_request> request,
                           const std::string& queue);
+  // Writes the worker to the registry.
+  void PublishWorker(std::uint32_t worker);
   void SendHeartbeat(std::uint32_t worker);
   void AdvanceWorkers();
   monitor_hooks MonitorHooks();
--- a/tests/support/simulated_worker.h
+++ b/tests/support/simulated_worker.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,8 @@
   // Can't be reached by entries, and sends no heartbeats.
   bool cut = false;
   bool draining = false;
+  // While draining: when the worker leaves and all that runs on it is lost.
+  std::optional<work::duration> leaves_at;
   // Number of start orders that are carried out but not answered.
   std::uint32_t lose_order_answers = 0;
   bool fails_all_tasks = false;
