--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -170,9 +170,9 @@
     ctx.Warn("worker_silent", worker.value(),
              {Field("answered_ago", ctx.now() - row.answered_at)});
   }
-  const bool busy = IsBusy(ctx, worker);
+  const bool idle = row.fenced && !IsBusy(ctx, worker);
   row.next_hold_at =
-      ctx.now() + (busy ? ctx.limits().order_retry : kIdleProbeInterval);
+      ctx.now() + (idle ? kIdleProbeInterval : ctx.limits().order_retry);
   ctx.state.leader.workers.Put(worker, std::move(row));
 }
 
