Read the configuration over narrow links: time-outs follow progress

Cause: on the small twin of the large site (2 Mbit/s) a configuration of 1,932 routes took longer than the time-out of 1.7 s, so each read was given up and begun again from the same version; meanwhile every follower asked the leader for the same configuration with each heartbeat, which filled the leader's link.

Change: a read of the store fails when no byte arrives for its time-out, not when it takes longer; a reader that is behind by more than one version reads the newest one; a peer is asked for the configuration only while the store can't be read, and once a second at most.

--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/feeds.cc
@@ -104,6 +104,14 @@
                            .timeout = ctx.limits().read_timeout});
 }
 
+// Reads the feed from its newest items again.
+void RestartSnapshot(feed_state& feed) {
+  feed.snapshot_complete = false;
+  feed.snapshot_end.reset();
+  feed.snapshot_page_after.clear();
+  feed.snapshot_keys.clear();
+}
+
 // Ends the read in flight if the answer belongs to it; otherwise returns false.
 bool TakeReadInFlight(feed_state& feed, call_number call) {
   if (feed.in_flight != call)
@@ -147,6 +155,9 @@
   feed.position = event.next;
   feed.confirmed_at = feed.sent_at;
   feed.next_at = ctx.now() + ReadPause(ctx, event.source, !event.items.empty());
+  // Each catalog replaces the one before, so those in between are skipped.
+  if (event.source == work::feed::kCatalog && event.next < event.end)
+    RestartSnapshot(feed);
   if (event.source == work::feed::kRecords)
     RestoreIfCaughtUp(ctx);
 }
@@ -190,10 +201,7 @@
   }
   ctx.Log("feed_trimmed", NameOf(event.source),
           {Field("position", feed.position)});
-  feed.snapshot_complete = false;
-  feed.snapshot_end.reset();
-  feed.snapshot_page_after.clear();
-  feed.snapshot_keys.clear();
+  RestartSnapshot(feed);
   feed.next_at = ctx.now();
 }
 
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -20,6 +20,8 @@
 // never takes it for a repeat of another claim.
 constexpr std::uint64_t kMaxFirstSequence = std::uint64_t{1} << 48;
 
+constexpr duration kCatalogRequestInterval{1000};
+
 std::uint64_t CatalogVersion(const context& ctx) {
   const work::published_catalog* current = ctx.state.in_force.Get();
   return current == nullptr ? 0 : current->content.version;
@@ -56,6 +58,23 @@
   }
 }
 
+// Asks a peer for a newer catalog when the store can't be read. A catalog is
+// large, so that a peer is not asked again before it had time to send it.
+void RequestCatalogIfNeeded(const context& ctx,
+                            const std::string& address,
+                            std::uint64_t version) {
+  leadership_state& leadership = ctx.state.leadership;
+  const bool needed = version > CatalogVersion(ctx) &&
+                      IsStoreFailing(ctx, duration(0)) &&
+                      ctx.now() >= leadership.next_catalog_request_at;
+  if (!needed)
+    return;
+  leadership.next_catalog_request_at = ctx.now() + kCatalogRequestInterval;
+  SendToPeer(ctx, address,
+             work::catalog_wanted{.address = ctx.env.peer_address,
+                                  .held_version = CatalogVersion(ctx)});
+}
+
 void SendClaim(const context& ctx) {
   leadership_state& leadership = ctx.state.leadership;
   if (leadership.claim_sequence == 0) {
@@ -257,11 +276,7 @@
     if (message.store_reached)
       leadership.leader_reached_store_at = ctx.now();
   }
-  if (message.catalog_version > CatalogVersion(ctx)) {
-    SendToPeer(ctx, message.address,
-               work::catalog_wanted{.address = ctx.env.peer_address,
-                                    .held_version = CatalogVersion(ctx)});
-  }
+  RequestCatalogIfNeeded(ctx, message.address, message.catalog_version);
   SendToPeer(ctx, message.address,
              work::heartbeat_reply{.epoch = leadership.epoch,
                                    .address = ctx.env.peer_address,
@@ -281,11 +296,7 @@
   if (message.number == leadership.heartbeat) {
     leadership.replies[from] = ctx.now() - ctx.limits().heartbeat_interval;
   }
-  if (message.catalog_version > CatalogVersion(ctx)) {
-    SendToPeer(ctx, message.address,
-               work::catalog_wanted{.address = ctx.env.peer_address,
-                                    .held_version = CatalogVersion(ctx)});
-  }
+  RequestCatalogIfNeeded(ctx, message.address, message.catalog_version);
 }
 
 void ObserveEpoch(const context& ctx,
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -129,6 +129,9 @@
   // elected meanwhile.
   timestamp last_stall_at;
 
+  // The earliest time to ask a peer for the catalog again.
+  timestamp next_catalog_request_at;
+
   bool operator==(const leadership_state&) const = default;
 };
 
--- a/source/platform/store_calls.cc
+++ b/source/platform/store_calls.cc
@@ -24,6 +24,14 @@
 constexpr char kWorkersTopic[] = "keyed.servers";
 constexpr char kCatalogKey[] = "config";
 
+// Longest time for one read, however slowly it makes progress.
+constexpr work::duration kMaxReadTime{30000};
+
+// Largest page of a feed. A page of the catalog holds at least one version;
+// more would only delay the newest one.
+constexpr std::uint32_t kMaxCatalogPageKb = 300;
+constexpr std::uint32_t kMaxPageKb = 1024;
+
 constexpr std::uint32_t kOk = 200;
 constexpr std::uint32_t kNotFound = 404;
 constexpr std::uint32_t kConflict = 409;
@@ -61,6 +69,10 @@
   return "http://" + store + path + "?topic=" + topic + "&part=0";
 }
 
+std::uint32_t MaxPageKb(work::feed source) {
+  return source == work::feed::kCatalog ? kMaxCatalogPageKb : kMaxPageKb;
+}
+
 const wire::http_response* ResponseOf(const wire::http_outcome& outcome) {
   return std::get_if<wire::http_response>(&outcome);
 }
@@ -167,7 +179,8 @@
                                      .call = effect.call,
                                      .source = effect.source,
                                      .next = effect.from + page.records.size(),
-                                     .items = std::move(items)},
+                                     .items = std::move(items),
+                                     .end = page.end},
             .findings = std::move(findings)};
       },
       [&](const model::findings& findings) -> decoded_event {
@@ -228,8 +241,10 @@
   return {.method = "GET",
           .url = TopicUrl(store, "/log-read", TopicName(effect.source)) +
                  "&from=" + std::to_string(effect.from) +
-                 "&waitMs=" + std::to_string(effect.wait.count()),
-          .timeout = effect.timeout};
+                 "&waitMs=" + std::to_string(effect.wait.count()) +
+                 "&maxKb=" + std::to_string(MaxPageKb(effect.source)),
+          .timeout = kMaxReadTime,
+          .stall_timeout = effect.timeout};
 }
 
 wire::http_request RequestFor(const std::string& store,
@@ -240,7 +255,8 @@
   return {
       .method = "GET",
       .url = TopicUrl(store, "/log-newest", TopicName(effect.source)) + after,
-      .timeout = effect.timeout};
+      .timeout = kMaxReadTime,
+      .stall_timeout = effect.timeout};
 }
 
 decoded_event DecodeOutcome(const work::append_records& effect,
--- a/source/runtime/http_client.cc
+++ b/source/runtime/http_client.cc
@@ -10,6 +10,8 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <cctype>
+#include <chrono>
+#include <memory>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -35,6 +37,11 @@
   curl_slist* headers = nullptr;
   std::map<std::string, std::string> response_headers;
   std::string response_body;
+  // Set for a request with a stall time-out.
+  std::unique_ptr<asio::steady_timer> stall_timer;
+  std::chrono::steady_clock::time_point last_activity{};
+
+  void NoteActivity() { last_activity = std::chrono::steady_clock::now(); }
 };
 
 struct client_state {
@@ -56,7 +63,9 @@
                       std::size_t size,
                       std::size_t count,
                       void* user) {
-  static_cast<transfer*>(user)->response_body.append(data, size * count);
+  transfer& each = *static_cast<transfer*>(user);
+  each.response_body.append(data, size * count);
+  each.NoteActivity();
   return size * count;
 }
 
@@ -72,6 +81,7 @@
                         std::size_t size,
                         std::size_t count,
                         void* user) {
+  static_cast<transfer*>(user)->NoteActivity();
   const std::string_view line(data, size * count);
   const std::size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
@@ -117,19 +127,43 @@
   state.transfers.erase(found);
 }
 
+// Removes the transfer and reports its outcome.
+void FinishTransfer(client_state& state, CURL* easy, CURLcode code) {
+  transfer& each = *state.transfers.at(easy);
+  http_outcome outcome = TakeOutcome(easy, code, each);
+  http_callback done = std::move(each.done);
+  ReleaseTransfer(state, easy);
+  asio::post(state.io, [done = std::move(done), outcome = std::move(outcome)] {
+    done(outcome);
+  });
+}
+
+// Fails the transfer once no byte has arrived for its stall time-out.
+void WatchForStall(const std::shared_ptr<client_state>& state,
+                   CURL* easy,
+                   transfer& each) {
+  each.stall_timer->expires_at(each.last_activity + each.request.stall_timeout);
+  each.stall_timer->async_wait([state, easy](const asio::error_code& error) {
+    const auto found = state->transfers.find(easy);
+    if (error || found == state->transfers.end())
+      return;
+    transfer& waiting = *found->second;
+    const bool stalled =
+        std::chrono::steady_clock::now() - waiting.last_activity >=
+        waiting.request.stall_timeout;
+    if (stalled)
+      FinishTransfer(*state, easy, CURLE_OPERATION_TIMEDOUT);
+    else
+      WatchForStall(state, easy, waiting);
+  });
+}
+
 void FinishTransfers(const std::shared_ptr<client_state>& state) {
   int remaining = 0;
   while (CURLMsg* message = curl_multi_info_read(state->multi, &remaining)) {
     if (message->msg != CURLMSG_DONE)
       continue;
-    CURL* easy = message->easy_handle;
-    const CURLcode code = message->data.result;
-    transfer& each = *state->transfers.at(easy);
-    http_outcome outcome = TakeOutcome(easy, code, each);
-    http_callback done = std::move(each.done);
-    ReleaseTransfer(*state, easy);
-    asio::post(state->io, [done = std::move(done),
-                           outcome = std::move(outcome)] { done(outcome); });
+    FinishTransfer(*state, message->easy_handle, message->data.result);
   }
 }
 
@@ -293,6 +327,11 @@
   state_->transfers.emplace(easy, std::move(owned));
   detail::SetOptions(easy, each);
   curl_multi_add_handle(state_->multi, easy);
+  if (each.request.stall_timeout <= model::duration(0))
+    return;
+  each.stall_timer = std::make_unique<asio::steady_timer>(state_->io);
+  each.NoteActivity();
+  detail::WatchForStall(state_, easy, each);
 }
 
 }  // namespace parsleyhitch::runtime
--- a/source/wire/http_exchange.h
+++ b/source/wire/http_exchange.h
@@ -21,6 +21,9 @@
   const std::vector<std::string> headers{};
   const std::string body;
   const model::duration timeout{0};
+  // If set, the request also fails when no byte of the response arrives for
+  // this long; a large response over a narrow link may take up to `timeout`.
+  const model::duration stall_timeout{0};
   // Send over a new connection that is not reused. Required for requests that
   // must not be sent twice: libcurl retries by itself when a reused connection
   // turns out to be closed.
--- a/source/work/effect.h
+++ b/source/work/effect.h
@@ -21,6 +21,8 @@
   // Long poll: the store delays its answer by at most this while there is
   // nothing new.
   const duration wait{0};
+  // The read fails when no byte arrives for this long. A read that makes
+  // progress is not broken off: on a narrow link it would never end.
   const duration timeout{0};
   bool operator==(const read_feed&) const = default;
 };
@@ -31,6 +33,7 @@
   const feed source = feed::kRecords;
   // The key after which the page starts; empty for the first page.
   const std::string after;
+  // As for `read_feed`.
   const duration timeout{0};
   bool operator==(const read_newest&) const = default;
 };
--- a/source/work/event.h
+++ b/source/work/event.h
@@ -65,6 +65,8 @@
   // The position from which to read on.
   const std::uint64_t next = 0;
   const std::vector<feed_item> items{};
+  // The position after the feed's last item.
+  const std::uint64_t end = 0;
   bool operator==(const feed_read&) const = default;
 };
 
--- a/tests/dispatch/takeover_test.cc
+++ b/tests/dispatch/takeover_test.cc
@@ -235,3 +235,39 @@
   fixture.simulation.entry(leader).cut_from_workers = false;
   fixture.ExpectCompletedWithoutViolation();
 }
+
+Test(catalog, published_twice_while_an_entry_reads_is_skipped_to_the_newest) {
+  simulation_fixture fixture;
+  const std::uint32_t cut = fixture.Follower();
+  fixture.simulation.entry(cut).cut_from_store = true;
+  fixture.simulation.entry(cut).cut_from_peers = true;
+  fixture.simulation.RunFor(work::duration(1500));
+  fixture.simulation.store().max_page_items = 1;
+  for (std::uint64_t version = 7; version < 12; ++version)
+    fixture.simulation.Publish({.version = version});
+  fixture.simulation.entry(cut).cut_from_store = false;
+  fixture.simulation.RunFor(work::duration(1500));
+  const auto in_force = fixture.LinesOf("catalog_in_force");
+  const std::string name = "entry-" + std::to_string(cut);
+  const auto count = std::ranges::count_if(in_force, [&](const auto& line) {
+    return line.find(name) != std::string::npos;
+  });
+  // The first version, the one that was read first after the cut, the newest.
+  cr_assert_eq(count, 3);
+  cr_assert(in_force.back().find(name + " catalog_in_force 11") !=
+            std::string::npos);
+}
+
+Test(catalog, newer_at_the_leader_is_not_asked_for_while_the_store_is_read) {
+  simulation_fixture fixture;
+  const std::uint32_t slow = fixture.Follower();
+  // The catalog takes seconds to arrive over this entry's link.
+  fixture.simulation.entry(slow).catalog_delay = work::duration(3000);
+  fixture.simulation.RunFor(work::duration(3500));
+  fixture.simulation.Publish({.version = 7});
+  fixture.simulation.RunFor(work::duration(7000));
+  const auto in_force = fixture.LinesOf("catalog_in_force");
+  cr_assert(in_force.back().find("catalog_in_force 7 source=store") !=
+            std::string::npos);
+  cr_assert(fixture.LinesOf("source=peer").empty());
+}
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -220,13 +220,19 @@
     });
     return;
   }
-  DeliverAnswer(index, effect.timeout, true, true, [this, effect](bool) {
-    work::feed_read read = store_.Read(effect);
-    return work::event(work::feed_read{.at = Timestamp(),
-                                       .call = read.call,
-                                       .source = read.source,
-                                       .next = read.next,
-                                       .items = read.items});
+  const work::duration transfer_time = effect.source == work::feed::kCatalog
+                                           ? entry.catalog_delay
+                                           : work::duration(0);
+  const std::uint64_t life = entry.life;
+  Schedule(now_ + RandomDelay() + transfer_time, [this, index, life, effect] {
+    const work::feed_read read = store_.Read(effect);
+    Deliver(index, life,
+            work::feed_read{.at = Timestamp(),
+                            .call = read.call,
+                            .source = read.source,
+                            .next = read.next,
+                            .items = read.items,
+                            .end = read.end});
   });
 }
 
--- a/tests/support/platform_simulation.h
+++ b/tests/support/platform_simulation.h
@@ -53,6 +53,8 @@
   bool cut_from_store = false;
   bool cut_from_peers = false;
   bool cut_from_workers = false;
+  // How long the catalog takes to arrive over the entry's link.
+  work::duration catalog_delay{0};
   // Incremented at each start. Events for the process before its latest start
   // are dropped.
   std::uint64_t life = 1;
--- a/tests/support/simulated_store.cc
+++ b/tests/support/simulated_store.cc
@@ -28,12 +28,14 @@
 work::feed_read simulated_store::Read(const work::read_feed& effect) const {
   const feed_log& source_log = logs_.at(effect.source);
   std::vector<work::feed_item> items;
-  for (std::uint64_t at = effect.from; at < source_log.items.size(); ++at)
+  for (std::uint64_t at = effect.from;
+       at < source_log.items.size() && items.size() < max_page_items; ++at)
     items.push_back(source_log.items[at]);
   return {.call = effect.call,
           .source = effect.source,
           .next = effect.from + items.size(),
-          .items = std::move(items)};
+          .items = std::move(items),
+          .end = source_log.items.size()};
 }
 
 work::newest_read simulated_store::Newest(
--- a/tests/support/simulated_store.h
+++ b/tests/support/simulated_store.h
@@ -37,6 +37,9 @@
   // fail as trimmed, and only the newest item of each key can be read.
   void Compact();
 
+  // The most items that one read returns.
+  std::size_t max_page_items = 1000000;
+
   const std::vector<work::feed_item>& records() const {
     return logs_.at(work::feed::kRecords).items;
   }
