Store calls through the leader while appends are slow

Cause: the store carries out the appends of a partition one at a time.

The simulation's store has a time for each append; its test fails without the change (20 entries at 400 ms).

Also: the age that a worker's clock may have in an answer is 3 s, as an answer may wait unread in a busy process.

--- a/source/dispatch/clients.cc
+++ b/source/dispatch/clients.cc
@@ -98,6 +98,45 @@
                                 .peer_call_number = incoming.peer_call_number});
 }
 
+// Removes the call's record if it was never sent to the store; true when it was
+// removed.
+bool Withdraw(const context& ctx, call_number call) {
+  std::deque<queued_record>& waiting = ctx.state.submissions.waiting;
+  std::deque<queued_record> kept;
+  bool found = false;
+  for (queued_record& each : waiting) {
+    if (each.caller == call)
+      found = true;
+    else
+      kept.push_back(std::move(each));
+  }
+  waiting = std::move(kept);
+  return found;
+}
+
+bool IsLeaderReachable(const context& ctx) {
+  const leadership_state& leadership = ctx.state.leadership;
+  return leadership.current_role != role::kLeader &&
+         !leadership.leader_address.empty() &&
+         leadership.leader_reaches_store &&
+         ctx.now() - leadership.leader_heard_at < ctx.limits().leader_silent;
+}
+
+void Relay(const context& ctx, call_number number, open_call call) {
+  if (Withdraw(ctx, number))
+    call.maybe_stored = false;
+  SendToPeer(ctx, ctx.state.leadership.leader_address,
+             work::call_relayed{.call = number,
+                                .address = ctx.env.peer_address,
+                                .content = call.content});
+  ctx.Log("relayed", call.content.path,
+          {Field("to", ctx.state.leadership.leader_address)});
+  call.stage = call_stage::kRelayed;
+  ctx.state.calls.Put(number, std::move(call));
+}
+
+// Stores the record for the call, or lets the leader do it while appends are
+// slow.
 void StoreRecord(const context& ctx,
                  const incoming_call& incoming,
                  const work::job_id& job,
@@ -105,6 +144,10 @@
   OpenCall(ctx, incoming, job, call_stage::kStoring);
   ctx.state.submissions.waiting.push_back(
       {.content = std::move(record), .caller = incoming.call});
+  const bool relays = ctx.state.leadership.leader_store_slow &&
+                      incoming.relayed_by.empty() && IsLeaderReachable(ctx);
+  if (relays)
+    Relay(ctx, incoming.call, *ctx.state.calls.Find(incoming.call));
 }
 
 void Submit(const context& ctx,
@@ -225,22 +268,6 @@
     ReadOrCancel(ctx, incoming, *owner, job);
 }
 
-// Removes the call's record if it was never sent to the store; true when it was
-// removed.
-bool Withdraw(const context& ctx, call_number call) {
-  std::deque<queued_record>& waiting = ctx.state.submissions.waiting;
-  std::deque<queued_record> kept;
-  bool found = false;
-  for (queued_record& each : waiting) {
-    if (each.caller == call)
-      found = true;
-    else
-      kept.push_back(std::move(each));
-  }
-  waiting = std::move(kept);
-  return found;
-}
-
 bool IsInBatch(const context& ctx, call_number call) {
   return std::ranges::any_of(
       ctx.state.submissions.batch,
@@ -253,27 +280,6 @@
       [&](const queued_record& each) { return each.caller == call; });
 }
 
-bool IsLeaderReachable(const context& ctx) {
-  const leadership_state& leadership = ctx.state.leadership;
-  return leadership.current_role != role::kLeader &&
-         !leadership.leader_address.empty() &&
-         leadership.leader_reaches_store &&
-         ctx.now() - leadership.leader_heard_at < ctx.limits().leader_silent;
-}
-
-void Relay(const context& ctx, call_number number, open_call call) {
-  if (Withdraw(ctx, number))
-    call.maybe_stored = false;
-  SendToPeer(ctx, ctx.state.leadership.leader_address,
-             work::call_relayed{.call = number,
-                                .address = ctx.env.peer_address,
-                                .content = call.content});
-  ctx.Log("relayed", call.content.path,
-          {Field("to", ctx.state.leadership.leader_address)});
-  call.stage = call_stage::kRelayed;
-  ctx.state.calls.Put(number, std::move(call));
-}
-
 // The answer to a call that expires, either at its deadline or because the
 // store is unreachable.
 work::client_answer ExpiredAnswer(const context& ctx, const open_call& call) {
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -17,6 +17,10 @@
 // Consecutive unanswered orders after which a worker counts as unreachable.
 constexpr std::uint32_t kUnansweredOrdersUntilSilent = 2;
 
+// How long ago the clock in a worker's answer was read at most: the answer may
+// have waited to be sent, and to be processed here.
+constexpr duration kOldestClock{3000};
+
 // How often a silent worker without tasks is asked whether it is back.
 constexpr duration kIdleProbeInterval{1000};
 
@@ -328,9 +332,7 @@
                         const std::optional<duration>& clock) {
   const worker_state* row = ctx.state.leader.workers.Find(worker);
   const bool known = clock && row != nullptr && row->clock;
-  // The clock was read at most one time-out before the answer arrived.
-  if (!known ||
-      *clock + ctx.limits().order_timeout >= ClockLowerBound(ctx, *row))
+  if (!known || *clock + kOldestClock >= ClockLowerBound(ctx, *row))
     return;
   ctx.state.leader.workers.Put(
       worker, RestartedWorker(ctx, worker, *row, row->listed().life));
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -54,7 +54,8 @@
                    .number = leadership.heartbeat,
                    .catalog_version = CatalogVersion(ctx),
                    .store_reached = !IsStoreFailing(ctx, duration(0)),
-                   .resigning = ctx.state.shutdown.requested});
+                   .resigning = ctx.state.shutdown.requested,
+                   .store_slow = AreAppendsSlow(ctx)});
   }
 }
 
@@ -273,6 +274,7 @@
     else if (!leadership.resigning_since)
       leadership.resigning_since = ctx.now();
     leadership.leader_reaches_store = message.store_reached;
+    leadership.leader_store_slow = message.store_slow;
     if (message.store_reached)
       leadership.leader_reached_store_at = ctx.now();
   }
--- a/source/dispatch/outbox.cc
+++ b/source/dispatch/outbox.cc
@@ -1,6 +1,7 @@
 // Group commit of this entry's records and of the leader's job progress.
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "dispatch/parts.h"
@@ -71,6 +72,7 @@
                   work::append_outcome outcome,
                   duration pause) {
   box.in_flight.reset();
+  box.last_append_time = ctx.now() - box.sent_at;
   switch (outcome) {
     case work::append_outcome::kStored:
       ctx.Emit(work::observe_latency{.name = "store_append",
@@ -199,6 +201,17 @@
   Flush(ctx, ctx.state.leader.progress);
 }
 
+bool AreAppendsSlow(const context& ctx) {
+  return std::ranges::any_of(
+      std::array{&ctx.state.submissions, &ctx.state.leader.progress},
+      [&](const outbox* each) {
+        const duration so_far =
+            each->in_flight ? ctx.now() - each->sent_at : duration(0);
+        return std::max(so_far, each->last_append_time) >
+               ctx.limits().slow_append;
+      });
+}
+
 void OnAppendAnswered(const context& ctx, const work::append_answered& event) {
   const bool answered = event.outcome != work::append_outcome::kRefused &&
                         event.outcome != work::append_outcome::kUnknown;
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -32,6 +32,8 @@
 
 // outbox.cc: group commit of records.
 void FlushOutboxes(const context& ctx);
+// True when this entry's latest append, or the one in flight, takes long.
+bool AreAppendsSlow(const context& ctx);
 void OnAppendAnswered(const context& ctx, const work::append_answered& event);
 
 // clients.cc: client calls.
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -69,6 +69,8 @@
   timestamp next_at;
   // An earlier append of this batch timed out and may have stored it.
   bool maybe_stored = false;
+  // How long the latest append took that was answered or timed out.
+  duration last_append_time{0};
 
   bool operator==(const outbox&) const = default;
 };
@@ -108,6 +110,8 @@
   timestamp leader_reached_store_at;
   // Whether the leader could reach the store, according to its last heartbeat.
   bool leader_reaches_store = false;
+  // Whether appends to the store take long, according to the same.
+  bool leader_store_slow = false;
   std::optional<timestamp> resigning_since;
 
   // A candidate's claim to leadership: an append that is repeated unchanged
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -91,7 +91,8 @@
                       number,
                       catalog_version,
                       store_reached,
-                      resigning)
+                      resigning,
+                      store_slow)
 PARSLEYHITCH_DESCRIBE(heartbeat_reply, epoch, address, number, catalog_version)
 PARSLEYHITCH_DESCRIBE(catalog_wanted, address, held_version)
 PARSLEYHITCH_DESCRIBE(catalog_offered, version, content)
--- a/source/work/peer_message.h
+++ b/source/work/peer_message.h
@@ -23,6 +23,9 @@
   const bool store_reached = false;
   // The leader asks the members to elect another leader.
   const bool resigning = false;
+  // Appends take long. The store carries them out one at a time, so members
+  // relay their calls to the leader, which stores many with one append.
+  const bool store_slow = false;
   bool operator==(const leader_heartbeat&) const = default;
 };
 
--- a/tests/dispatch/takeover_test.cc
+++ b/tests/dispatch/takeover_test.cc
@@ -271,3 +271,22 @@
             std::string::npos);
   cr_assert(fixture.LinesOf("source=peer").empty());
 }
+
+Test(store,
+     slow_while_many_entries_accept_jobs_stores_them_through_the_leader) {
+  constexpr std::uint32_t kEntries = 20;
+  simulation_fixture fixture({.entries = kEntries});
+  fixture.simulation.store().append_time = work::duration(400);
+  fixture.simulation.Submit(fixture.Leader(), kJob, {Step(1, 1)});
+  fixture.simulation.RunFor(work::duration(2000));
+  std::vector<std::uint64_t> calls;
+  for (std::uint32_t entry = 0; entry < kEntries; ++entry) {
+    const std::string job = "00000000000002" + std::to_string(10 + entry);
+    calls.push_back(fixture.simulation.Submit(entry, job, {Step(1, 1)}));
+  }
+  fixture.simulation.RunFor(work::duration(3000));
+  for (const std::uint64_t call : calls) {
+    cr_assert(
+        fixture.simulation.IsAnswered(call, work::answer_kind::kAccepted));
+  }
+}
--- a/tests/support/simulated_store.h
+++ b/tests/support/simulated_store.h
@@ -37,6 +37,10 @@
   // fail as trimmed, and only the newest item of each key can be read.
   void Compact();
 
+  // The store carries out appends one at a time, each in this time.
+  work::duration append_time{0};
+  // When the last append that was received will have been carried out.
+  work::duration busy_until{0};
   // The most items that one read returns.
   std::size_t max_page_items = 1000000;
 
