Never acknowledge the end of work that was started again; know earlier starts

- A worker was silent, its leases were over, its tasks were started elsewhere; then it was reached and listed the first run's success, which was acknowledged.
Such an end is withheld now, and the later run decides.
- A new leader placed units after 1.4 s although a worker was out of reach on which the old one may have started them without a record yet.
Older units now wait until every worker was reached or its leases are over; in return, jobs accepted since the election are placed before all workers are reached, which a test shows (it fails without the change).

--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -111,7 +111,9 @@
     // An earlier leader may have started it on a worker that has not been
     // reached yet.
     const bool started_here = each.attempt >= FirstAttemptOfEpoch(ctx);
-    if (leader.earlier_tasks_unknown && !started_here &&
+    const bool may_run_elsewhere =
+        !leader.reconciled || leader.earlier_tasks_unknown;
+    if (may_run_elsewhere && !started_here &&
         job.accepted < leader.election_offset)
       continue;
     const rank importance = ranked.at(id.job);
--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -181,6 +181,42 @@
   ctx.state.leader.units.Put(id, std::move(next));
 }
 
+// True for the successful end of a task that was given up as lost and has been
+// started again. Acknowledging it would make the second start a repetition of
+// completed work; unacknowledged, it counts as lapsed.
+bool MustWithhold(const context& ctx,
+                  const work::worker_id& worker,
+                  const work::ended_task& end) {
+  if (end.how != work::run_end_kind::kDone)
+    return false;
+  const worker_state& row = *ctx.state.leader.workers.Find(worker);
+  const bool abandoned =
+      row.abandoned_tasks.contains({end.task, end.attempt}) ||
+      (row.reached_late && end.attempt < FirstAttemptOfEpoch(ctx));
+  const active_job* job = ctx.state.leader.jobs.Find(end.task.job);
+  if (job == nullptr)
+    return abandoned;
+  if (end.task.step >= ContentOf(*job).request.steps.size())
+    return false;
+  const work::unit_id id = UnitOf(*job, end.task);
+  if (StepOf(*job, id).duplicates_allowed || StepOf(*job, id).endless)
+    return false;
+  const unit* each = ctx.state.leader.units.Find(id);
+  return each == nullptr ? abandoned : end.attempt < each->attempt;
+}
+
+void Withhold(const context& ctx,
+              const work::worker_id& worker,
+              const work::ended_task& end) {
+  worker_state row = *ctx.state.leader.workers.Find(worker);
+  row.withheld_end =
+      std::min(row.withheld_end.value_or(end.number), end.number);
+  ctx.state.leader.workers.Put(worker, std::move(row));
+  ctx.Warn("end_withheld", NameOf(end.task),
+           {Field("worker", worker.value()), Field("attempt", end.attempt),
+            Field("number", end.number)});
+}
+
 }  // namespace
 
 void OnTaskRunning(const context& ctx,
@@ -232,6 +268,10 @@
           {Field("how", NameOf(end.how)), Field("worker", worker.value()),
            Field("attempt", end.attempt), Field("number", end.number),
            Field("job", known ? "open" : "closed")});
+  if (MustWithhold(ctx, worker, end)) {
+    Withhold(ctx, worker, end);
+    return;
+  }
   if (!known)
     return;
   const work::unit_id id = UnitOf(*job, end.task);
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -9,6 +9,7 @@
 #include "dispatch/backoff.h"
 #include "dispatch/loads.h"
 #include "dispatch/parts.h"
+#include "dispatch/steps.h"
 
 namespace parsleyhitch::dispatch {
 
@@ -17,6 +18,10 @@
 // Consecutive unanswered orders after which a worker counts as unreachable.
 constexpr std::uint32_t kUnansweredOrdersUntilSilent = 2;
 
+// A worker lists a limited number of ends; beyond this many, withheld ends are
+// acknowledged so that it can list new ones.
+constexpr std::uint64_t kMaxWithheldEnds = 300;
+
 // How long ago the clock in a worker's answer was read at most: the answer may
 // have waited to be sent, and to be processed here.
 constexpr duration kOldestClock{3000};
@@ -50,6 +55,27 @@
                                     row.lease_until + ctx.limits().lapse_margin;
 }
 
+// Records the tasks on the worker as given up: they may have ended successfully
+// without the leader knowing.
+void NoteAbandonedTasks(const context& ctx, const work::worker_id& worker) {
+  worker_state row = *ctx.state.leader.workers.Find(worker);
+  for (const auto& [unit_id, index] : LoadOf(ctx, worker).tasks) {
+    const unit* each = ctx.state.leader.units.Find(unit_id);
+    if (each != nullptr)
+      row.abandoned_tasks.insert({TaskOf(unit_id, index), each->attempt});
+  }
+  ctx.state.leader.workers.Put(worker, std::move(row));
+}
+
+// The last end that may be acknowledged to the worker.
+std::uint64_t AcknowledgeableEnd(const worker_state& row) {
+  const bool withholds =
+      row.withheld_end &&
+      row.last_processed_end - *row.withheld_end < kMaxWithheldEnds;
+  return withholds ? std::min(row.last_durable_end, *row.withheld_end - 1)
+                   : row.last_durable_end;
+}
+
 void EndLostTasks(const context& ctx,
                   const work::worker_id& worker,
                   std::string_view why) {
@@ -58,6 +84,7 @@
     ctx.Warn("tasks_lost", worker.value(),
              {Field("count", tasks.size()), Field("why", std::string(why))});
   }
+  NoteAbandonedTasks(ctx, worker);
   for (const auto& [unit, index] : tasks)
     EndMember(ctx, unit, index, gang_effect::kKeepsOthers);
   for (const orphan_key& each : OrphanTasksOn(ctx, worker))
@@ -153,6 +180,8 @@
   const timestamp requested_at = row.hold_sent_at;
   const bool was_schedulable = IsSchedulable(row);
   RecordAnswer(ctx, row, event.worker_clock);
+  row.reached_late =
+      row.reached_late || (!row.fenced && ctx.state.leader.reconciled);
   row.fenced = true;
   row.last_acknowledged_end =
       std::max(row.last_acknowledged_end, row.hold_acknowledged_end);
@@ -280,6 +309,9 @@
   if (unreached > 0 && !waited)
     return;
   leader.reconciled = true;
+  // The earlier leader's latest starts may have no record yet.
+  leader.earlier_tasks_unknown =
+      leader.earlier_tasks_unknown || (unreached > 0 && leader.epoch > 1);
   leader.plan_due = true;
   ctx.Log(
       "workers_reconciled", ctx.env.self.value(),
@@ -357,8 +389,9 @@
       !HasAuthority(ctx))
     return;
   const bool busy = IsBusy(ctx, worker);
+  const std::uint64_t acknowledged = AcknowledgeableEnd(*known);
   const bool has_unacknowledged_end =
-      known->last_durable_end > known->last_acknowledged_end;
+      acknowledged > known->last_acknowledged_end;
   const bool silent = known->unanswered_orders > 0;
   if (known->fenced && !busy && !has_unacknowledged_end && !silent)
     return;
@@ -374,14 +407,14 @@
   }
   row.hold = ctx.NewCall();
   row.hold_sent_at = ctx.now();
-  row.hold_acknowledged_end = row.last_durable_end;
+  row.hold_acknowledged_end = acknowledged;
   ctx.Emit(work::hold_worker{.call = *row.hold,
                              .target = {.worker = worker,
                                         .address = row.listed().address,
                                         .token = ctx.state.leader.epoch,
                                         .valid_until = AuthorityExpiresAt(ctx)},
                              .lease_until = lease_until,
-                             .acknowledged = row.last_durable_end,
+                             .acknowledged = acknowledged,
                              .wait = wait,
                              .timeout = wait + ctx.limits().order_timeout});
   ctx.state.leader.workers.Put(worker, std::move(row));
--- a/source/dispatch/planning.cc
+++ b/source/dispatch/planning.cc
@@ -116,7 +116,7 @@
 void PlanIfDue(const context& ctx) {
   leader_state& leader = ctx.state.leader;
   const bool due = ctx.state.leadership.current_role == role::kLeader &&
-                   leader.plan_due && leader.reconciled &&
+                   leader.plan_due && leader.restored &&
                    ctx.now() >= leader.next_plan_at && HasAuthority(ctx);
   if (!due)
     return;
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -175,6 +175,14 @@
   std::uint64_t last_processed_end = 0;
   std::uint64_t last_durable_end = 0;
   std::uint64_t last_acknowledged_end = 0;
+  // The first end that must not be acknowledged: the task was successful, but
+  // had been given up as its lease had expired, and was started again.
+  std::optional<std::uint64_t> withheld_end;
+  // First reached when units were already being placed: tasks that an earlier
+  // leader had started here may have been started again.
+  bool reached_late = false;
+  // Tasks on this worker that were given up, with their attempts.
+  std::set<std::pair<work::task_id, std::uint64_t>> abandoned_tasks;
 
   // Consecutive failures, without a successful task in between. Repeated
   // failures of the same job count once.
@@ -302,11 +310,11 @@
   std::uint64_t election_offset = 0;
   // Jobs were loaded from the records.
   bool restored = false;
-  // Every listed worker was contacted, or the time for it is over. Units are
-  // placed only from then on.
+  // Every listed worker was contacted, or the time for it is over. Until then
+  // only units that no earlier leader can have started are placed.
   bool reconciled = false;
-  // The previous leader may have started tasks that no record names, on workers
-  // that have not been reached yet.
+  // The same holds on: the earlier leader may have started tasks that no record
+  // names, on workers that have not been reached yet.
   bool earlier_tasks_unknown = false;
   model::value_table<work::job_id, active_job> jobs;
   model::value_table<work::unit_id, unit> units;
--- a/tests/dispatch/takeover_test.cc
+++ b/tests/dispatch/takeover_test.cc
@@ -290,3 +290,33 @@
         fixture.simulation.IsAnswered(call, work::answer_kind::kAccepted));
   }
 }
+
+Test(successor, places_new_jobs_while_a_worker_is_still_out_of_reach) {
+  simulation_fixture fixture;
+  fixture.simulation.worker(0).cut = true;
+  const std::uint32_t first = fixture.Leader();
+  fixture.simulation.Kill(first);
+  cr_assert(fixture.simulation.RunUntil(
+      [&] {
+        const auto leader = fixture.simulation.Leader();
+        return leader && *leader != first;
+      },
+      work::duration(4000)));
+  fixture.simulation.Submit(fixture.Leader(), kJob, {Step(2, 8)}, "urgent");
+  cr_assert(fixture.simulation.RunUntil([&] { return fixture.IsRunning(kJob); },
+                                        work::duration(400)));
+}
+
+Test(successor, starts_no_older_unit_while_a_worker_may_run_it_without_record) {
+  simulation_fixture fixture({.task_duration = work::duration(3000)});
+  const std::uint32_t first = fixture.Leader();
+  // The store takes the job, but none of the leader's records of its start.
+  fixture.simulation.Submit(fixture.Follower(), kJob, {Step(1, 8)});
+  cr_assert(fixture.simulation.RunUntil([&] { return fixture.IsRunning(kJob); },
+                                        work::duration(1000)));
+  fixture.simulation.Kill(first);
+  fixture.WorkerOf(kJob).cut = true;
+  fixture.simulation.RunFor(work::duration(20000));
+  cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+}
