--- a/source/platform/client_codec.cc
+++ b/source/platform/client_codec.cc
@@ -23,6 +23,8 @@
 constexpr std::uint64_t kMaxTasks = 10000;
 constexpr std::uint64_t kMaxSteps = 200;
 constexpr std::uint64_t kMaxOccurrences = 10000;
+// Of all steps and occurrences together. A leader holds them all in memory.
+constexpr std::uint64_t kMaxJobTasks = 100000;
 
 constexpr char kJson[] = "application/json";
 
@@ -91,6 +93,14 @@
           .occurrences = static_cast<std::uint32_t>(occurrences)};
 }
 
+std::uint64_t CountTasks(const std::vector<work::step_spec>& steps,
+                         const work::schedule& when) {
+  std::uint64_t tasks = 0;
+  for (const work::step_spec& each : steps)
+    tasks += each.tasks;
+  return tasks * std::max<std::uint64_t>(when.occurrences, 1);
+}
+
 work::job_request DecodeRequest(const nlohmann::json& source,
                                 model::findings& findings) {
   const json_fields job(source, "", findings);
@@ -106,9 +116,10 @@
               });
   if (steps.empty() || steps.size() > kMaxSteps)
     job.AddFinding("phases", "must have 1 to 200 steps");
-  return {.spec = std::move(spec),
-          .steps = std::move(steps),
-          .when = DecodeSchedule(job)};
+  const work::schedule when = DecodeSchedule(job);
+  if (CountTasks(steps, when) > kMaxJobTasks)
+    job.AddFinding("phases", "must have at most 100000 tasks in all");
+  return {.spec = std::move(spec), .steps = std::move(steps), .when = when};
 }
 
 std::string StripPort(const std::string& host) {
--- a/source/runtime/http_client.cc
+++ b/source/runtime/http_client.cc
@@ -57,7 +57,7 @@
 
 namespace {
 
-constexpr long kMaxIdleConnections = 512;
+constexpr long kMaxIdleConnections = 2000;
 
 std::size_t WriteBody(char* data,
                       std::size_t size,
--- a/tests/platform/client_codec_test.cc
+++ b/tests/platform/client_codec_test.cc
@@ -32,6 +32,12 @@
 
 }  // namespace
 
+Test(submission, of_more_tasks_than_a_leader_can_hold_is_refused) {
+  const auto found = call_fixture::FindingPlaces(
+      R"({"spec":"x","phases":[{"count":10000}],"repeatCount":10000})");
+  cr_assert(found == places{"/phases"});
+}
+
 Test(submission, well_formed_is_decoded_into_steps) {
   const work::client_call call = call_fixture::Submit(
       R"({"spec":"x","phases":[{"count":4,"cpu":500,"memMb":256,"gpu":2,
