--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -160,6 +160,8 @@
   }
   worker_state row = *ctx.state.leader.workers.Find(worker);
   row.last_processed_end = last_processed_end;
+  // Whatever of them has ended is in this listing.
+  row.abandoned_tasks.clear();
   ctx.state.leader.workers.Put(worker, std::move(row));
   for (const work::running_task& task : listing.running)
     OnTaskRunning(ctx, worker, task);
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -22,6 +22,10 @@
 
 constexpr duration kCatalogRequestInterval{1000};
 
+// The last part of the authority, as a fraction of it, within which its other
+// proof is looked at too.
+constexpr std::int64_t kAuthorityReserve = 4;
+
 std::uint64_t CatalogVersion(const context& ctx) {
   const work::published_catalog* current = ctx.state.in_force.Get();
   return current == nullptr ? 0 : current->content.version;
@@ -326,11 +330,16 @@
   const state& s = ctx.state;
   if (s.leadership.current_role != role::kLeader)
     return {};
-  const timestamp confirmed = std::max(
-      {s.records.confirmed_at, s.leader.elected_at, MajorityConfirmedAt(ctx)});
-  return confirmed < s.leadership.last_stall_at
-             ? timestamp()
-             : confirmed + ctx.limits().authority;
+  const duration authority = ctx.limits().authority;
+  timestamp confirmed = std::max(s.records.confirmed_at, s.leader.elected_at);
+  // The members' replies are counted only when they are needed: this is asked
+  // for each order.
+  const bool recent =
+      ctx.now() - confirmed < authority - authority / kAuthorityReserve;
+  if (!recent || confirmed < s.leadership.last_stall_at)
+    confirmed = std::max(confirmed, MajorityConfirmedAt(ctx));
+  return confirmed < s.leadership.last_stall_at ? timestamp()
+                                                : confirmed + authority;
 }
 
 bool HasAuthority(const context& ctx) {
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -130,7 +130,7 @@
                          std::string_view why);
 
 // evacuation.cc: moving units off workers that are about to leave.
-// Records when the worker leaves, according to its registry entry.
+// Updates when the worker leaves from its registry entry.
 void NoteDeparture(const context& ctx, worker_state& row);
 void EvacuateLeavingWorkers(const context& ctx);
 
