Report status and bytes of calls to the store, counted by kind and outcome

On the large site the leader's reads of the records failed hundreds of times. `store_lost` named neither the call nor its status, and failures while the store already counted as lost left no trace at all, so that an overloaded store, a refused connection, a read broken off halfway and a damaged page looked the same.

The events of store calls carry the HTTP exchange: status, whether the request was sent, and the bytes written and read, for a broken-off response too. Each call is counted under its kind (read, newest, confirm of a feed; append of submissions, progress or a claim) and its outcome. `store_lost` names call, outcome, status and bytes; `store_recovered` the call that succeeded. Which outcomes count as an outage is unchanged.

The new tests don't compile on the earlier code, whose events lack the exchange.

--- a/source/dispatch/context.h
+++ b/source/dispatch/context.h
@@ -54,8 +54,8 @@
                          .fields = std::move(fields)});
   }
 
-  void Count(std::string name) const {
-    Emit(work::count_metric{.name = std::move(name)});
+  void Count(std::string name, std::uint64_t increment = 1) const {
+    Emit(work::count_metric{.name = std::move(name), .increment = increment});
   }
 };
 
--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/feeds.cc
@@ -10,8 +10,6 @@
 
 namespace parsleyhitch::dispatch {
 
-namespace {
-
 feed_state& StateOf(const context& ctx, work::feed source) {
   switch (source) {
     case work::feed::kRecords:
@@ -24,6 +22,8 @@
   return ctx.state.workers;
 }
 
+namespace {
+
 void Apply(const context& ctx,
            const work::feed_item& item,
            const work::record& record) {
@@ -139,7 +139,7 @@
 }
 
 void OnFeedRead(const context& ctx, const work::feed_read& event) {
-  RecordStoreResult(ctx, true);
+  RecordStoreCall(ctx, event);
   feed_state& feed = StateOf(ctx, event.source);
   const auto confirming_read = ctx.state.confirming_reads.find(event.call);
   if (confirming_read != ctx.state.confirming_reads.end()) {
@@ -163,7 +163,7 @@
 }
 
 void OnNewestRead(const context& ctx, const work::newest_read& event) {
-  RecordStoreResult(ctx, true);
+  RecordStoreCall(ctx, event);
   feed_state& feed = StateOf(ctx, event.source);
   if (!TakeReadInFlight(feed, event.call))
     return;
@@ -190,7 +190,7 @@
 
 void OnFeedUnread(const context& ctx, const work::feed_unread& event) {
   const bool trimmed = event.why == work::read_failure::kTrimmed;
-  RecordStoreResult(ctx, trimmed);
+  RecordStoreCall(ctx, event);
   ctx.state.confirming_reads.erase(event.call);
   feed_state& feed = StateOf(ctx, event.source);
   if (!TakeReadInFlight(feed, event.call))
@@ -233,23 +233,4 @@
                            .timeout = ctx.limits().append_timeout});
 }
 
-void RecordStoreResult(const context& ctx, bool answered) {
-  std::optional<timestamp>& since = ctx.state.store_failing_since;
-  if (answered && since) {
-    ctx.Log("store_recovered", "store",
-            {Field("lost_for", ctx.now() - *since)});
-    since.reset();
-    ctx.state.store_recovered_at = ctx.now();
-  }
-  if (!answered && !since) {
-    ctx.Warn("store_lost", "store");
-    since = ctx.now();
-  }
-}
-
-bool IsStoreFailing(const context& ctx, duration at_least) {
-  const std::optional<timestamp>& since = ctx.state.store_failing_since;
-  return since && ctx.now() - *since >= at_least;
-}
-
 }  // namespace parsleyhitch::dispatch
--- a/source/dispatch/outbox.cc
+++ b/source/dispatch/outbox.cc
@@ -213,9 +213,7 @@
 }
 
 void OnAppendAnswered(const context& ctx, const work::append_answered& event) {
-  const bool answered = event.outcome != work::append_outcome::kRefused &&
-                        event.outcome != work::append_outcome::kUnknown;
-  RecordStoreResult(ctx, answered);
+  RecordStoreCall(ctx, event);
   if (ctx.state.submissions.in_flight == event.call)
     OnSubmissionsAnswered(ctx, event);
   else if (ctx.state.leader.progress.in_flight == event.call)
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -13,6 +13,7 @@
 namespace parsleyhitch::dispatch {
 
 // feeds.cc: reading the streams of the store.
+feed_state& StateOf(const context& ctx, work::feed source);
 void PollFeeds(const context& ctx);
 void OnFeedRead(const context& ctx, const work::feed_read& event);
 void OnNewestRead(const context& ctx, const work::newest_read& event);
@@ -25,8 +26,13 @@
 void RestoreIfCaughtUp(const context& ctx);
 // Starts another read of the newest records, concurrent with the one in flight.
 void StartConfirmingRead(const context& ctx);
-// Tracks whether the store is reachable, from the outcome of a call to it.
-void RecordStoreResult(const context& ctx, bool answered);
+
+// store_health.cc: whether the store is reachable, from the outcomes of the
+// calls to it. Each outcome is recorded before the call's state changes.
+void RecordStoreCall(const context& ctx, const work::feed_read& event);
+void RecordStoreCall(const context& ctx, const work::newest_read& event);
+void RecordStoreCall(const context& ctx, const work::feed_unread& event);
+void RecordStoreCall(const context& ctx, const work::append_answered& event);
 // True when every call to the store has failed for `at_least`.
 bool IsStoreFailing(const context& ctx, duration at_least);
 
--- /dev/null
+++ b/source/dispatch/store_health.cc
@@ -0,0 +1,127 @@
+// Counts the calls to the store by kind and outcome, and reports its outages.
+
+#include <string>
+
+#include "dispatch/names.h"
+#include "dispatch/parts.h"
+
+namespace parsleyhitch::dispatch {
+
+namespace {
+
+constexpr std::uint32_t kOk = 200;
+
+// One call to the store, as named in log lines and metrics.
+struct store_call {
+  const std::string name;
+  const std::string outcome;
+  const bool answered = false;
+  const work::store_exchange exchange{};
+};
+
+std::string FailureOf(const work::store_exchange& exchange) {
+  if (!exchange.sent)
+    return "no_connection";
+  if (exchange.status == 0)
+    return "no_answer";
+  return exchange.status == kOk ? "unreadable"
+                                : "status_" + std::to_string(exchange.status);
+}
+
+std::string OutcomeOf(const work::append_answered& event) {
+  switch (event.outcome) {
+    case work::append_outcome::kStored:
+      return "stored";
+    case work::append_outcome::kFenced:
+      return "fenced";
+    case work::append_outcome::kOutOfSequence:
+      return "out_of_sequence";
+    case work::append_outcome::kRefused:
+    case work::append_outcome::kUnknown:
+      break;
+  }
+  return FailureOf(event.exchange);
+}
+
+std::string ReadName(const context& ctx, work::feed source, call_number call) {
+  if (ctx.state.confirming_reads.contains(call))
+    return "confirm_" + NameOf(source);
+  const bool snapshot = !StateOf(ctx, source).snapshot_complete;
+  return (snapshot ? "newest_" : "read_") + NameOf(source);
+}
+
+std::string AppendName(const context& ctx, call_number call) {
+  if (ctx.state.submissions.in_flight == call)
+    return "append_submissions";
+  if (ctx.state.leader.progress.in_flight == call)
+    return "append_progress";
+  // The progress append of a leader that has stepped down counts as late.
+  return ctx.state.leadership.claim == call ? "append_claim" : "append_late";
+}
+
+void CountCall(const context& ctx, const store_call& call) {
+  const std::string metric = "store_" + call.name + "_";
+  ctx.Count(metric + call.outcome);
+  if (call.exchange.bytes_read > 0)
+    ctx.Count(metric + "bytes_read", call.exchange.bytes_read);
+  if (call.exchange.bytes_written > 0)
+    ctx.Count(metric + "bytes_written", call.exchange.bytes_written);
+}
+
+void Record(const context& ctx, const store_call& call) {
+  CountCall(ctx, call);
+  std::optional<timestamp>& since = ctx.state.store_failing_since;
+  if (call.answered && since) {
+    ctx.Log("store_recovered", "store",
+            {Field("lost_for", ctx.now() - *since), Field("call", call.name)});
+    since.reset();
+    ctx.state.store_recovered_at = ctx.now();
+  }
+  if (!call.answered && !since) {
+    ctx.Warn("store_lost", "store",
+             {Field("call", call.name), Field("outcome", call.outcome),
+              Field("status", call.exchange.status),
+              Field("bytes_read", call.exchange.bytes_read)});
+    since = ctx.now();
+  }
+}
+
+}  // namespace
+
+void RecordStoreCall(const context& ctx, const work::feed_read& event) {
+  Record(ctx, {.name = ReadName(ctx, event.source, event.call),
+               .outcome = "done",
+               .answered = true,
+               .exchange = event.exchange});
+}
+
+void RecordStoreCall(const context& ctx, const work::newest_read& event) {
+  Record(ctx, {.name = ReadName(ctx, event.source, event.call),
+               .outcome = "done",
+               .answered = true,
+               .exchange = event.exchange});
+}
+
+void RecordStoreCall(const context& ctx, const work::feed_unread& event) {
+  const bool trimmed = event.why == work::read_failure::kTrimmed;
+  Record(ctx, {.name = ReadName(ctx, event.source, event.call),
+               .outcome = trimmed ? "trimmed" : FailureOf(event.exchange),
+               .answered = trimmed,
+               .exchange = event.exchange});
+}
+
+void RecordStoreCall(const context& ctx, const work::append_answered& event) {
+  const bool answered = event.outcome != work::append_outcome::kRefused &&
+                        event.outcome != work::append_outcome::kUnknown;
+  Record(ctx, {.name = AppendName(ctx, event.call),
+               .outcome = OutcomeOf(event),
+               .answered = answered,
+               .exchange = event.exchange});
+}
+
+bool IsStoreFailing(const context& ctx, duration at_least) {
+  const std::optional<timestamp>& since = ctx.state.store_failing_since;
+  return since && ctx.now() - *since >= at_least;
+}
+
+}  // namespace parsleyhitch::dispatch
--- a/source/platform/store_calls.cc
+++ b/source/platform/store_calls.cc
@@ -77,6 +77,22 @@
   return std::get_if<wire::http_response>(&outcome);
 }
 
+work::store_exchange ExchangeOf(const wire::http_response& response) {
+  return {.status = response.status,
+          .bytes_written = response.bytes_written,
+          .bytes_read = response.body.size()};
+}
+
+work::store_exchange ExchangeOf(const wire::http_outcome& outcome) {
+  const wire::http_response* response = ResponseOf(outcome);
+  if (response != nullptr)
+    return ExchangeOf(*response);
+  const auto& failure = std::get<wire::http_failure>(outcome);
+  return {.sent = failure.sent,
+          .bytes_written = failure.bytes_written,
+          .bytes_read = failure.bytes_read};
+}
+
 // The decoded value of a record. Empty if the record is a tombstone, has a key
 // that is not used here, or cannot be decoded; only the latter adds to
 // `findings`.
@@ -155,15 +171,15 @@
 
 work::feed_unread DecodeReadFailure(work::call_number call,
                                     work::feed source,
-                                    const wire::http_outcome& outcome,
+                                    const work::store_exchange& exchange,
                                     work::timestamp at) {
-  const wire::http_response* response = ResponseOf(outcome);
-  const bool trimmed = response != nullptr && response->status == kTrimmed;
+  const bool trimmed = exchange.status == kTrimmed;
   return {.at = at,
           .call = call,
           .source = source,
           .why = trimmed ? work::read_failure::kTrimmed
-                         : work::read_failure::kUnavailable};
+                         : work::read_failure::kUnavailable,
+          .exchange = exchange};
 }
 
 decoded_event DecodePage(const work::read_feed& effect,
@@ -180,13 +196,13 @@
                                      .source = effect.source,
                                      .next = effect.from + page.records.size(),
                                      .items = std::move(items),
-                                     .end = page.end},
+                                     .end = page.end,
+                                     .exchange = ExchangeOf(response)},
             .findings = std::move(findings)};
       },
       [&](const model::findings& findings) -> decoded_event {
-        return {.event =
-                    work::feed_unread{
-                        .at = at, .call = effect.call, .source = effect.source},
+        return {.event = DecodeReadFailure(effect.call, effect.source,
+                                           ExchangeOf(response), at),
                 .findings = findings};
       });
 }
@@ -208,13 +224,13 @@
                                            .end = page.end,
                                            .items = std::move(items),
                                            .next_page_after =
-                                               std::move(next_page_after)},
+                                               std::move(next_page_after),
+                                           .exchange = ExchangeOf(response)},
                 .findings = std::move(findings)};
       },
       [&](const model::findings& findings) -> decoded_event {
-        return {.event =
-                    work::feed_unread{
-                        .at = at, .call = effect.call, .source = effect.source},
+        return {.event = DecodeReadFailure(effect.call, effect.source,
+                                           ExchangeOf(response), at),
                 .findings = findings};
       });
 }
@@ -281,7 +297,8 @@
   return {.event = work::append_answered{.at = at,
                                          .call = effect.call,
                                          .outcome = append_result,
-                                         .end = end},
+                                         .end = end,
+                                         .exchange = ExchangeOf(outcome)},
           .findings = std::move(store_error)};
 }
 
@@ -291,7 +308,8 @@
   const wire::http_response* response = ResponseOf(outcome);
   if (response != nullptr && response->status == kOk)
     return DecodePage(effect, *response, at);
-  return {.event = DecodeReadFailure(effect.call, effect.source, outcome, at)};
+  return {.event = DecodeReadFailure(effect.call, effect.source,
+                                     ExchangeOf(outcome), at)};
 }
 
 decoded_event DecodeOutcome(const work::read_newest& effect,
@@ -302,10 +320,13 @@
     return DecodeNewest(effect, *response, at);
   // The store answers 404 for a topic that has never been written to.
   if (response != nullptr && response->status == kNotFound) {
-    return {.event = work::newest_read{
-                .at = at, .call = effect.call, .source = effect.source}};
+    return {.event = work::newest_read{.at = at,
+                                       .call = effect.call,
+                                       .source = effect.source,
+                                       .exchange = ExchangeOf(outcome)}};
   }
-  return {.event = DecodeReadFailure(effect.call, effect.source, outcome, at)};
+  return {.event = DecodeReadFailure(effect.call, effect.source,
+                                     ExchangeOf(outcome), at)};
 }
 
 }  // namespace parsleyhitch::platform
--- a/source/runtime/http_client.cc
+++ b/source/runtime/http_client.cc
@@ -111,12 +111,19 @@
   curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
   long status = 0;
   curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_off_t uploaded = 0;
+  curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
   const auto status_code = static_cast<std::uint32_t>(status);
-  if (code != CURLE_OK || !HasKnownLength(each, status_code))
-    return http_failure{.sent = sent > 0};
+  const auto bytes_written = static_cast<std::uint64_t>(uploaded);
+  if (code != CURLE_OK || !HasKnownLength(each, status_code)) {
+    return http_failure{.sent = sent > 0,
+                        .bytes_written = bytes_written,
+                        .bytes_read = each.response_body.size()};
+  }
   return http_response{.status = status_code,
                        .headers = std::move(each.response_headers),
-                       .body = std::move(each.response_body)};
+                       .body = std::move(each.response_body),
+                       .bytes_written = bytes_written};
 }
 
 void ReleaseTransfer(client_state& state, CURL* easy) {
--- a/source/wire/http_exchange.h
+++ b/source/wire/http_exchange.h
@@ -39,6 +39,8 @@
   // Names in lower case.
   const std::map<std::string, std::string> headers{};
   const std::string body;
+  // Bytes of the request's body that were sent.
+  const std::uint64_t bytes_written = 0;
 
   bool operator==(const http_response&) const = default;
 };
@@ -47,6 +49,10 @@
 struct http_failure {
   // False only when no byte of the request was sent.
   const bool sent = true;
+  // Bytes of the request's body that were sent, and of the response's body that
+  // were received.
+  const std::uint64_t bytes_written = 0;
+  const std::uint64_t bytes_read = 0;
 
   bool operator==(const http_failure&) const = default;
 };
--- a/source/work/event.h
+++ b/source/work/event.h
@@ -57,6 +57,18 @@
   bool operator==(const feed_item&) const = default;
 };
 
+// The HTTP exchange of one call to the store.
+struct store_exchange {
+  // 0 when no complete response was received.
+  const std::uint32_t status = 0;
+  // False only when no byte of the request was sent.
+  const bool sent = true;
+  // Sizes of the bodies, as far as they were sent and received.
+  const std::uint64_t bytes_written = 0;
+  const std::uint64_t bytes_read = 0;
+  bool operator==(const store_exchange&) const = default;
+};
+
 // Answers `read_feed`.
 struct feed_read {
   const timestamp at;
@@ -67,6 +79,7 @@
   const std::vector<feed_item> items{};
   // The position after the feed's last item.
   const std::uint64_t end = 0;
+  const store_exchange exchange{};
   bool operator==(const feed_read&) const = default;
 };
 
@@ -80,6 +93,7 @@
   const std::vector<feed_item> items{};
   // The key after which the next page starts; empty on the last page.
   const std::string next_page_after;
+  const store_exchange exchange{};
   bool operator==(const newest_read&) const = default;
 };
 
@@ -92,6 +106,7 @@
   const call_number call = 0;
   const feed source = feed::kRecords;
   const read_failure why = read_failure::kUnavailable;
+  const store_exchange exchange{};
   bool operator==(const feed_unread&) const = default;
 };
 
@@ -109,6 +124,7 @@
   const append_outcome outcome = append_outcome::kUnknown;
   // Set for a stored append only: the position after its last record.
   const std::uint64_t end = 0;
+  const store_exchange exchange{};
   bool operator==(const append_answered&) const = default;
 };
 
--- a/tests/platform/store_calls_test.cc
+++ b/tests/platform/store_calls_test.cc
@@ -82,6 +82,47 @@
             work::append_outcome::kRefused);
 }
 
+Test(append, answered_with_an_error_reports_its_status_and_bytes) {
+  store_fixture fixture;
+  const auto decoded = platform::DecodeOutcome(
+      fixture.append,
+      wire::http_response{.status = 503, .body = "busy", .bytes_written = 40},
+      kNow);
+  const work::store_exchange expected{
+      .status = 503, .bytes_written = 40, .bytes_read = 4};
+  cr_assert(std::get<work::append_answered>(decoded.event).exchange ==
+            expected);
+}
+
+Test(page, read_reports_its_status_and_bytes) {
+  const std::string body = EncodeOffset(3) + EncodeOffset(0);
+  const auto decoded = store_fixture::DecodeRead(work::feed::kRecords, body);
+  const work::store_exchange expected{.status = 200, .bytes_read = body.size()};
+  cr_assert(std::get<work::feed_read>(decoded.event).exchange == expected);
+}
+
+Test(page, refused_by_the_store_reports_its_status_and_bytes) {
+  const auto decoded = platform::DecodeOutcome(
+      work::read_feed{}, wire::http_response{.status = 429, .body = "slow"},
+      kNow);
+  const auto& unread = std::get<work::feed_unread>(decoded.event);
+  cr_assert(unread.why == work::read_failure::kUnavailable);
+  const work::store_exchange expected{.status = 429, .bytes_read = 4};
+  cr_assert(unread.exchange == expected);
+}
+
+Test(page, without_a_complete_response_reports_what_was_sent_and_received) {
+  const auto broken_off = platform::DecodeOutcome(
+      work::read_feed{}, wire::http_failure{.sent = true, .bytes_read = 700},
+      kNow);
+  const auto unconnected = platform::DecodeOutcome(
+      work::read_feed{}, wire::http_failure{.sent = false}, kNow);
+  const work::store_exchange partial{.bytes_read = 700};
+  cr_assert(std::get<work::feed_unread>(broken_off.event).exchange == partial);
+  const work::store_exchange unsent{.sent = false};
+  cr_assert(std::get<work::feed_unread>(unconnected.event).exchange == unsent);
+}
+
 Test(page, with_a_malformed_record_keeps_the_others_and_reports_it) {
   const std::string good =
       wire::EncodeRecord(work::job_cancelled{.job = work::job_id("a1")});
@@ -103,7 +144,8 @@
   const std::string body =
       EncodeOffset(5) + EncodeOffset(0) + std::string("\0\0\0\x09xy", 6);
   const auto decoded = store_fixture::DecodeRead(work::feed::kRecords, body);
-  cr_assert(std::holds_alternative<work::feed_unread>(decoded.event));
+  const work::store_exchange expected{.status = 200, .bytes_read = body.size()};
+  cr_assert(std::get<work::feed_unread>(decoded.event).exchange == expected);
 }
 
 Test(page, of_workers_with_an_invalid_entry_skips_and_reports_it) {
@@ -136,6 +178,8 @@
   const auto& read = std::get<work::newest_read>(decoded.event);
   cr_assert_eq(read.next_page_after, "wave/1");
   cr_assert_eq(read.end, 6U);
+  cr_assert_eq(read.exchange.status, 200U);
+  cr_assert_gt(read.exchange.bytes_read, 0U);
 }
 
 Test(catalog, published_is_decoded_with_queues_and_workspaces) {
--- a/tests/runtime/http_client_test.cc
+++ b/tests/runtime/http_client_test.cc
@@ -100,6 +100,9 @@
   slow_server_fixture server(kPieces / 2);
   const auto start = std::chrono::steady_clock::now();
   const wire::http_outcome outcome = server.Fetch();
-  cr_assert(std::holds_alternative<wire::http_failure>(outcome));
+  const auto* failure = std::get_if<wire::http_failure>(&outcome);
+  cr_assert_not_null(failure);
+  cr_assert(failure->sent);
+  cr_assert_eq(failure->bytes_read, kPieces / 2);
   cr_assert(std::chrono::steady_clock::now() - start < kTimeout / 2);
 }
