Report the leader's load once a second, as a log line and as gauges

During the failed reads on the large site nothing told how long the leader's queues were: whether its progress was stored late, workers were silent, the records were read too slowly, or the process had no time.

`leader_load` is written by the leader's tick once a second, from one pass over its units and workers; each entry sets gauges of the same names. Two figures are kept up between the reports, both without a scan: since when there are jobs with unsaved progress, and the longest delay of a tick. `parsleyhitch explain` lists the line among the events of the entries.

No decision reads the new fields of the state.

--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/feeds.cc
@@ -141,6 +141,7 @@
 void OnFeedRead(const context& ctx, const work::feed_read& event) {
   RecordStoreCall(ctx, event);
   feed_state& feed = StateOf(ctx, event.source);
+  feed.known_end = std::max(feed.known_end, event.end);
   const auto confirming_read = ctx.state.confirming_reads.find(event.call);
   if (confirming_read != ctx.state.confirming_reads.end()) {
     const timestamp sent_at = confirming_read->second;
@@ -165,6 +166,7 @@
 void OnNewestRead(const context& ctx, const work::newest_read& event) {
   RecordStoreCall(ctx, event);
   feed_state& feed = StateOf(ctx, event.source);
+  feed.known_end = std::max(feed.known_end, event.end);
   if (!TakeReadInFlight(feed, event.call))
     return;
   if (!feed.snapshot_end)
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -186,6 +186,12 @@
 // planning.cc: placing waiting units.
 void PlanIfDue(const context& ctx);
 
+// load_report.cc: the length and age of this entry's queues.
+// Called at each tick, before the next one is set.
+void ReportLoadIfDue(const context& ctx);
+// Called after each event.
+void TrackUnsavedProgress(const context& ctx);
+
 // shutdown.cc: graceful shutdown.
 void OnShutdownRequested(const context& ctx,
                          const work::shutdown_requested& event);
--- a/source/dispatch/reduce.cc
+++ b/source/dispatch/reduce.cc
@@ -95,6 +95,7 @@
   state& s = ctx.state;
   if (s.now < s.next_tick_at)
     return;
+  ReportLoadIfDue(ctx);
   s.next_tick_at = s.now + ctx.limits().tick;
   AdvanceCalls(ctx);
   AdvanceLeadership(ctx);
@@ -145,6 +146,7 @@
   Tick(ctx);
   PlanIfDue(ctx);
   FlushOutboxes(ctx);
+  TrackUnsavedProgress(ctx);
   PollFeeds(ctx);
   SetWake(ctx);
   return done;
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -32,6 +32,8 @@
   // `position` are read.
   bool snapshot_complete = false;
   std::uint64_t position = 0;
+  // The highest end of the stream that an answer of the store named.
+  std::uint64_t known_end = 0;
   // While the snapshot is read: the stream's end at its first page, from which
   // reading continues afterwards, and the key after which the next page starts.
   std::optional<std::uint64_t> snapshot_end;
@@ -325,6 +327,8 @@
   outbox progress;
   // Jobs whose progress changed since it was last written.
   std::set<work::job_id> unsaved_jobs;
+  // Since when `unsaved_jobs` has not been empty.
+  std::optional<timestamp> unsaved_since;
   // For each worker, the last task end whose effect is covered by the progress
   // append in flight.
   std::map<work::worker_id, std::uint64_t> ends_being_stored;
@@ -348,6 +352,9 @@
   std::uint64_t random_state = 0;
   call_number last_call = 0;
   timestamp next_tick_at;
+  timestamp next_load_report_at;
+  // How late the latest tick was since the last report.
+  duration longest_tick_delay{0};
   timestamp wake_scheduled_at;
   feed_state records;
   feed_state catalogs;
--- a/source/dispatch/store_health.cc
+++ b/source/dispatch/store_health.cc
@@ -1,5 +1,6 @@
 // Counts the calls to the store by kind and outcome, and reports its outages.
 
+#include <algorithm>
 #include <string>
 
 #include "dispatch/names.h"
@@ -111,6 +112,10 @@
 }
 
 void RecordStoreCall(const context& ctx, const work::append_answered& event) {
+  if (ctx.state.submissions.in_flight == event.call) {
+    feed_state& records = ctx.state.records;
+    records.known_end = std::max(records.known_end, event.end);
+  }
   const bool answered = event.outcome != work::append_outcome::kRefused &&
                         event.outcome != work::append_outcome::kUnknown;
   Record(ctx, {.name = AppendName(ctx, event.call),
--- a/source/report/explain.cc
+++ b/source/report/explain.cc
@@ -26,7 +26,7 @@
       "jobs_restored",    "workers_reconciled",
       "catalog_in_force", "settings_reloaded",
       "writer_fenced",    "feed_trimmed",
-      "order_expired"};
+      "order_expired",    "leader_load"};
   return process_events.contains(decision);
 }
 
--- a/source/report/metrics.cc
+++ b/source/report/metrics.cc
@@ -1,4 +1,5 @@
-// Renders counters and latency histograms in the Prometheus text format.
+// Renders counters, gauges and latency histograms in the Prometheus text
+// format.
 
 #include "report/metrics.h"
 
@@ -60,6 +61,11 @@
   return metrics;
 }
 
+metrics Add(metrics metrics, const work::set_gauge& gauge) {
+  metrics.gauges[gauge.name] = gauge.value;
+  return metrics;
+}
+
 metrics Add(metrics metrics, const work::observe_latency& observed) {
   metrics.durations[observed.name].Add(observed.value);
   return metrics;
@@ -70,6 +76,9 @@
   for (const auto& [name, value] : metrics.counters)
     text += fmt::format("# TYPE {0}{1} counter\n{0}{1} {2}\n", kPrefix, name,
                         value);
+  for (const auto& [name, value] : metrics.gauges)
+    text +=
+        fmt::format("# TYPE {0}{1} gauge\n{0}{1} {2}\n", kPrefix, name, value);
   if (!metrics.latencies.empty())
     text += fmt::format("# TYPE {}request_seconds histogram\n", kPrefix);
   for (const auto& [service, values] : metrics.latencies)
--- a/source/runtime/dispatch_process.cc
+++ b/source/runtime/dispatch_process.cc
@@ -228,6 +228,9 @@
   void Execute(const work::count_metric& effect) {
     metrics_ = report::Add(std::move(metrics_), effect);
   }
+  void Execute(const work::set_gauge& effect) {
+    metrics_ = report::Add(std::move(metrics_), effect);
+  }
   void Execute(const work::observe_latency& effect) {
     metrics_ = report::Add(std::move(metrics_), effect);
   }
--- a/source/work/effect.h
+++ b/source/work/effect.h
@@ -142,6 +142,12 @@
   bool operator==(const count_metric&) const = default;
 };
 
+struct set_gauge {
+  const std::string name;
+  const std::uint64_t value = 0;
+  bool operator==(const set_gauge&) const = default;
+};
+
 struct observe_latency {
   const std::string name;
   const duration value{0};
@@ -163,6 +169,7 @@
                             wake_at,
                             write_log,
                             count_metric,
+                            set_gauge,
                             observe_latency,
                             stop_process>;
 
--- a/tests/report/explain_test.cc
+++ b/tests/report/explain_test.cc
@@ -61,6 +61,18 @@
   cr_assert_not(fixture.HasLine(report::relation::kEntry, "store_lost"));
 }
 
+Test(explain, request_in_the_leaders_queue_lists_the_load_of_the_leader) {
+  constexpr char kQueuedLogs[] =
+      R"({"at":"2026-05-18T14:00:00.000Z","level":"info","process":"front-1","decision":"job_added","subject":"a1"}
+{"at":"2026-05-18T14:00:01.000Z","level":"info","process":"front-1","decision":"leader_load","subject":"front-1","jobs":"1"}
+{"at":"2026-05-18T14:00:02.000Z","level":"info","process":"front-1","decision":"unit_placed","subject":"a1.0.0.0","worker":"w-1","waited_ms":"2000"}
+)";
+  const report::explanation result = report::Explain(kQueuedLogs, "a1");
+  cr_assert_eq(result.lines.size(), 3U);
+  cr_assert_eq(result.lines[1].line.decision, "leader_load");
+  cr_assert(result.lines[1].why == report::relation::kEntry);
+}
+
 Test(explain, request_that_waited_reports_its_longest_wait) {
   const explain_fixture fixture;
   cr_assert(
--- a/tests/support/platform_simulation.h
+++ b/tests/support/platform_simulation.h
@@ -149,6 +149,7 @@
   void Apply(std::uint32_t entry, const work::wake_at& effect);
   void Apply(std::uint32_t entry, const work::write_log& line);
   void Apply(std::uint32_t, const work::count_metric&) {}
+  void Apply(std::uint32_t, const work::set_gauge&) {}
   void Apply(std::uint32_t, const work::observe_latency&) {}
   void Apply(std::uint32_t entry, const work::stop_process&);
 
