Test the counted bytes and the log of store calls with real processes

The bytes come from libcurl and pass through the HTTP client, the decoder and the exposition; the tests of the parts don't cover the way between.

--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -122,6 +122,30 @@
   fixture.ExpectNoBreach();
 }
 
+Test(platform_store, in_use_has_its_bytes_counted_by_call) {
+  site_fixture fixture;
+  cr_assert_eq(fixture.site.Submit(0, kJob, {}).status, 200);
+  fixture.site.AwaitState(0, kJob, "completed");
+  for (const char* metric : {"store_append_submissions_stored_total",
+                             "store_append_submissions_bytes_written_total",
+                             "store_append_submissions_bytes_read_total",
+                             "store_read_records_done_total",
+                             "store_read_records_bytes_read_total"}) {
+    cr_expect_gt(fixture.site.MetricOf(0, metric), 0U, "%s", metric);
+  }
+}
+
+Test(platform_store, that_is_down_is_logged_with_the_call_that_failed) {
+  site_fixture fixture;
+  fixture.site.Control(R"({"store_down":true})");
+  fixture.site.Await("an entry to lose the store", [&] {
+    const std::string logs = fixture.site.Logs();
+    const std::size_t lost = logs.find(R"("decision":"store_lost")");
+    return lost != std::string::npos &&
+           logs.find(R"("call":")", lost) < logs.find('\n', lost);
+  });
+}
+
 Test(platform_submission, whose_append_answers_are_lost_runs_once) {
   site_fixture fixture;
   fixture.site.Control(R"({"lose_answers":2})");
--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -182,6 +182,17 @@
              .status == 200;
 }
 
+std::uint64_t platform_site::MetricOf(std::uint32_t entry,
+                                      const std::string& name) const {
+  const std::string text =
+      Call("GET", EntryAddress(entry, port::kMetrics), "/metrics", "").body;
+  const std::string prefix = "\nparsleyhitch_" + name + " ";
+  const std::size_t start = text.find(prefix);
+  return start == std::string::npos
+             ? 0
+             : std::stoull(text.substr(start + prefix.size()));
+}
+
 void platform_site::Control(const std::string& control) const {
   Call("POST", Address(kControlIndex), "/control", control);
 }
--- a/tests/support/platform_site.h
+++ b/tests/support/platform_site.h
@@ -68,6 +68,8 @@
                   const std::string& job,
                   const std::string& state) const;
   bool IsReady(std::uint32_t entry) const;
+  // Returns a metric that the entry exposes; 0 if it does not expose it.
+  std::uint64_t MetricOf(std::uint32_t entry, const std::string& name) const;
 
   // Sends a site_control to the platform's stand-in, as JSON.
   void Control(const std::string& control) const;
