Hold a worker with unstored ends twice a second at most

A worker whose ends can't be acknowledged yet is held again when they are stored, or after 500 ms, which renews its lease in time. A hold that acknowledges ends waits for the next end as any other: the worker forgets the acknowledged ends when the hold arrives.

--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -29,6 +29,10 @@
 // How often a silent worker without tasks is asked whether it is back.
 constexpr duration kIdleProbeInterval{1000};
 
+// A worker answers a hold at once while it lists an end that the hold does not
+// acknowledge. Until its ends are stored it is held no more often than this.
+constexpr duration kUnstoredEndPause{500};
+
 bool IsBusy(const context& ctx, const work::worker_id& worker) {
   return !LoadOf(ctx, worker).tasks.empty() ||
          !OrphanTasksOn(ctx, worker).empty();
@@ -168,6 +172,18 @@
   EndMissingTasks(ctx, worker, listing, requested_at);
 }
 
+// Delays the next hold of a worker that lists ends which can't be acknowledged
+// yet.
+void DelayHoldUntilEndsAreStored(const context& ctx,
+                                 const work::worker_id& worker) {
+  const worker_state* known = ctx.state.leader.workers.Find(worker);
+  if (AcknowledgeableEnd(*known) >= known->last_processed_end)
+    return;
+  worker_state row = *known;
+  row.next_hold_at = ctx.now() + kUnstoredEndPause;
+  ctx.state.leader.workers.Put(worker, std::move(row));
+}
+
 void OnHoldSucceeded(const context& ctx,
                      const work::worker_id& worker,
                      worker_state row,
@@ -190,6 +206,7 @@
   row.next_hold_at = ctx.now();
   ctx.state.leader.workers.Put(worker, std::move(row));
   ApplyListing(ctx, worker, *event.listing, requested_at);
+  DelayHoldUntilEndsAreStored(ctx, worker);
   if (!was_schedulable)
     ctx.state.leader.plan_due = true;
 }
@@ -259,6 +276,7 @@
   for (const work::worker_id& worker : due) {
     worker_state row = *leader.workers.Find(worker);
     row.last_durable_end = row.last_processed_end;
+    row.next_hold_at = ctx.now();
     leader.workers.Put(worker, std::move(row));
   }
 }
@@ -398,7 +416,7 @@
   if (known->fenced && !busy && !has_unacknowledged_end && !silent)
     return;
   worker_state row = *known;
-  const bool may_wait = row.fenced && !has_unacknowledged_end && !silent;
+  const bool may_wait = row.fenced && busy && !silent;
   const duration wait = may_wait ? ctx.limits().hold_wait : duration(0);
   std::optional<duration> lease_until;
   // No lease for a worker that does not answer: its tasks are replaced only
--- a/source/dispatch/outbox.cc
+++ b/source/dispatch/outbox.cc
@@ -135,6 +135,7 @@
       worker_state saved = *row;
       saved.last_durable_end =
           std::max(saved.last_durable_end, last_processed_end);
+      saved.next_hold_at = ctx.now();
       leader.workers.Put(worker, std::move(saved));
       HoldIfNeeded(ctx, worker);
     }
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -57,6 +57,7 @@
     : random_(options.seed),
       on_reduced_(options.on_reduced),
       max_hold_time_(options.max_hold_time),
+      listed_ends_answer_holds_(options.listed_ends_answer_holds),
       task_duration_(options.task_duration),
       monitor_(workers_, MonitorHooks()) {
   Publish(DefaultCatalog());
@@ -385,10 +386,15 @@
     const auto outcome =
         reached ? worker->Hold(effect, now_) : work::order_outcome::kUnknown;
     const bool held = outcome == work::order_outcome::kDone;
+    holds_ += held ? 1 : 0;
+    const bool at_once =
+        held && listed_ends_answer_holds_ && !worker->Listing().ended.empty();
     // A real worker answers as soon as a task ends. The simulated one only
     // limits the wait.
+    const work::duration max_wait =
+        at_once ? work::duration(0) : std::min(effect.wait, max_hold_time_);
     const work::duration wait =
-        held ? std::min(effect.wait, max_hold_time_) + RandomDelay()
+        held ? max_wait + RandomDelay()
              : (reached ? RandomDelay() : effect.timeout);
     Schedule(now_ + wait, [this, index, life, effect, outcome, held, worker] {
       std::optional<work::duration> clock;
--- a/tests/support/platform_simulation.h
+++ b/tests/support/platform_simulation.h
@@ -34,6 +34,8 @@
   // A hold call is answered after this time at the latest, even if no task
   // ended.
   work::duration max_hold_time{50};
+  // Workers answer a hold at once while they list an end.
+  bool listed_ends_answer_holds = false;
   // Run time of every task; 0 derives it from the task's job and step.
   work::duration task_duration{0};
   dispatch::hooks behaviour = dispatch::DefaultHooks();
@@ -120,6 +122,8 @@
   // Returns the log lines that contain the subject, for failure messages.
   std::string LogOf(const std::string& subject) const;
   std::uint64_t starts() const { return monitor_.starts(); }
+  // The number of holds that reached a worker.
+  std::uint64_t holds() const { return holds_; }
 
  private:
   struct scheduled {
@@ -177,6 +181,7 @@
   std::mt19937_64 random_;
   decltype(simulation_options::on_reduced) on_reduced_;
   const work::duration max_hold_time_;
+  const bool listed_ends_answer_holds_;
   const work::duration task_duration_;
   std::priority_queue<scheduled, std::vector<scheduled>, std::greater<>> queue_;
   simulated_store store_;
@@ -186,6 +191,7 @@
   std::map<std::string, std::vector<work::step_spec>> steps_;
   std::map<std::uint64_t, simulated_call> calls_;
   std::uint64_t last_call_ = 0;
+  std::uint64_t holds_ = 0;
   // Jobs with a submission that is unanswered or was not refused.
   std::set<std::string> possibly_accepted_;
   std::set<std::string> submitted_;
