Reproduce the load of many followers on the store's read bandwidth

The reads of all entries share one bandwidth (`readMbS`), which the simulated store lacked: it answered every read at once. It now has the store's limits as options, off by default: a bandwidth shared by all reads, sizes of pages, records and appends, refusal of reads when more than 2 s is waiting, and readers that give up before the first byte while the bandwidth is spent all the same. Items have the size of their encoding, and bytes read and appended are counted.

--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -51,6 +51,13 @@
   return work::duration(500 + static_cast<std::int64_t>(hash % 1500));
 }
 
+// Returns a duration below `spread`, different for the tasks of a step.
+work::duration SpreadOf(const work::task_id& task, work::duration spread) {
+  constexpr std::uint64_t kParts = 1009;
+  const std::uint64_t part = (std::uint64_t{task.index} + 1) * 617 % kParts;
+  return spread * part / kParts;
+}
+
 }  // namespace
 
 platform_simulation::platform_simulation(const simulation_options& options)
@@ -59,14 +66,16 @@
       max_hold_time_(options.max_hold_time),
       listed_ends_answer_holds_(options.listed_ends_answer_holds),
       task_duration_(options.task_duration),
+      task_duration_spread_(options.task_duration_spread),
       monitor_(workers_, MonitorHooks()) {
+  store_.limits = options.store;
   Publish(DefaultCatalog());
   workers_.resize(options.workers);
   missed_heartbeats_.resize(options.workers);
   AdvanceWorkers();
   for (std::uint32_t i = 0; i < options.workers; ++i) {
     simulated_worker& each = workers_[i];
-    each.id = work::worker_id("w-" + std::to_string(i));
+    each.id = work::worker_id(options.worker_prefix + std::to_string(i));
     each.rack =
         work::rack_id("r-" + std::to_string(i / options.workers_per_rack));
     each.capacity = {
@@ -94,9 +103,11 @@
               },
           .duration_of =
               [this](const work::task_id& task) {
-                return task_duration_ > work::duration(0)
-                           ? task_duration_
-                           : DefaultTaskDuration(task);
+                const work::duration shortest =
+                    task_duration_ > work::duration(0)
+                        ? task_duration_
+                        : DefaultTaskDuration(task);
+                return shortest + SpreadOf(task, task_duration_spread_);
               },
           .now = [this] { return now_; },
           .may_run =
@@ -182,6 +193,26 @@
   });
 }
 
+void platform_simulation::DeliverItems(
+    std::uint32_t index,
+    std::uint64_t life,
+    work::feed source,
+    const std::vector<work::feed_item>& items,
+    work::duration gives_up_at,
+    const std::function<work::event(bool answered)>& event) {
+  const read_transfer transfer =
+      store_.Transfer(source, items, now_, gives_up_at);
+  entries_[index].bytes_read += transfer.bytes;
+  if (transfer.ends_at <= now_) {
+    Deliver(index, life, event(transfer.answered));
+    return;
+  }
+  Schedule(transfer.ends_at,
+           [this, index, life, event, answered = transfer.answered] {
+             Deliver(index, life, event(answered));
+           });
+}
+
 void platform_simulation::Apply(std::uint32_t index,
                                 const work::read_feed& effect) {
   const simulated_entry& entry = entries_[index];
@@ -214,7 +245,7 @@
         .source = effect.source,
         .from = effect.from,
         .wait = std::max(effect.wait - poll_interval, work::duration(0)),
-        .timeout = effect.timeout};
+        .timeout = effect.timeout - poll_interval};
     Schedule(now_ + poll_interval, [this, index, life, remaining] {
       if (entries_[index].alive && entries_[index].life == life)
         Apply(index, remaining);
@@ -225,35 +256,56 @@
                                            ? entry.catalog_delay
                                            : work::duration(0);
   const std::uint64_t life = entry.life;
-  Schedule(now_ + RandomDelay() + transfer_time, [this, index, life, effect] {
-    const work::feed_read read = store_.Read(effect);
-    Deliver(index, life,
-            work::feed_read{.at = Timestamp(),
-                            .call = read.call,
-                            .source = read.source,
-                            .next = read.next,
-                            .items = read.items,
-                            .end = read.end});
-  });
+  const work::duration gives_up_at = now_ + effect.timeout;
+  Schedule(now_ + RandomDelay() + transfer_time,
+           [this, index, life, effect, unread, gives_up_at] {
+             const auto read =
+                 std::make_shared<const work::feed_read>(store_.Read(effect));
+             DeliverItems(index, life, effect.source, read->items, gives_up_at,
+                          [this, read, unread](bool answered) -> work::event {
+                            if (!answered)
+                              return unread(work::read_failure::kUnavailable);
+                            return work::feed_read{.at = Timestamp(),
+                                                   .call = read->call,
+                                                   .source = read->source,
+                                                   .next = read->next,
+                                                   .items = read->items,
+                                                   .end = read->end};
+                          });
+           });
 }
 
 void platform_simulation::Apply(std::uint32_t index,
                                 const work::read_newest& effect) {
+  const auto unread = [this, effect] {
+    return work::event(work::feed_unread{
+        .at = Timestamp(), .call = effect.call, .source = effect.source});
+  };
   const bool reached = !store_.down && !entries_[index].cut_from_store;
-  DeliverAnswer(index, work::duration(20), reached, true,
-                [this, effect](bool answered) -> work::event {
-                  if (!answered) {
-                    return work::feed_unread{.at = Timestamp(),
-                                             .call = effect.call,
-                                             .source = effect.source};
-                  }
-                  const work::newest_read read = store_.Newest(effect);
-                  return work::newest_read{.at = Timestamp(),
-                                           .call = read.call,
-                                           .source = read.source,
-                                           .end = read.end,
-                                           .items = read.items};
-                });
+  if (!reached) {
+    DeliverAnswer(index, work::duration(20), false, false,
+                  [unread](bool) { return unread(); });
+    return;
+  }
+  const std::uint64_t life = entries_[index].life;
+  const work::duration gives_up_at = now_ + effect.timeout;
+  Schedule(
+      now_ + RandomDelay(), [this, index, life, effect, unread, gives_up_at] {
+        const auto read =
+            std::make_shared<const work::newest_read>(store_.Newest(effect));
+        DeliverItems(index, life, effect.source, read->items, gives_up_at,
+                     [this, read, unread](bool answered) -> work::event {
+                       if (!answered)
+                         return unread();
+                       return work::newest_read{
+                           .at = Timestamp(),
+                           .call = read->call,
+                           .source = read->source,
+                           .end = read->end,
+                           .items = read->items,
+                           .next_page_after = read->next_page_after};
+                     });
+      });
 }
 
 void platform_simulation::Apply(std::uint32_t index,
@@ -320,8 +372,8 @@
 }
 
 simulated_worker* platform_simulation::FindWorker(const work::worker_id& id) {
-  // Worker IDs have the form "w-INDEX".
-  const std::size_t index = std::stoul(id.value().substr(2));
+  const std::string& name = id.value();
+  const std::size_t index = std::stoul(name.substr(name.rfind('-') + 1));
   return index < workers_.size() ? &workers_[index] : nullptr;
 }
 
--- a/tests/support/platform_simulation.h
+++ b/tests/support/platform_simulation.h
@@ -30,6 +30,8 @@
   std::uint32_t entries = 3;
   std::uint32_t workers = 6;
   std::uint32_t workers_per_rack = 3;
+  // A worker's ID is this and its index.
+  std::string worker_prefix = "w-";
   std::uint64_t seed = 1;
   // A hold call is answered after this time at the latest, even if no task
   // ended.
@@ -38,6 +40,9 @@
   bool listed_ends_answer_holds = false;
   // Run time of every task; 0 derives it from the task's job and step.
   work::duration task_duration{0};
+  // The tasks of a step take up to this much longer, each its own time.
+  work::duration task_duration_spread{0};
+  store_limits store;
   dispatch::hooks behaviour = dispatch::DefaultHooks();
   // Called with the time an entry took to reduce an event; for measurements.
   std::function<
@@ -62,6 +67,8 @@
   std::uint64_t life = 1;
   // Number of the newest wake-up; it replaces the earlier ones.
   std::uint64_t last_wake = 0;
+  // Transferred by the store for reads of the entry.
+  std::uint64_t bytes_read = 0;
   // Events that arrived while the entry was frozen.
   std::vector<work::event> held_events;
 };
@@ -165,6 +172,14 @@
                      bool reached,
                      bool answered,
                      std::function<work::event(bool answered)> event);
+  // Delivers `event(true)` once the items have been transferred, or
+  // `event(false)` when the read is refused or times out at `gives_up_at`.
+  void DeliverItems(std::uint32_t entry,
+                    std::uint64_t life,
+                    work::feed source,
+                    const std::vector<work::feed_item>& items,
+                    work::duration gives_up_at,
+                    const std::function<work::event(bool answered)>& event);
   std::uint64_t CallEntry(std::uint32_t entry,
                           work::call_verb verb,
                           const std::string& job,
@@ -183,6 +198,7 @@
   const work::duration max_hold_time_;
   const bool listed_ends_answer_holds_;
   const work::duration task_duration_;
+  const work::duration task_duration_spread_;
   std::priority_queue<scheduled, std::vector<scheduled>, std::greater<>> queue_;
   simulated_store store_;
   std::vector<simulated_entry> entries_;
