--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -24,7 +24,7 @@
   ended.members.clear();
   ended.since = ctx.now();
   leader.units.Put(id, std::move(ended));
-  leader.unsaved_jobs.insert(id.job);
+  NoteUnitChanged(ctx, id);
   leader.plan_due = true;
 }
 
@@ -90,7 +90,7 @@
                              .state = member_state::kRunning,
                              .acknowledged_at = ctx.now()});
   ctx.state.leader.units.Put(id, std::move(adopted));
-  ctx.state.leader.unsaved_jobs.insert(id.job);
+  NoteUnitChanged(ctx, id);
   AddToLoad(ctx, worker, id, 0, NeedOf(step));
   ctx.Log("task_adopted", NameOf(task.task),
           {Field("worker", worker.value()), Field("attempt", task.attempt)});
@@ -140,7 +140,7 @@
                        !failed.failed_attempts.insert(attempt).second;
   failed.failures += counted ? 0 : 1;
   ctx.state.leader.units.Put(id, std::move(failed));
-  ctx.state.leader.unsaved_jobs.insert(id.job);
+  NoteUnitChanged(ctx, id);
 }
 
 bool HasExhaustedAttempts(const context& ctx, const work::unit_id& id) {
@@ -161,7 +161,7 @@
     return;
   raised.attempt = attempt;
   ctx.state.leader.units.Put(id, std::move(raised));
-  ctx.state.leader.unsaved_jobs.insert(id.job);
+  NoteUnitChanged(ctx, id);
 }
 
 gang_effect EffectOf(work::run_end_kind how) {
--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/feeds.cc
@@ -16,6 +16,8 @@
       return ctx.state.records;
     case work::feed::kCatalog:
       return ctx.state.catalogs;
+    case work::feed::kUnits:
+      return ctx.state.leader.stored_units_feed;
     case work::feed::kWorkers:
       break;
   }
@@ -36,6 +38,17 @@
     OnJobRecord(ctx, *job);
 }
 
+void ApplyUnit(const context& ctx, const work::record& record) {
+  const auto* stored = std::get_if<work::unit_progressed>(&record);
+  if (stored == nullptr)
+    return;
+  ctx.state.leader.stored_units.Put({.job = stored->job,
+                                     .occurrence = stored->progress.occurrence,
+                                     .step = stored->progress.step,
+                                     .index = stored->progress.index},
+                                    stored->progress);
+}
+
 void Apply(const context& ctx,
            const work::feed_item&,
            const work::published_catalog& published) {
@@ -53,7 +66,9 @@
               work::feed source,
               const std::vector<work::feed_item>& items) {
   for (const work::feed_item& item : items) {
-    if (item.value) {
+    if (item.value && source == work::feed::kUnits) {
+      ApplyUnit(ctx, std::get<work::record>(*item.value));
+    } else if (item.value) {
       std::visit([&](const auto& each) { Apply(ctx, item, each); },
                  *item.value);
     } else if (source == work::feed::kWorkers) {
@@ -125,14 +140,20 @@
 void PollFeeds(const context& ctx) {
   Poll(ctx, work::feed::kCatalog);
   Poll(ctx, work::feed::kRecords);
-  if (ctx.state.leadership.current_role == role::kLeader)
-    Poll(ctx, work::feed::kWorkers);
+  if (ctx.state.leadership.current_role != role::kLeader)
+    return;
+  Poll(ctx, work::feed::kWorkers);
+  const leader_state& leader = ctx.state.leader;
+  if (leader.earlier_leaders_fenced &&
+      !leader.stored_units_feed.snapshot_complete)
+    Poll(ctx, work::feed::kUnits);
 }
 
 void RestoreIfCaughtUp(const context& ctx) {
   state& s = ctx.state;
   const bool due = s.leadership.current_role == role::kLeader &&
                    !s.leader.restored && s.records.snapshot_complete &&
+                   s.leader.stored_units_feed.snapshot_complete &&
                    s.records.position >= s.leader.election_offset;
   if (due)
     RestoreJobs(ctx);
@@ -186,8 +207,7 @@
     MarkUnlistedWorkers(ctx, feed.snapshot_keys);
     feed.snapshot_keys.clear();
   }
-  if (event.source == work::feed::kRecords)
-    RestoreIfCaughtUp(ctx);
+  RestoreIfCaughtUp(ctx);
 }
 
 void OnFeedUnread(const context& ctx, const work::feed_unread& event) {
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -121,7 +121,9 @@
           {Field("life", life), Field("previous", row.listed().life)});
   // The new process numbers ends from the start; those being stored belong to
   // the old process.
-  ctx.state.leader.ends_being_stored.erase(worker);
+  std::erase_if(
+      ctx.state.leader.processed_ends,
+      [&](const processed_end& each) { return each.worker == worker; });
   MarkTasksUnverified(ctx, worker);
   const work::registered_worker& before = row.listed();
   worker_state next;
@@ -167,6 +169,7 @@
   // Whatever of them has ended is in this listing.
   row.abandoned_tasks.clear();
   ctx.state.leader.workers.Put(worker, std::move(row));
+  NoteEndsProcessed(ctx, worker, last_processed_end);
   for (const work::running_task& task : listing.running)
     OnTaskRunning(ctx, worker, task);
   EndMissingTasks(ctx, worker, listing, requested_at);
@@ -206,6 +209,7 @@
   row.next_hold_at = ctx.now();
   ctx.state.leader.workers.Put(worker, std::move(row));
   ApplyListing(ctx, worker, *event.listing, requested_at);
+  SettleProcessedEnds(ctx);
   DelayHoldUntilEndsAreStored(ctx, worker);
   if (!was_schedulable)
     ctx.state.leader.plan_due = true;
@@ -261,26 +265,6 @@
   HoldIfNeeded(ctx, worker);
 }
 
-// Marks all processed task ends as durable when no progress is left to store.
-void MarkEndsDurable(const context& ctx) {
-  leader_state& leader = ctx.state.leader;
-  const bool all_stored = leader.unsaved_jobs.empty() &&
-                          leader.progress.batch.empty() && leader.restored;
-  if (!all_stored)
-    return;
-  std::vector<work::worker_id> due;
-  for (const auto& [worker, row] : leader.workers) {
-    if (row.last_processed_end > row.last_durable_end)
-      due.push_back(worker);
-  }
-  for (const work::worker_id& worker : due) {
-    worker_state row = *leader.workers.Find(worker);
-    row.last_durable_end = row.last_processed_end;
-    row.next_hold_at = ctx.now();
-    leader.workers.Put(worker, std::move(row));
-  }
-}
-
 // Workers drop out of the registry during an outage of the store. True when
 // they have had time to register again.
 bool IsRegistryComplete(const context& ctx) {
@@ -465,7 +449,7 @@
 void AdvanceWorkers(const context& ctx) {
   if (!ctx.state.leader.restored)
     return;
-  MarkEndsDurable(ctx);
+  SettleProcessedEnds(ctx);
   std::vector<work::worker_id> all;
   all.reserve(ctx.state.leader.workers.size());
   for (const auto& [worker, row] : ctx.state.leader.workers)
--- a/source/dispatch/jobs.cc
+++ b/source/dispatch/jobs.cc
@@ -86,15 +86,15 @@
   if (job == nullptr || !work::IsClosed(job->phase))
     return;
   const records::stored_job* entry = records::FindJob(ctx.state.ledger, id);
-  const work::job_progressed* saved =
-      entry == nullptr ? nullptr : entry->progress.Get();
-  if (saved == nullptr || !work::IsClosed(saved->phase))
+  if (entry == nullptr || !work::IsClosed(entry->phase))
     return;
   bool has_units = false;
   ForUnits(ctx, id,
            [&](const work::unit_id&, const unit&) { has_units = true; });
-  if (!has_units)
-    ctx.state.leader.jobs.Erase(id);
+  if (has_units)
+    return;
+  ctx.state.leader.jobs.Erase(id);
+  DeleteUnitRecords(ctx, id);
 }
 
 // Ends the job as cancelled, also when it was closed otherwise before the
@@ -112,7 +112,7 @@
           {Field("phase", NameOf(job.phase))});
   job.phase = work::job_phase::kCancelled;
   ctx.state.leader.jobs.Put(id, std::move(job));
-  ctx.state.leader.unsaved_jobs.insert(id);
+  NoteJobChanged(ctx, id);
 }
 
 }  // namespace
@@ -222,7 +222,7 @@
     return;
   done.phase = unit_phase::kDone;
   leader.units.Put(id, std::move(done));
-  leader.unsaved_jobs.insert(id.job);
+  NoteUnitChanged(ctx, id);
   FinishSteps(ctx, id.job);
 }
 
@@ -236,7 +236,7 @@
   job.phase = phase;
   const duration took = ctx.now() - ContentOf(job).submitted_at;
   leader.jobs.Put(id, std::move(job));
-  leader.unsaved_jobs.insert(id);
+  NoteJobChanged(ctx, id);
   ctx.Log("job_closed", id.value(),
           {Field("phase", NameOf(phase)), Field("took", took)});
   ctx.Count("jobs_closed");
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -1,7 +1,7 @@
 // Leader election. At most one entry at a time may give orders to workers. It
 // is elected by an append under a higher epoch of the writer "leader", which
-// fences the appends of the previous leader. Workers use the epoch as fencing
-// token.
+// fences the appends of the previous leader; its first append to the units does
+// the same there. Workers use the epoch as fencing token.
 
 #include <algorithm>
 #include <functional>
@@ -173,9 +173,18 @@
   leader.election_offset = end;
   leader.earlier_tasks_unknown =
       leader.epoch > 1 && !s.leadership.leader_reaches_store;
-  leader.progress.writer = kLeaderWriter;
-  leader.progress.epoch = leader.epoch;
-  leader.progress.sequence = s.leadership.claim_sequence + 1;
+  leader.job_phases = {.writer = kLeaderWriter,
+                       .epoch = leader.epoch,
+                       .sequence = s.leadership.claim_sequence + 1};
+  // The claim fenced the earlier leaders' phases only: the store fences each
+  // stream by itself.
+  leader.unit_progress = {
+      .target = work::feed::kUnits,
+      .writer = kLeaderWriter,
+      .epoch = leader.epoch,
+      .sequence = 1,
+      .batch = {{.content = work::leader_elected{.entry = ctx.env.self,
+                                                 .epoch = leader.epoch}}}};
   s.leader = std::move(leader);
   s.leadership.claim_sequence = 0;
   s.workers = feed_state();
--- a/source/dispatch/load_report.cc
+++ b/source/dispatch/load_report.cc
@@ -66,9 +66,12 @@
       {.name = "workers_listed", .value = workers_listed},
       {.name = "workers_silent", .value = workers_silent},
       {.name = "orders_in_flight", .value = leader.orders.size()},
-      {.name = "unsaved_jobs", .value = leader.unsaved_jobs.size()},
+      {.name = "unsaved_changes",
+       .value = leader.changed_jobs.size() + leader.changed_units.size()},
       Figure("unsaved_for", unsaved_for),
-      Figure("progress_append", AgeOfAppend(ctx, leader.progress)),
+      {.name = "ends_unsaved", .value = leader.processed_ends.size()},
+      Figure("phase_append", AgeOfAppend(ctx, leader.job_phases)),
+      Figure("unit_append", AgeOfAppend(ctx, leader.unit_progress)),
       Figure("submission_append", AgeOfAppend(ctx, s.submissions)),
       {.name = "submissions_waiting", .value = s.submissions.waiting.size()},
       {.name = "records_lag", .value = RecordsLag(ctx)},
@@ -101,7 +104,7 @@
 
 void TrackUnsavedProgress(const context& ctx) {
   leader_state& leader = ctx.state.leader;
-  if (leader.unsaved_jobs.empty())
+  if (leader.changed_jobs.empty() && leader.changed_units.empty())
     leader.unsaved_since.reset();
   else if (!leader.unsaved_since)
     leader.unsaved_since = ctx.now();
--- a/source/dispatch/names.cc
+++ b/source/dispatch/names.cc
@@ -120,6 +120,8 @@
       return "records";
     case work::feed::kCatalog:
       return "catalog";
+    case work::feed::kUnits:
+      return "units";
     case work::feed::kWorkers:
       break;
   }
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -104,7 +104,6 @@
 
 void MarkJobStarted(const context& ctx, const work::job_id& id) {
   const active_job* known = ctx.state.leader.jobs.Find(id);
-  ctx.state.leader.unsaved_jobs.insert(id);
   if (known->phase != work::job_phase::kQueued)
     return;
   active_job job = *known;
@@ -113,6 +112,7 @@
       .name = "job_wait",
       .value = ctx.now() - job.content.Get()->submitted_at});
   ctx.state.leader.jobs.Put(id, std::move(job));
+  NoteJobChanged(ctx, id);
 }
 
 // The member to which an answer refers; null when the answer is for an earlier
@@ -241,6 +241,7 @@
   for (const work::worker_id& worker : workers)
     placed.members.push_back({.worker = worker});
   leader.units.Put(id, std::move(placed));
+  NoteUnitChanged(ctx, id);
   MarkJobStarted(ctx, id.job);
   for (std::uint32_t i = 0; i < workers.size(); ++i) {
     AddToLoad(ctx, workers[i], id, i, need);
--- a/source/dispatch/outbox.cc
+++ b/source/dispatch/outbox.cc
@@ -1,4 +1,4 @@
-// Group commit of this entry's records and of the leader's job progress.
+// Group commit of this entry's records and of the leader's.
 
 #include <algorithm>
 #include <array>
@@ -36,7 +36,8 @@
                                 .epoch = box.epoch,
                                 .sequence = box.sequence,
                                 .records = std::move(records),
-                                .timeout = ctx.limits().append_timeout});
+                                .timeout = ctx.limits().append_timeout,
+                                .target = box.target});
 }
 
 // Returns the records of an append that was not carried out to the queue, so
@@ -122,89 +123,41 @@
   RetryLater(ctx, box);
 }
 
-void OnProgressAnswered(const context& ctx,
-                        const work::append_answered& event) {
-  leader_state& leader = ctx.state.leader;
-  if (ApplyOutcome(ctx, leader.progress, event.outcome,
-                   ctx.limits().progress_pause)) {
-    leader.progress.batch.clear();
-    for (const auto& [worker, last_processed_end] : leader.ends_being_stored) {
-      const worker_state* row = leader.workers.Find(worker);
-      if (row == nullptr)
-        continue;
-      worker_state saved = *row;
-      saved.last_durable_end =
-          std::max(saved.last_durable_end, last_processed_end);
-      saved.next_hold_at = ctx.now();
-      leader.workers.Put(worker, std::move(saved));
-      HoldIfNeeded(ctx, worker);
-    }
-    leader.ends_being_stored.clear();
+void OnLeaderRecordsAnswered(const context& ctx,
+                             outbox& box,
+                             const work::append_answered& event) {
+  if (ApplyOutcome(ctx, box, event.outcome, ctx.limits().progress_pause)) {
+    box.batch.clear();
+    if (box.target == work::feed::kUnits)
+      ctx.state.leader.earlier_leaders_fenced = true;
+    SettleProcessedEnds(ctx);
     return;
   }
   const bool deposed = event.outcome == work::append_outcome::kFenced ||
                        event.outcome == work::append_outcome::kOutOfSequence;
-  if (deposed) {
-    ObserveEpoch(ctx, leader.epoch + 1, "append_fenced");
-    return;
-  }
-  // The records were not stored. The next append collects the progress of their
-  // jobs again, in the state that it has by then.
-  for (const queued_record& each : leader.progress.waiting) {
-    const std::optional<work::job_id> job = records::JobOf(each.content);
-    if (job)
-      leader.unsaved_jobs.insert(*job);
-  }
-  const bool refused = !leader.progress.waiting.empty();
-  leader.progress.waiting.clear();
-  if (refused)
-    leader.ends_being_stored.clear();
-}
-
-// Records for each worker the last processed task end, which becomes durable
-// with the progress append being built. Ends that changed no job need no record
-// of their own.
-void TrackEndsBeingStored(const context& ctx) {
-  leader_state& leader = ctx.state.leader;
-  std::vector<work::worker_id> due;
-  for (const auto& [worker, row] : leader.workers) {
-    if (row.last_processed_end > row.last_durable_end)
-      due.push_back(worker);
-  }
-  for (const work::worker_id& worker : due)
-    leader.ends_being_stored[worker] =
-        leader.workers.Find(worker)->last_processed_end;
-}
-
-void CollectProgress(const context& ctx) {
-  leader_state& leader = ctx.state.leader;
-  const bool idle = !leader.progress.in_flight &&
-                    leader.progress.batch.empty() &&
-                    ctx.now() >= leader.progress.next_at;
-  if (!idle || leader.unsaved_jobs.empty())
-    return;
-  for (work::record& each : TakeUnsavedProgress(ctx))
-    leader.progress.batch.push_back({.content = std::move(each)});
-  // The processed ends are covered only when the append includes all changed
-  // jobs.
-  if (leader.unsaved_jobs.empty())
-    TrackEndsBeingStored(ctx);
+  if (deposed)
+    ObserveEpoch(ctx, ctx.state.leader.epoch + 1, "append_fenced");
+  else
+    ReturnChanges(ctx, box);
 }
 
 }  // namespace
 
 void FlushOutboxes(const context& ctx) {
   Flush(ctx, ctx.state.submissions);
-  if (ctx.state.leadership.current_role != role::kLeader ||
-      !ctx.state.leader.restored)
+  if (ctx.state.leadership.current_role != role::kLeader)
     return;
-  CollectProgress(ctx);
-  Flush(ctx, ctx.state.leader.progress);
+  leader_state& leader = ctx.state.leader;
+  if (leader.restored)
+    CollectProgress(ctx);
+  Flush(ctx, leader.job_phases);
+  Flush(ctx, leader.unit_progress);
 }
 
 bool AreAppendsSlow(const context& ctx) {
   return std::ranges::any_of(
-      std::array{&ctx.state.submissions, &ctx.state.leader.progress},
+      std::array{&ctx.state.submissions, &ctx.state.leader.job_phases,
+                 &ctx.state.leader.unit_progress},
       [&](const outbox* each) {
         const duration so_far =
             each->in_flight ? ctx.now() - each->sent_at : duration(0);
@@ -215,10 +168,13 @@
 
 void OnAppendAnswered(const context& ctx, const work::append_answered& event) {
   RecordStoreCall(ctx, event);
+  leader_state& leader = ctx.state.leader;
   if (ctx.state.submissions.in_flight == event.call)
     OnSubmissionsAnswered(ctx, event);
-  else if (ctx.state.leader.progress.in_flight == event.call)
-    OnProgressAnswered(ctx, event);
+  else if (leader.job_phases.in_flight == event.call)
+    OnLeaderRecordsAnswered(ctx, leader.job_phases, event);
+  else if (leader.unit_progress.in_flight == event.call)
+    OnLeaderRecordsAnswered(ctx, leader.unit_progress, event);
   else if (ctx.state.leadership.claim == event.call)
     OnClaimAnswered(ctx, event);
 }
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -103,10 +103,22 @@
 // restore.cc: loading jobs from the records after an election.
 void RestoreJobs(const context& ctx);
 
-// progress.cc: job progress records.
-// Returns records for jobs whose progress changed, up to the size of a batch;
-// the other jobs stay in `unsaved_jobs`.
-std::vector<work::record> TakeUnsavedProgress(const context& ctx);
+// progress.cc: storing the progress of jobs and units, and acknowledging the
+// ends whose effects are stored.
+void NoteJobChanged(const context& ctx, const work::job_id& job);
+void NoteUnitChanged(const context& ctx, const work::unit_id& unit);
+// Deletes the records of the job's units.
+void DeleteUnitRecords(const context& ctx, const work::job_id& job);
+// Notes that the effects of the worker's ends up to `number` were applied.
+void NoteEndsProcessed(const context& ctx,
+                       const work::worker_id& worker,
+                       std::uint64_t number);
+// Makes ends durable whose changes are all stored.
+void SettleProcessedEnds(const context& ctx);
+// Fills the leader's outboxes with records of what has changed, as it is now.
+void CollectProgress(const context& ctx);
+// Notes the changes of records that were not stored again.
+void ReturnChanges(const context& ctx, outbox& box);
 
 // fleet.cc: workers, their listings and their leases.
 void UpsertWorker(const context& ctx, const work::registered_worker& entry);
--- a/source/dispatch/progress.cc
+++ b/source/dispatch/progress.cc
@@ -1,14 +1,23 @@
-// Builds the records of job progress.
+// Stores the progress of jobs and units. A change is queued when it is made and
+// written in the state that it has when its append is built. The effects of a
+// processed end are durable once every change up to then is stored.
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 #include "dispatch/parts.h"
 #include "dispatch/steps.h"
+#include "records/record_key.h"
 
 namespace parsleyhitch::dispatch {
 
 namespace {
 
+// An append holds records of at most about this size in all: half of what the
+// platform accepts in one call.
+constexpr std::size_t kMaxAppendBytes = std::size_t{1} << 20;
+
 bool HasStarted(const unit& each) {
   return each.attempt > 0 || each.phase == unit_phase::kDone;
 }
@@ -22,43 +31,183 @@
   return workers;
 }
 
-work::job_progressed ProgressOf(const context& ctx,
-                                const work::job_id& id,
-                                const active_job& job) {
-  std::vector<work::unit_progress> units;
-  if (!work::IsClosed(job.phase)) {
-    ForUnits(ctx, id, [&](const work::unit_id& unit_id, const unit& each) {
-      if (!HasStarted(each))
-        return;
-      units.push_back(
-          {.occurrence = unit_id.occurrence,
-           .step = unit_id.step,
-           .index = unit_id.index,
-           .done = each.phase == unit_phase::kDone,
-           .failures = each.failures,
-           .attempt = each.attempt,
-           .attempt_failed = each.failed_attempts.contains(each.attempt),
-           .checkpoint = each.checkpoint,
-           .workers = WorkersOf(each)});
-    });
+work::unit_progress ProgressOf(const work::unit_id& id, const unit& each) {
+  return {.occurrence = id.occurrence,
+          .step = id.step,
+          .index = id.index,
+          .done = each.phase == unit_phase::kDone,
+          .failures = each.failures,
+          .attempt = each.attempt,
+          .attempt_failed = each.failed_attempts.contains(each.attempt),
+          .checkpoint = each.checkpoint,
+          .workers = WorkersOf(each)};
+}
+
+// An upper bound on the bytes of the encoded record.
+std::size_t SizeBound(const work::unit_progressed& record) {
+  constexpr std::size_t kFixedBytes = 150;
+  constexpr std::size_t kBytesPerWorker = 3;
+  std::size_t bytes = kFixedBytes + 2 * record.job.value().size() +
+                      record.progress.checkpoint.size();
+  for (const work::worker_id& worker : record.progress.workers)
+    bytes += kBytesPerWorker + worker.value().size();
+  return bytes;
+}
+
+// The record of the unit as it is now. None for a unit of a closed job: the
+// job's phase, which was queued with a change no later than the unit's, covers
+// it.
+std::optional<work::record> TakeRecord(const context& ctx,
+                                       const work::unit_id& id) {
+  leader_state& leader = ctx.state.leader;
+  const active_job* job = leader.jobs.Find(id.job);
+  if (job == nullptr) {
+    return leader.recorded_units.erase(id) > 0
+               ? std::optional<work::record>(work::unit_deleted{.unit = id})
+               : std::nullopt;
   }
-  return {.job = id, .phase = job.phase, .units = std::move(units)};
+  const unit* each = leader.units.Find(id);
+  if (work::IsClosed(job->phase) || each == nullptr || !HasStarted(*each))
+    return {};
+  leader.recorded_units.insert(id);
+  return work::unit_progressed{.job = id.job,
+                               .progress = ProgressOf(id, *each)};
 }
 
-}  // namespace
+bool MayFill(const context& ctx, const outbox& box) {
+  return !box.in_flight && box.batch.empty() && box.waiting.empty() &&
+         ctx.now() >= box.next_at;
+}
+
+void CollectUnits(const context& ctx) {
+  leader_state& leader = ctx.state.leader;
+  std::size_t bytes = 0;
+  while (!leader.changed_units.empty() && bytes < kMaxAppendBytes) {
+    const auto [change, id] = leader.changed_units.TakeOldest();
+    std::optional<work::record> record = TakeRecord(ctx, id);
+    if (!record)
+      continue;
+    const auto* progressed = std::get_if<work::unit_progressed>(&*record);
+    bytes += progressed != nullptr ? SizeBound(*progressed)
+                                   : records::KeyOf(*record).size();
+    leader.unit_progress.batch.push_back(
+        {.content = std::move(*record), .change = change});
+  }
+}
 
-std::vector<work::record> TakeUnsavedProgress(const context& ctx) {
+void CollectPhases(const context& ctx) {
   leader_state& leader = ctx.state.leader;
-  std::vector<work::record> records;
-  while (!leader.unsaved_jobs.empty() &&
-         records.size() < ctx.limits().max_batch_records) {
-    const work::job_id id = *leader.unsaved_jobs.begin();
-    leader.unsaved_jobs.erase(leader.unsaved_jobs.begin());
+  while (!leader.changed_jobs.empty() &&
+         leader.job_phases.batch.size() < ctx.limits().max_batch_records) {
+    const auto [change, id] = leader.changed_jobs.TakeOldest();
     const active_job* job = leader.jobs.Find(id);
-    if (job != nullptr)
-      records.emplace_back(ProgressOf(ctx, id, *job));
+    if (job == nullptr)
+      continue;
+    leader.job_phases.batch.push_back(
+        {.content = work::job_progressed{.job = id, .phase = job->phase},
+         .change = change});
+  }
+}
+
+// The oldest change that is not known to be stored.
+std::optional<std::uint64_t> OldestUnstoredChange(const leader_state& leader) {
+  std::optional<std::uint64_t> oldest;
+  const auto consider = [&](std::optional<std::uint64_t> change) {
+    if (change)
+      oldest = std::min(oldest.value_or(*change), *change);
+  };
+  consider(leader.changed_jobs.OldestChange());
+  consider(leader.changed_units.OldestChange());
+  for (const outbox* each : {&leader.job_phases, &leader.unit_progress}) {
+    if (!each->batch.empty())
+      consider(each->batch.front().change);
+  }
+  return oldest;
+}
+
+void MakeDurable(const context& ctx, const processed_end& end) {
+  const worker_state* known = ctx.state.leader.workers.Find(end.worker);
+  if (known == nullptr)
+    return;
+  worker_state row = *known;
+  row.last_durable_end = std::max(row.last_durable_end, end.number);
+  row.next_hold_at = ctx.now();
+  ctx.state.leader.workers.Put(end.worker, std::move(row));
+  HoldIfNeeded(ctx, end.worker);
+}
+
+}  // namespace
+
+void NoteUnitChanged(const context& ctx, const work::unit_id& unit) {
+  leader_state& leader = ctx.state.leader;
+  leader.changed_units.Add(unit, ++leader.last_change);
+}
+
+void NoteJobChanged(const context& ctx, const work::job_id& job) {
+  leader_state& leader = ctx.state.leader;
+  const std::uint64_t change = ++leader.last_change;
+  // Units of a job that closes are not written any more, so their changes are
+  // stored only with the job's.
+  leader.changed_jobs.Add(job, OldestUnstoredChange(leader).value_or(change));
+}
+
+void DeleteUnitRecords(const context& ctx, const work::job_id& job) {
+  const auto& recorded = ctx.state.leader.recorded_units;
+  for (auto at = recorded.lower_bound({.job = job});
+       at != recorded.end() && at->job == job; ++at)
+    NoteUnitChanged(ctx, *at);
+}
+
+void NoteEndsProcessed(const context& ctx,
+                       const work::worker_id& worker,
+                       std::uint64_t number) {
+  leader_state& leader = ctx.state.leader;
+  if (leader.workers.Find(worker)->last_durable_end >= number)
+    return;
+  leader.processed_ends.push_back(
+      {.worker = worker, .number = number, .change = leader.last_change});
+}
+
+void SettleProcessedEnds(const context& ctx) {
+  leader_state& leader = ctx.state.leader;
+  const std::optional<std::uint64_t> unstored = OldestUnstoredChange(leader);
+  while (!leader.processed_ends.empty() &&
+         (!unstored || leader.processed_ends.front().change < *unstored)) {
+    const processed_end end = leader.processed_ends.front();
+    leader.processed_ends.pop_front();
+    MakeDurable(ctx, end);
+  }
+}
+
+void CollectProgress(const context& ctx) {
+  if (MayFill(ctx, ctx.state.leader.job_phases))
+    CollectPhases(ctx);
+  if (MayFill(ctx, ctx.state.leader.unit_progress))
+    CollectUnits(ctx);
+}
+
+void ReturnChanges(const context& ctx, outbox& box) {
+  leader_state& leader = ctx.state.leader;
+  std::deque<queued_record> kept;
+  for (queued_record& each : box.waiting) {
+    if (const auto* job = std::get_if<work::job_progressed>(&each.content)) {
+      leader.changed_jobs.Add(job->job, each.change);
+    } else if (const auto* unit =
+                   std::get_if<work::unit_progressed>(&each.content)) {
+      leader.changed_units.Add({.job = unit->job,
+                                .occurrence = unit->progress.occurrence,
+                                .step = unit->progress.step,
+                                .index = unit->progress.index},
+                               each.change);
+    } else if (const auto* deleted =
+                   std::get_if<work::unit_deleted>(&each.content)) {
+      leader.recorded_units.insert(deleted->unit);
+      leader.changed_units.Add(deleted->unit, each.change);
+    } else {
+      kept.push_back(std::move(each));
+    }
   }
-  return records;
+  box.waiting = std::move(kept);
 }
 
 }  // namespace parsleyhitch::dispatch
--- a/source/dispatch/reduce.cc
+++ b/source/dispatch/reduce.cc
@@ -116,12 +116,14 @@
       s.leadership.current_role == role::kLeader && s.leader.plan_due;
   if (plans)
     next = std::min(next, s.leader.next_plan_at);
-  for (const outbox* each : {&s.submissions, &s.leader.progress}) {
-    if (!each->in_flight && !(each->waiting.empty() && each->batch.empty()))
-      next = std::min(next, each->next_at);
-  }
-  if (!s.leader.unsaved_jobs.empty() && !s.leader.progress.in_flight)
-    next = std::min(next, s.leader.progress.next_at);
+  const auto wake_for = [&](const outbox& box, bool has_changes) {
+    const bool idle = box.waiting.empty() && box.batch.empty() && !has_changes;
+    if (!box.in_flight && !idle)
+      next = std::min(next, box.next_at);
+  };
+  wake_for(s.submissions, false);
+  wake_for(s.leader.job_phases, !s.leader.changed_jobs.empty());
+  wake_for(s.leader.unit_progress, !s.leader.changed_units.empty());
   for (const feed_state* each : {&s.records, &s.catalogs}) {
     if (!each->in_flight)
       next = std::min(next, each->next_at);
--- a/source/dispatch/restore.cc
+++ b/source/dispatch/restore.cc
@@ -1,6 +1,6 @@
-// Restores the jobs of a new leader from the records. Units that an earlier
-// leader placed count as placed until the listings of their workers show
-// otherwise.
+// Restores the jobs of a new leader from the records and units. Units that an
+// earlier leader placed count as placed until the listings of their workers
+// show otherwise.
 
 #include <utility>
 
@@ -63,31 +63,60 @@
   ctx.state.leader.units.Put(unit_id, std::move(restored));
 }
 
+// The units of the job as earlier leaders stored them.
+std::vector<work::unit_progress> StoredUnitsOf(const context& ctx,
+                                               const work::job_id& id) {
+  const auto& stored = ctx.state.leader.stored_units;
+  std::vector<work::unit_progress> units;
+  for (auto at = stored.LowerBound({.job = id});
+       at != stored.end() && at->first.job == id; ++at)
+    units.push_back(at->second);
+  return units;
+}
+
 void RestoreJob(const context& ctx,
                 const work::job_id& id,
                 const records::stored_job& entry) {
-  active_job job{.content = entry.content, .accepted = entry.accepted};
-  const work::job_progressed* saved = entry.progress.Get();
-  if (saved != nullptr)
-    job.phase = saved->phase;
+  active_job job{.content = entry.content,
+                 .accepted = entry.accepted,
+                 .phase = entry.phase};
+  const std::vector<work::unit_progress> units = StoredUnitsOf(ctx, id);
+  // The unit's start was stored, and the job's was not.
+  const bool phase_missing =
+      !units.empty() && job.phase == work::job_phase::kQueued;
+  if (phase_missing)
+    job.phase = work::job_phase::kRunning;
   ctx.state.leader.jobs.Put(id, job);
-  if (saved != nullptr) {
-    for (const work::unit_progress& each : saved->units) {
-      const step_key key{each.occurrence, each.step};
-      const bool known = each.step < ContentOf(job).request.steps.size();
-      if (known && job.opened.insert(key).second)
-        CreateUnits(ctx, id, key, ContentOf(job).request.steps[each.step]);
-    }
-    for (const work::unit_progress& each : saved->units)
-      RestoreUnit(ctx, id, each);
-    ctx.state.leader.jobs.Put(id, job);
+  if (phase_missing)
+    NoteJobChanged(ctx, id);
+  for (const work::unit_progress& each : units) {
+    const step_key key{each.occurrence, each.step};
+    const bool known = each.step < ContentOf(job).request.steps.size();
+    if (known && job.opened.insert(key).second)
+      CreateUnits(ctx, id, key, ContentOf(job).request.steps[each.step]);
   }
+  for (const work::unit_progress& each : units)
+    RestoreUnit(ctx, id, each);
+  ctx.state.leader.jobs.Put(id, job);
   if (records::PhaseOf(entry) == work::job_phase::kCancelled)
     CloseJob(ctx, id, work::job_phase::kCancelled);
   else
     FinishSteps(ctx, id);
 }
 
+// Takes over the records of earlier leaders, and deletes those of closed jobs,
+// which their leader did not come to delete.
+void RecordStoredUnits(const context& ctx) {
+  leader_state& leader = ctx.state.leader;
+  for (const auto& [id, progress] : leader.stored_units) {
+    leader.recorded_units.insert(id);
+    const records::stored_job* entry =
+        records::FindJob(ctx.state.ledger, id.job);
+    if (entry != nullptr && work::IsClosed(entry->phase))
+      NoteUnitChanged(ctx, id);
+  }
+}
+
 }  // namespace
 
 void RestoreJobs(const context& ctx) {
@@ -95,13 +124,13 @@
   leader.restored = true;
   std::vector<work::job_id> open;
   for (const auto& [id, entry] : ctx.state.ledger.jobs) {
-    const work::job_progressed* saved = entry.progress.Get();
-    const bool closed = saved != nullptr && work::IsClosed(saved->phase);
-    if (entry.content.Get() != nullptr && !closed)
+    if (entry.content.Get() != nullptr && !work::IsClosed(entry.phase))
       open.push_back(id);
   }
+  RecordStoredUnits(ctx);
   for (const work::job_id& id : open)
     RestoreJob(ctx, id, *ctx.state.ledger.jobs.Find(id));
+  leader.stored_units = {};
   leader.plan_due = true;
   ctx.Log("jobs_restored", ctx.env.self.value(),
           {Field("epoch", leader.epoch), Field("open", open.size()),
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "dispatch/change_queue.h"
 #include "model/value_cell.h"
 #include "model/value_table.h"
 #include "records/ledger.h"
@@ -53,6 +54,8 @@
   work::record content;
   // The client call that is answered once the record is stored, if any.
   std::optional<call_number> caller;
+  // For a record of the leader's: the oldest change that it stores.
+  std::uint64_t change = 0;
 
   bool operator==(const queued_record&) const = default;
 };
@@ -60,6 +63,7 @@
 // Group commit for one writer. At most one append is in flight; an append whose
 // outcome is unknown is repeated unchanged until the outcome is known.
 struct outbox {
+  work::feed target = work::feed::kRecords;
   std::string writer;
   std::uint64_t epoch = 0;
   // Sequence number of the append in flight, or of the next one.
@@ -303,6 +307,16 @@
   bool operator==(const worker_load&) const = default;
 };
 
+// An end in a worker's listing that was processed. It may be acknowledged once
+// all changes up to `change` are stored.
+struct processed_end {
+  work::worker_id worker;
+  std::uint64_t number = 0;
+  std::uint64_t change = 0;
+
+  bool operator==(const processed_end&) const = default;
+};
+
 // State that only the leader has. It starts empty with each election.
 struct leader_state {
   std::uint64_t epoch = 0;
@@ -324,14 +338,26 @@
   model::value_table<work::worker_id, worker_load> loads;
   model::value_table<orphan_key, orphan_task> orphan_tasks;
   model::value_table<call_number, order_reference> orders;
-  outbox progress;
-  // Jobs whose progress changed since it was last written.
-  std::set<work::job_id> unsaved_jobs;
-  // Since when `unsaved_jobs` has not been empty.
+  // The phases of jobs, which all entries read, and the progress of units,
+  // which the next leader reads. The first append of `unit_progress` fences the
+  // appends of earlier leaders.
+  outbox job_phases;
+  outbox unit_progress;
+  bool earlier_leaders_fenced = false;
+  // Reading of the units as earlier leaders stored them, and what was read so
+  // far; empty again once the jobs are restored.
+  feed_state stored_units_feed;
+  model::value_table<work::unit_id, work::unit_progress> stored_units;
+  // Units that have a record in the store, or in the append in flight.
+  std::set<work::unit_id> recorded_units;
+  // Changes of jobs and units are numbered in the order in which they are made.
+  std::uint64_t last_change = 0;
+  change_queue<work::job_id> changed_jobs;
+  change_queue<work::unit_id> changed_units;
+  // Since when there has been a change in one of the two.
   std::optional<timestamp> unsaved_since;
-  // For each worker, the last task end whose effect is covered by the progress
-  // append in flight.
-  std::map<work::worker_id, std::uint64_t> ends_being_stored;
+  // In the order of their changes.
+  std::deque<processed_end> processed_ends;
   bool plan_due = false;
   timestamp next_plan_at;
 
--- a/source/dispatch/store_health.cc
+++ b/source/dispatch/store_health.cc
@@ -54,9 +54,11 @@
 std::string AppendName(const context& ctx, call_number call) {
   if (ctx.state.submissions.in_flight == call)
     return "append_submissions";
-  if (ctx.state.leader.progress.in_flight == call)
-    return "append_progress";
-  // The progress append of a leader that has stepped down counts as late.
+  if (ctx.state.leader.job_phases.in_flight == call)
+    return "append_phases";
+  if (ctx.state.leader.unit_progress.in_flight == call)
+    return "append_units";
+  // The append of a leader that has stepped down counts as late.
   return ctx.state.leadership.claim == call ? "append_claim" : "append_late";
 }
 
--- a/source/platform/store_calls.cc
+++ b/source/platform/store_calls.cc
@@ -1,5 +1,5 @@
-// The topics of the catalog and of the workers are defined by the platform; the
-// records topic belongs to parsleyhitch.
+// The topics of the catalog and of the workers are defined by the platform;
+// those of the records and of the units belong to parsleyhitch.
 
 #include "platform/store_calls.h"
 
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr char kRecordsTopic[] = "keyed.parsleyhitch";
+constexpr char kUnitsTopic[] = "keyed.parsleyhitch-units";
 constexpr char kCatalogTopic[] = "keyed.op";
 constexpr char kWorkersTopic[] = "keyed.servers";
 constexpr char kCatalogKey[] = "config";
@@ -45,6 +46,8 @@
   switch (source) {
     case work::feed::kRecords:
       return kRecordsTopic;
+    case work::feed::kUnits:
+      return kUnitsTopic;
     case work::feed::kCatalog:
       return kCatalogTopic;
     case work::feed::kWorkers:
@@ -119,6 +122,7 @@
   };
   switch (source) {
     case work::feed::kRecords:
+    case work::feed::kUnits:
       return decode([&] { return wire::DecodeRecord(record.value); });
     case work::feed::kCatalog:
       if (record.key != kCatalogKey)
@@ -240,10 +244,13 @@
 wire::http_request RequestFor(const std::string& store,
                               const work::append_records& effect) {
   std::string body;
-  for (const work::record& each : effect.records)
-    body += EncodeKeyedRecord(records::KeyOf(each), wire::EncodeRecord(each));
+  for (const work::record& each : effect.records) {
+    const std::string value =
+        records::IsDeletion(each) ? std::string() : wire::EncodeRecord(each);
+    body += EncodeKeyedRecord(records::KeyOf(each), value);
+  }
   return {.method = "POST",
-          .url = TopicUrl(store, "/log-append", kRecordsTopic) +
+          .url = TopicUrl(store, "/log-append", TopicName(effect.target)) +
                  "&producer=" + UrlEscape(effect.writer) +
                  "&epoch=" + std::to_string(effect.epoch) +
                  "&sequence=" + std::to_string(effect.sequence),
--- a/source/records/ledger.cc
+++ b/source/records/ledger.cc
@@ -46,10 +46,8 @@
   stored_job stored = JobOrDefault(folded, record.job);
   if (work::IsClosed(record.phase))
     stored.closed_at = Earlier(stored.closed_at, offset);
-  const bool newest =
-      stored.progress.Get() == nullptr || stored.progressed < offset;
-  if (newest) {
-    stored.progress.Put(record);
+  if (!stored.progressed || *stored.progressed < offset) {
+    stored.phase = record.phase;
     stored.progressed = offset;
   }
   folded.jobs.Put(record.job, std::move(stored));
@@ -74,6 +72,10 @@
   folded.elected = offset;
 }
 
+// Units are in a stream of their own.
+void FoldInto(ledger&, std::uint64_t, const work::unit_progressed&) {}
+void FoldInto(ledger&, std::uint64_t, const work::unit_deleted&) {}
+
 }  // namespace
 
 ledger Fold(ledger folded, std::uint64_t offset, const work::record& record) {
@@ -98,13 +100,12 @@
 }
 
 work::job_phase PhaseOf(const stored_job& job) {
-  const work::job_progressed* progress = job.progress.Get();
   const bool cancelled_first =
       job.cancelled_at &&
       (!job.closed_at || *job.cancelled_at < *job.closed_at);
   if (cancelled_first)
     return work::job_phase::kCancelled;
-  return progress == nullptr ? work::job_phase::kQueued : progress->phase;
+  return job.phase;
 }
 
 bool HasLeaderRestarted(const ledger& folded) {
--- a/source/records/ledger.h
+++ b/source/records/ledger.h
@@ -21,9 +21,10 @@
   model::value_cell<work::submission> content;
   // Offset of the submission; jobs are served in this order.
   std::uint64_t accepted = 0;
-  model::value_cell<work::job_progressed> progress;
-  // Offset of the newest progress record.
-  std::uint64_t progressed = 0;
+  // The phase in the newest progress record, and its offset; absent until one
+  // is read.
+  work::job_phase phase = work::job_phase::kQueued;
+  std::optional<std::uint64_t> progressed;
   // Offsets of the first cancellation and of the first progress record of a
   // closed phase. The earlier of the two decides how the job ended.
   std::optional<std::uint64_t> cancelled_at;
--- a/source/records/record_key.cc
+++ b/source/records/record_key.cc
@@ -18,6 +18,24 @@
   return "progress/" + record.job.value();
 }
 
+std::string UnitKey(const work::job_id& job,
+                    std::uint32_t occurrence,
+                    std::uint32_t step,
+                    std::uint32_t index) {
+  return "unit/" + job.value() + "/" + std::to_string(occurrence) + "/" +
+         std::to_string(step) + "/" + std::to_string(index);
+}
+
+std::string Key(const work::unit_progressed& record) {
+  return UnitKey(record.job, record.progress.occurrence, record.progress.step,
+                 record.progress.index);
+}
+
+std::string Key(const work::unit_deleted& record) {
+  return UnitKey(record.unit.job, record.unit.occurrence, record.unit.step,
+                 record.unit.index);
+}
+
 std::string Key(const work::member_joined& record) {
   return "member/" + record.entry.value();
 }
@@ -32,4 +50,8 @@
   return std::visit([](const auto& each) { return Key(each); }, record);
 }
 
+bool IsDeletion(const work::record& record) {
+  return std::holds_alternative<work::unit_deleted>(record);
+}
+
 }  // namespace parsleyhitch::records
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -72,9 +72,12 @@
 
 PARSLEYHITCH_DESCRIBE(job_submitted, content)
 PARSLEYHITCH_DESCRIBE(job_cancelled, job)
-PARSLEYHITCH_DESCRIBE(job_progressed, job, phase, units)
+PARSLEYHITCH_DESCRIBE(job_progressed, job, phase)
 PARSLEYHITCH_DESCRIBE(member_joined, entry, address, cpu_millis, incarnation)
 PARSLEYHITCH_DESCRIBE(leader_elected, entry, epoch)
+PARSLEYHITCH_DESCRIBE(unit_id, job, occurrence, step, index)
+PARSLEYHITCH_DESCRIBE(unit_progressed, job, progress)
+PARSLEYHITCH_DESCRIBE(unit_deleted, unit)
 
 PARSLEYHITCH_DESCRIBE(client_call,
                       verb,
--- a/source/work/effect.h
+++ b/source/work/effect.h
@@ -47,6 +47,8 @@
   const std::uint64_t sequence = 0;
   const std::vector<record> records{};
   const duration timeout{0};
+  // The stream to which the records are appended.
+  const feed target = feed::kRecords;
   bool operator==(const append_records&) const = default;
 };
 
--- a/source/work/event.h
+++ b/source/work/event.h
@@ -23,8 +23,9 @@
 // sent, or a client call that it received.
 using call_number = std::uint64_t;
 
-// The streams of keyed items kept by the store.
-enum class feed { kRecords, kCatalog, kWorkers };
+// The streams of keyed items kept by the store. `kUnits` holds the progress of
+// units, which its writer, the leader, reads once after its election.
+enum class feed { kRecords, kCatalog, kWorkers, kUnits };
 
 struct entry_started {
   const timestamp at;
--- a/source/work/record.h
+++ b/source/work/record.h
@@ -1,6 +1,7 @@
 // Durable state as records in the store. The newest record of each key is
 // valid. A job has separate keys for its submission, its cancellation and its
-// progress, as each has a different writer.
+// phase, as each has a different writer. Its units are kept in a stream of
+// their own: they change far more often, and only a new leader reads them.
 
 #ifndef PARSLEYHITCH_WORK_RECORD_H_
 #define PARSLEYHITCH_WORK_RECORD_H_
@@ -30,12 +31,23 @@
 struct job_progressed {
   const job_id job;
   const job_phase phase = job_phase::kQueued;
-  // Units that are not listed have not been started. Empty once the job is
-  // closed.
-  const std::vector<unit_progress> units{};
   bool operator==(const job_progressed&) const = default;
 };
 
+// Written by the leader only, fenced by its epoch. A unit without a record has
+// not been started.
+struct unit_progressed {
+  const job_id job;
+  const unit_progress progress{};
+  bool operator==(const unit_progressed&) const = default;
+};
+
+// Deletes the record of a unit whose job is closed.
+struct unit_deleted {
+  const unit_id unit{};
+  bool operator==(const unit_deleted&) const = default;
+};
+
 // An entry and the address at which its peers reach it.
 struct member_joined {
   const entry_id entry;
@@ -59,7 +71,9 @@
                             job_cancelled,
                             job_progressed,
                             member_joined,
-                            leader_elected>;
+                            leader_elected,
+                            unit_progressed,
+                            unit_deleted>;
 
 }  // namespace parsleyhitch::work
 
--- a/tests/dispatch/load_report_test.cc
+++ b/tests/dispatch/load_report_test.cc
@@ -81,9 +81,9 @@
   fixture.simulation.store().append_time = work::duration(700);
   for (const char* job : {kJob, kOtherJob})
     fixture.simulation.Submit(fixture.Follower(), job, {Step(3, 8)});
-  cr_assert(fixture.Reports("progress_append_ms", 1));
+  cr_assert(fixture.Reports("unit_append_ms", 1));
   cr_assert(fixture.Reports("unsaved_for_ms", 1));
-  cr_assert_geq(fixture.Reported("unsaved_jobs"), 1U);
+  cr_assert_geq(fixture.Reported("unsaved_changes"), 1U);
 }
 
 Test(leader_load, when_reads_fail_reports_the_age_of_the_records) {
--- /dev/null
+++ b/tests/dispatch/unit_records_test.cc
@@ -0,0 +1,120 @@
+// What the leader stores of its jobs' progress, who reads it, and when the ends
+// of tasks are acknowledged.
+
+#include <algorithm>
+
+#include "dispatch/simulation_fixture.h"
+
+namespace tests = parsleyhitch::tests;
+namespace work = parsleyhitch::work;
+using tests::kJob;
+using tests::simulation_fixture;
+using tests::Step;
+
+namespace {
+
+constexpr std::uint32_t kTasks = 20;
+
+struct stored_progress_fixture : simulation_fixture {
+  explicit stored_progress_fixture(std::vector<work::step_spec> steps = {
+                                       Step(kTasks, 1)}) {
+    simulation.Submit(Follower(), kJob, steps);
+    cr_assert(simulation.RunUntil([&] { return IsRunning(kJob); },
+                                  work::duration(1000)));
+  }
+
+  std::size_t UnitRecords() {
+    const work::newest_read units =
+        simulation.store().Newest({.source = work::feed::kUnits});
+    return static_cast<std::size_t>(
+        std::ranges::count_if(units.items, [](const work::feed_item& each) {
+          return each.key.starts_with("unit/");
+        }));
+  }
+
+  bool HasUnacknowledgedEnd() {
+    for (std::uint32_t i = 0; i < simulation.worker_count(); ++i) {
+      if (!simulation.worker(i).Listing().ended.empty())
+        return true;
+    }
+    return false;
+  }
+
+  void ReplaceLeader() {
+    const std::uint32_t first = Leader();
+    simulation.Kill(first);
+    simulation.store().refused.clear();
+    cr_assert(simulation.RunUntil(
+        [&] {
+          const auto leader = simulation.Leader();
+          return leader && *leader != first;
+        },
+        work::duration(4000)));
+  }
+};
+
+}  // namespace
+
+// Guards against a store that is overloaded by its readers: each entry reads
+// all records.
+Test(records, of_a_job_with_many_tasks_are_no_more_than_of_one_with_few) {
+  stored_progress_fixture fixture;
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  const auto& records = fixture.simulation.store().records();
+  const auto of_job = std::ranges::count_if(records, [](const auto& each) {
+    return each.key.find(kJob) != std::string::npos;
+  });
+  // Its submission, and its phases when it started and when it ended.
+  cr_assert_eq(of_job, 3);
+}
+
+// Guards against units that stay in the store after their job.
+Test(unit_records, of_a_closed_job_are_deleted) {
+  stored_progress_fixture fixture;
+  fixture.simulation.RunFor(work::duration(200));
+  cr_assert_eq(fixture.UnitRecords(), kTasks);
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  cr_assert(fixture.simulation.RunUntil(
+      [&] { return fixture.UnitRecords() == 0; }, work::duration(1000)));
+}
+
+// Guards against units that stay in the store when their leader is gone.
+Test(unit_records, that_a_stopped_leader_left_are_deleted_by_its_successor) {
+  stored_progress_fixture fixture;
+  fixture.simulation.RunFor(work::duration(200));
+  fixture.simulation.store().refused = {work::feed::kUnits};
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  fixture.ReplaceLeader();
+  cr_assert(fixture.simulation.RunUntil(
+      [&] { return fixture.UnitRecords() == 0; }, work::duration(4000)));
+}
+
+// Guards against work that runs twice: its end was acknowledged, and neither
+// the unit nor the job was stored as done.
+Test(end, that_closes_a_job_is_not_acknowledged_before_the_phase_is_stored) {
+  stored_progress_fixture fixture({Step(2, 1)});
+  fixture.simulation.store().refused = {work::feed::kRecords};
+  cr_assert(fixture.simulation.RunUntil(
+      [&] { return !fixture.IsRunning(kJob); }, work::duration(4000)));
+  fixture.simulation.RunFor(work::duration(1500));
+  cr_assert(fixture.HasUnacknowledgedEnd());
+  fixture.ReplaceLeader();
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  cr_assert_eq(fixture.simulation.starts(), 2U);
+  cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
+}
+
+// Guards against work that runs twice: its end was acknowledged, and its unit
+// was not stored as done.
+Test(end, of_a_unit_is_not_acknowledged_before_the_unit_is_stored) {
+  stored_progress_fixture fixture({Step(2, 1), Step(1, 1, false, {0})});
+  fixture.simulation.store().refused = {work::feed::kUnits};
+  cr_assert(fixture.simulation.RunUntil(
+      [&] { return fixture.simulation.starts() == 3; }, work::duration(4000)));
+  fixture.simulation.RunFor(work::duration(300));
+  cr_assert(fixture.HasUnacknowledgedEnd());
+  fixture.ReplaceLeader();
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  cr_assert_eq(fixture.simulation.starts(), 3U);
+  cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
+}
--- a/tests/platform/malformed_test.cc
+++ b/tests/platform/malformed_test.cc
@@ -139,8 +139,8 @@
 Test(malformed, records_and_messages_of_peers_are_refused_without_a_crash) {
   malformed_fixture fixture;
   const std::vector<std::string> encoded{
-      wire::EncodeRecord(work::job_progressed{
-          .job = work::job_id("a1"), .units = {{.index = 3, .attempt = 4}}}),
+      wire::EncodeRecord(work::unit_progressed{
+          .job = work::job_id("a1"), .progress = {.index = 3, .attempt = 4}}),
       wire::EncodeMessage({.from = work::entry_id("b"),
                            .content = work::leader_heartbeat{
                                .epoch = 3, .address = "10.0.0.2:7"}})};
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -310,7 +310,8 @@
 
 void platform_simulation::Apply(std::uint32_t index,
                                 const work::append_records& effect) {
-  const bool reached = !store_.down && !entries_[index].cut_from_store;
+  const bool reached = !store_.down && !entries_[index].cut_from_store &&
+                       !store_.refused.contains(effect.target);
   if (!reached) {
     DeliverAnswer(index, work::duration(20), false, false,
                   [this, effect](bool) -> work::event {
--- a/tests/support/simulated_store.cc
+++ b/tests/support/simulated_store.cc
@@ -54,11 +54,15 @@
     const work::append_records& effect) {
   if (ExceedsLimits(effect))
     return {.call = effect.call, .outcome = work::append_outcome::kRefused};
-  const store_writers::append_result result =
-      writers_.TryAppend(effect.writer, effect.epoch, effect.sequence, [&] {
-        for (const work::record& each : effect.records)
-          Put(work::feed::kRecords, records::KeyOf(each), each);
-        return logs_.at(work::feed::kRecords).items.size();
+  const store_writers::append_result result = writers_[effect.target].TryAppend(
+      effect.writer, effect.epoch, effect.sequence, [&] {
+        for (const work::record& each : effect.records) {
+          Put(effect.target, records::KeyOf(each),
+              records::IsDeletion(each)
+                  ? std::optional<work::feed_value>()
+                  : std::optional<work::feed_value>(each));
+        }
+        return logs_.at(effect.target).items.size();
       });
   return {.call = effect.call, .outcome = result.outcome, .end = result.end};
 }
--- a/tests/support/simulated_store.h
+++ b/tests/support/simulated_store.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,6 +49,8 @@
   // answers are lost.
   bool down = false;
   std::uint32_t lose_answers = 0;
+  // Appends to these streams are refused.
+  std::set<work::feed> refused;
 
   store_limits limits;
 
@@ -117,8 +120,10 @@
 
   std::map<work::feed, feed_log> logs_{{work::feed::kRecords, {}},
                                        {work::feed::kCatalog, {}},
-                                       {work::feed::kWorkers, {}}};
-  store_writers writers_;
+                                       {work::feed::kWorkers, {}},
+                                       {work::feed::kUnits, {}}};
+  // Each stream fences writers by itself.
+  std::map<work::feed, store_writers> writers_;
   // When all answers so far will have been transferred.
   std::chrono::microseconds reads_until_{0};
   byte_counts bytes_read_;
--- a/tests/wire/work_codec_test.cc
+++ b/tests/wire/work_codec_test.cc
@@ -36,18 +36,20 @@
                                       .queue = work::queue_id("q"),
                                       .priority = 2,
                                       .request = kRequest}};
-  const work::record progressed =
-      work::job_progressed{.job = work::job_id("a1"),
-                           .phase = work::job_phase::kRunning,
-                           .units = {{.step = 1,
-                                      .index = 3,
-                                      .failures = 1,
-                                      .attempt = 1002,
-                                      .attempt_failed = true,
-                                      .checkpoint = "00ff",
-                                      .workers = {work::worker_id("w")}}}};
+  const work::record progressed = work::job_progressed{
+      .job = work::job_id("a1"), .phase = work::job_phase::kRunning};
+  const work::record unit =
+      work::unit_progressed{.job = work::job_id("a1"),
+                            .progress = {.step = 1,
+                                         .index = 3,
+                                         .failures = 1,
+                                         .attempt = 1002,
+                                         .attempt_failed = true,
+                                         .checkpoint = "00ff",
+                                         .workers = {work::worker_id("w")}}};
   cr_assert(codec_fixture::RoundTrip(submitted) == submitted);
   cr_assert(codec_fixture::RoundTrip(progressed) == progressed);
+  cr_assert(codec_fixture::RoundTrip(unit) == unit);
 }
 
 Test(work_message, encoded_and_decoded_is_equal) {
