Describe all limits: refuse_after_ms set the bound for slow appends

An operator who sets any limit in the settings got a different bound for slow appends: slow_append took the value of refuse_after (300 ms instead of 250 ms), refuse_after could not be set at all, and slow_append_ms was refused as an unknown key.

The decoders construct a value from its described members in order. The description of the limits left slow_append out, so the member after it got its place. Both are durations, so the compiler took it.

slow_append is described, at the end, where new members go. A static assertion in both decoders now fails for any type with a member that is not described; with slow_append taken out of the description again the build stops there.

dispatch_settings::with_one_limit_keep_the_defaults_of_all_others and dispatch_settings::with_a_bound_for_slow_appends_have_it failed before, on the same code without the description.

--- a/source/wire/json_codec.h
+++ b/source/wire/json_codec.h
@@ -214,6 +214,7 @@
     if (!known.contains(name))
       AddFinding(findings, ChildPlace(place, name), "is not a known field");
   }
+  static_assert(has_all_described_v<T>);
   return T{DecodeMember<T, I>(source, place, findings)...};
 }
 
--- a/source/wire/proto_codec.h
+++ b/source/wire/proto_codec.h
@@ -190,6 +190,7 @@
               std::index_sequence<I...>) {
   (void)fields;
   (void)malformed;
+  static_assert(has_all_described_v<T>);
   return T{ReadMember<T, I>(fields, malformed)...};
 }
 
--- a/source/wire/traits.h
+++ b/source/wire/traits.h
@@ -50,6 +50,25 @@
 inline constexpr std::size_t member_count_v =
     boost::mp11::mp_size<members_of<T>>::value;
 
+// Converts to a value of any type.
+struct any_value {
+  template <typename T>
+  operator T() const;  // NOLINT(google-explicit-constructor)
+};
+
+template <typename T, std::size_t... I>
+constexpr bool IsConstructibleFrom(std::index_sequence<I...>) {
+  return requires {
+    T{(static_cast<void>(I), any_value())...};
+  };
+}
+
+// False when a member of T is not described. The decoders construct a T from
+// its members in order, so that it would take the value of the next one.
+template <typename T>
+inline constexpr bool has_all_described_v =
+    !IsConstructibleFrom<T>(std::make_index_sequence<member_count_v<T> + 1>());
+
 template <typename T, std::size_t I>
 inline constexpr auto descriptor_v = boost::mp11::mp_at_c<members_of<T>, I>();
 
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -144,7 +144,8 @@
                       answer_margin,
                       retry_after,
                       relay_after,
-                      refuse_after)
+                      refuse_after,
+                      slow_append)
 
 }  // namespace parsleyhitch::work
 
--- a/source/work/limits.h
+++ b/source/work/limits.h
@@ -99,11 +99,11 @@
   // Once the store has been unreachable this long, calls are relayed to the
   // leader while its heartbeats arrive.
   const duration relay_after{150};
-  // An append that takes longer counts the store as slow.
-  const duration slow_append{250};
   // Once the store has been unreachable this long, calls that need it are
   // refused immediately, so that callers waiting 3 s can still retry.
   const duration refuse_after{300};
+  // An append that takes longer counts the store as slow.
+  const duration slow_append{250};
 
   bool operator==(const limits&) const = default;
 };
--- a/tests/settings/dispatch_settings_test.cc
+++ b/tests/settings/dispatch_settings_test.cc
@@ -7,6 +7,7 @@
 namespace model = parsleyhitch::model;
 namespace settings = parsleyhitch::settings;
 namespace wire = parsleyhitch::wire;
+namespace work = parsleyhitch::work;
 
 namespace {
 
@@ -56,3 +57,21 @@
   cr_assert_eq(findings.size(), 1U);
   cr_assert_eq(findings[0].place, "/store_address");
 }
+
+// Guards against a limit that is left out of the description and takes the
+// value of the next one.
+Test(dispatch_settings, with_one_limit_keep_the_defaults_of_all_others) {
+  const auto parsed = wire::ValueOf([] {
+    return settings::ParseDispatchSettings(std::string(kValidSettings) +
+                                           "limits:\n  tick_ms: 50\n");
+  });
+  cr_assert(parsed->limits == work::limits{.tick = work::duration(50)});
+}
+
+Test(dispatch_settings, with_a_bound_for_slow_appends_have_it) {
+  const auto parsed = wire::ValueOf([] {
+    return settings::ParseDispatchSettings(std::string(kValidSettings) +
+                                           "limits:\n  slow_append_ms: 400\n");
+  });
+  cr_assert(parsed->limits.slow_append == work::duration(400));
+}
