Back off with jitter between failed reads of the store

A store in trouble stayed in trouble: each entry repeated its two reads every 150 ms, and all entries that had lost the store together did so at the same moments.

The pause after a failed read was the constant read_retry, and a trimmed feed was read again at once.

The pause now doubles from read_retry up to store_retry_max (600 ms) and is drawn from the upper half of that, with the reducer's own generator; the first answered read resets it. The bound leaves a read that hangs for read_timeout (1,700 ms) and the retry within the 3 s after a fault in which an entry has to have the newest configuration. The leader retries within leader_retry_max (300 ms): three times within store_silent, after which it would be replaced, and more often within its authority.

Failed before, with the old feeds.cc: that test, reads::that_fail_again_and_again_are_repeated_after_longer_pauses, reads::that_fail_at_two_entries_together_are_repeated_apart and records::trimmed_under_all_entries_are_read_again_one_after_the_other. The tests of the leader's pauses and of the configuration after an outage passed before as well; they keep the bounds.

--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/feeds.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "dispatch/backoff.h"
 #include "dispatch/names.h"
 #include "dispatch/parts.h"
 
@@ -135,6 +136,16 @@
   return true;
 }
 
+// Followers that were trimmed together read their snapshots one after the
+// other.
+duration SnapshotPause(const context& ctx) {
+  if (ctx.state.leadership.current_role == role::kLeader)
+    return duration(0);
+  const duration longest = ctx.limits().store_retry_max;
+  return duration(ctx.Random() %
+                  (static_cast<std::uint64_t>(longest.count()) + 1));
+}
+
 }  // namespace
 
 void PollFeeds(const context& ctx) {
@@ -173,6 +184,7 @@
   }
   if (!TakeReadInFlight(feed, event.call))
     return;
+  feed.failed_reads = 0;
   ApplyAll(ctx, event.source, event.items);
   feed.position = event.next;
   feed.confirmed_at = feed.sent_at;
@@ -190,6 +202,7 @@
   feed.known_end = std::max(feed.known_end, event.end);
   if (!TakeReadInFlight(feed, event.call))
     return;
+  feed.failed_reads = 0;
   if (!feed.snapshot_end)
     feed.snapshot_end = event.end;
   for (const work::feed_item& item : event.items) {
@@ -218,13 +231,16 @@
   if (!TakeReadInFlight(feed, event.call))
     return;
   if (!trimmed) {
-    feed.next_at = ctx.now() + ctx.limits().read_retry;
+    feed.next_at = ctx.now() + StoreRetryPause(ctx, ctx.limits().read_retry,
+                                               feed.failed_reads);
+    feed.failed_reads += 1;
     return;
   }
+  feed.failed_reads = 0;
   ctx.Log("feed_trimmed", NameOf(event.source),
           {Field("position", feed.position)});
   RestartSnapshot(feed);
-  feed.next_at = ctx.now();
+  feed.next_at = ctx.now() + SnapshotPause(ctx);
 }
 
 void ActivateCatalog(const context& ctx,
@@ -255,4 +271,14 @@
                            .timeout = ctx.limits().append_timeout});
 }
 
+duration StoreRetryPause(const context& ctx,
+                         duration shortest,
+                         std::uint32_t failures) {
+  const bool leads = ctx.state.leadership.current_role == role::kLeader;
+  const duration longest =
+      leads ? ctx.limits().leader_retry_max : ctx.limits().store_retry_max;
+  return WithJitter(ExponentialBackoff(shortest, longest, failures),
+                    ctx.Random());
+}
+
 }  // namespace parsleyhitch::dispatch
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -36,6 +36,12 @@
 // True when every call to the store has failed for `at_least`.
 bool IsStoreFailing(const context& ctx, duration at_least);
 
+// The pause before a call to the store is repeated that has failed `failures`
+// times in a row before: `shortest` at first.
+duration StoreRetryPause(const context& ctx,
+                         duration shortest,
+                         std::uint32_t failures);
+
 // outbox.cc: group commit of records.
 void FlushOutboxes(const context& ctx);
 // True when this entry's latest append, or the one in flight, takes long.
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -46,6 +46,8 @@
   // Every item stored before this time has been read.
   timestamp confirmed_at;
   timestamp next_at;
+  // Reads that failed since the last one that was answered.
+  std::uint32_t failed_reads = 0;
 
   bool operator==(const feed_state&) const = default;
 };
--- a/source/settings/dispatch_settings.cc
+++ b/source/settings/dispatch_settings.cc
@@ -52,6 +52,8 @@
   Require(findings, limits.leader_silent > 2 * limits.heartbeat_interval,
           "/limits/leader_silent_ms",
           "must be above twice heartbeat_interval_ms");
+  Require(findings, limits.leader_retry_max < limits.store_silent,
+          "/limits/leader_retry_max_ms", "must be below store_silent_ms");
   Require(findings, limits.tick > model::duration(0), "/limits/tick_ms",
           "must be above 0");
   Require(findings, limits.max_batch_records > 0, "/limits/max_batch_records",
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -145,7 +145,9 @@
                       retry_after,
                       relay_after,
                       refuse_after,
-                      slow_append)
+                      slow_append,
+                      store_retry_max,
+                      leader_retry_max)
 
 }  // namespace parsleyhitch::work
 
--- a/source/work/limits.h
+++ b/source/work/limits.h
@@ -21,6 +21,8 @@
   // a configuration change for 2 s, the users' bound.
   const duration read_wait{1200};
   const duration read_timeout{1700};
+  // The pause before a failed read is repeated: doubled with each failure up to
+  // `store_retry_max`, at the leader up to `leader_retry_max`.
   const duration read_retry{150};
   // Shortest time between two reads of records by a follower, to limit the load
   // on the store.
@@ -104,6 +106,12 @@
   const duration refuse_after{300};
   // An append that takes longer counts the store as slow.
   const duration slow_append{250};
+  // An entry reads the newest configuration within 3 s of the end of a fault: a
+  // read that hangs takes `read_timeout`, and the page itself needs time.
+  const duration store_retry_max{600};
+  // Several attempts within `store_silent`, after which a leader without the
+  // store is replaced.
+  const duration leader_retry_max{300};
 
   bool operator==(const limits&) const = default;
 };
--- /dev/null
+++ b/tests/dispatch/store_retry_test.cc
@@ -0,0 +1,278 @@
+// Repeated calls to the store: their pauses, and what one append may hold.
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "dispatch/simulation_fixture.h"
+
+namespace dispatch = parsleyhitch::dispatch;
+namespace tests = parsleyhitch::tests;
+namespace work = parsleyhitch::work;
+using tests::simulation_fixture;
+
+namespace {
+
+const work::limits kLimits;
+// The entry wakes up within this after the pause that it chose.
+constexpr work::duration kWakeDelay{1};
+
+// One entry whose reducer is driven event by event. The test answers its calls.
+class entry_fixture {
+ public:
+  explicit entry_fixture(std::uint64_t seed = 1) {
+    Deliver(work::entry_started{
+        .at = now_, .incarnation = kIncarnation, .seed = seed});
+  }
+
+  void Deliver(const work::event& event) {
+    dispatch::step done =
+        dispatch::Reduce(environment_, std::move(state_), event);
+    state_ = std::move(done.state);
+    for (const work::effect& each : done.effects) {
+      if (const auto* wake = std::get_if<work::wake_at>(&each))
+        wake_at_ = wake->at;
+      else
+        effects_.push_back(each);
+    }
+  }
+
+  // The next effect of the type that `matches`, once it is due.
+  template <typename Effect>
+  std::optional<Effect> Next(const std::function<bool(const Effect&)>& matches =
+                                 [](const Effect&) { return true; }) {
+    constexpr work::duration kWait{5000};
+    const work::timestamp until = now_ + kWait;
+    while (true) {
+      for (auto each = effects_.begin(); each != effects_.end(); ++each) {
+        const auto* found = std::get_if<Effect>(&*each);
+        if (found == nullptr || !matches(*found))
+          continue;
+        const Effect result = *found;
+        effects_.erase(each);
+        return result;
+      }
+      if (wake_at_ > until)
+        return {};
+      now_ = std::max(now_, wake_at_);
+      Deliver(work::wake_due{.at = now_});
+    }
+  }
+
+  work::read_newest NextCatalogRead() {
+    return Next<work::read_newest>([](const work::read_newest& read) {
+             return read.source == work::feed::kCatalog;
+           })
+        .value();
+  }
+
+  void FailRead(const work::read_newest& read) {
+    Deliver(work::feed_unread{
+        .at = now_, .call = read.call, .source = read.source});
+  }
+
+  // Fails that many reads of the catalog. Returns the pauses after them.
+  std::vector<work::duration> PausesAfterFailedReads(std::size_t count) {
+    std::vector<work::duration> pauses;
+    FailRead(NextCatalogRead());
+    while (pauses.size() < count) {
+      const work::timestamp failed_at = now_;
+      const work::read_newest read = NextCatalogRead();
+      pauses.push_back(now_ - failed_at);
+      FailRead(read);
+    }
+    return pauses;
+  }
+
+  work::timestamp now() const { return now_; }
+
+ private:
+  static constexpr std::uint64_t kIncarnation = 1;
+
+  const dispatch::environment environment_{
+      .self = work::entry_id("entry-0"),
+      .peer_address = "entry-0:1",
+      .behaviour = dispatch::DefaultHooks()};
+  dispatch::state state_;
+  work::timestamp now_{work::duration(1000000)};
+  work::timestamp wake_at_;
+  // A list, as effects are not assignable.
+  std::list<work::effect> effects_;
+};
+
+// Many entries that share one store. Records when the reads of each failed.
+class shared_store_fixture {
+ public:
+  static constexpr std::uint32_t kEntries = 30;
+  // Entries that act within this of one another count as acting together.
+  static constexpr work::duration kTogether{10};
+
+  shared_store_fixture()
+      : fixture_({.entries = kEntries,
+                  .on_reduced = [this](std::uint32_t entry,
+                                       const work::event& event,
+                                       std::chrono::nanoseconds) {
+                    Observe(entry, event);
+                  }}) {}
+
+  simulation_fixture& site() { return fixture_; }
+
+  // Takes the store away for this time.
+  void TakeStoreAway(work::duration time) {
+    fixture_.simulation.store().down = true;
+    fixture_.simulation.RunFor(time);
+    fixture_.simulation.store().down = false;
+  }
+
+  // The failed reads from a time on.
+  std::vector<work::timestamp> FailuresSince(work::duration since) const {
+    std::vector<work::timestamp> found;
+    std::ranges::copy_if(
+        failures_, std::back_inserter(found),
+        [&](work::timestamp at) { return at >= start_ + since; });
+    return found;
+  }
+
+  // The most failures within `kTogether`.
+  static std::size_t MostTogether(const std::vector<work::timestamp>& sorted) {
+    std::size_t most = 0;
+    for (auto first = sorted.begin(); first != sorted.end(); ++first) {
+      const auto last =
+          std::upper_bound(first, sorted.end(), *first + kTogether);
+      most = std::max(most, static_cast<std::size_t>(last - first));
+    }
+    return most;
+  }
+
+  // For each entry, how long after a trim of the records it read them anew.
+  const std::map<std::uint32_t, work::duration>& snapshot_delays() const {
+    return snapshot_delays_;
+  }
+
+  // The longest time between two failed reads of the records by the entry.
+  work::duration LongestPauseOf(std::uint32_t entry) const {
+    const std::vector<work::timestamp>& times = record_failures_.at(entry);
+    work::duration longest{0};
+    for (std::size_t i = 1; i < times.size(); ++i)
+      longest = std::max(longest, times[i] - times[i - 1]);
+    return longest;
+  }
+
+ private:
+  void Observe(std::uint32_t entry, const work::event& event) {
+    if (const auto* unread = std::get_if<work::feed_unread>(&event)) {
+      const bool trimmed = unread->why == work::read_failure::kTrimmed;
+      if (trimmed)
+        trimmed_at_[entry] = unread->at;
+      else
+        failures_.push_back(unread->at);
+      if (!trimmed && unread->source == work::feed::kRecords)
+        record_failures_[entry].push_back(unread->at);
+    }
+    const auto* newest = std::get_if<work::newest_read>(&event);
+    const bool reread = newest != nullptr &&
+                        newest->source == work::feed::kRecords &&
+                        trimmed_at_.contains(entry);
+    if (reread)
+      snapshot_delays_[entry] = newest->at - trimmed_at_.at(entry);
+  }
+
+  // The simulated clock's epoch.
+  const work::timestamp start_{work::duration(1700000000000)};
+  std::vector<work::timestamp> failures_;
+  std::map<std::uint32_t, std::vector<work::timestamp>> record_failures_;
+  std::map<std::uint32_t, work::timestamp> trimmed_at_;
+  std::map<std::uint32_t, work::duration> snapshot_delays_;
+  simulation_fixture fixture_;
+};
+
+}  // namespace
+
+// Guards against reads that keep a store in trouble busy at a constant rate.
+Test(reads, that_fail_again_and_again_are_repeated_after_longer_pauses) {
+  const auto pauses = entry_fixture().PausesAfterFailedReads(6);
+  cr_assert(pauses.front() >= kLimits.read_retry / 2);
+  cr_assert(pauses.front() <= kLimits.read_retry + kWakeDelay);
+  cr_assert(pauses.back() >= kLimits.store_retry_max / 2);
+  for (const work::duration each : pauses)
+    cr_assert(each <= kLimits.store_retry_max + kWakeDelay);
+}
+
+// Guards against entries that lost the store together and retry in step.
+Test(reads, that_fail_at_two_entries_together_are_repeated_apart) {
+  cr_assert(entry_fixture(1).PausesAfterFailedReads(6) !=
+            entry_fixture(2).PausesAfterFailedReads(6));
+}
+
+Test(reads, that_fail_after_one_was_answered_are_repeated_soon_again) {
+  entry_fixture fixture;
+  fixture.PausesAfterFailedReads(6);
+  const work::read_newest read = fixture.NextCatalogRead();
+  // One page of several.
+  fixture.Deliver(work::newest_read{.at = fixture.now(),
+                                    .call = read.call,
+                                    .source = work::feed::kCatalog,
+                                    .next_page_after = "a"});
+  const auto pauses = fixture.PausesAfterFailedReads(1);
+  cr_assert(pauses.front() <= kLimits.read_retry + kWakeDelay);
+}
+
+// Guards against a store in trouble that all entries ask at the same moments.
+Test(store, away_for_seconds_is_not_asked_by_all_entries_at_once) {
+  shared_store_fixture fixture;
+  const work::duration settled =
+      fixture.site().simulation.now() + work::duration(2000);
+  fixture.TakeStoreAway(work::duration(6000));
+  const auto failures = fixture.FailuresSince(settled);
+  // Each entry reads two feeds.
+  const std::size_t reads = 2 * shared_store_fixture::kEntries;
+  cr_assert(shared_store_fixture::MostTogether(failures) <= reads / 4, "%zu",
+            shared_store_fixture::MostTogether(failures));
+  // The shortest pause that is left by then, for four seconds.
+  const auto rounds = static_cast<std::size_t>(work::duration(4000) /
+                                               (kLimits.store_retry_max / 2));
+  cr_assert(failures.size() <= reads * (rounds + 1), "%zu", failures.size());
+}
+
+Test(leader, that_lost_the_store_asks_it_several_times_before_it_is_replaced) {
+  shared_store_fixture fixture;
+  const std::uint32_t leader = fixture.site().Leader();
+  fixture.TakeStoreAway(work::duration(6000));
+  cr_assert(fixture.LongestPauseOf(leader) <= kLimits.store_silent / 3);
+}
+
+Test(store, back_after_an_outage_has_a_configuration_in_force_within_a_second) {
+  shared_store_fixture fixture;
+  auto& simulation = fixture.site().simulation;
+  fixture.TakeStoreAway(work::duration(6000));
+  simulation.Publish({.version = 7});
+  simulation.RunFor(work::duration(1000));
+  const auto lines = fixture.site().LinesOf("catalog_in_force 7");
+  cr_assert_eq(lines.size(), shared_store_fixture::kEntries);
+}
+
+// Guards against all entries reading the whole of the records at one moment.
+Test(records, trimmed_under_all_entries_are_read_again_one_after_the_other) {
+  shared_store_fixture fixture;
+  auto& simulation = fixture.site().simulation;
+  const std::uint32_t leader = fixture.site().Leader();
+  simulation.store().Put(work::feed::kRecords, "cancelled/0",
+                         work::job_cancelled{.job = work::job_id("0")});
+  simulation.store().Compact();
+  simulation.RunFor(work::duration(2000));
+  const auto& delays = fixture.snapshot_delays();
+  cr_assert_eq(delays.size(), shared_store_fixture::kEntries);
+  cr_assert(delays.at(leader) <= shared_store_fixture::kTogether);
+  std::vector<work::duration> followers;
+  for (const auto& [entry, delay] : delays) {
+    if (entry != leader)
+      followers.push_back(delay);
+  }
+  const auto [least, most] = std::ranges::minmax(followers);
+  cr_assert(most - least >= kLimits.store_retry_max / 2);
+}
--- a/tests/settings/dispatch_settings_test.cc
+++ b/tests/settings/dispatch_settings_test.cc
@@ -75,3 +75,10 @@
   });
   cr_assert(parsed->limits.slow_append == work::duration(400));
 }
+
+Test(dispatch_settings, with_a_retry_too_late_for_a_leader_are_rejected) {
+  const auto findings = settings_fixture::Findings(
+      std::string(kValidSettings) + "limits:\n  leader_retry_max_ms: 1000\n");
+  cr_assert_eq(findings.size(), 1U);
+  cr_assert_eq(findings[0].place, "/limits/leader_retry_max_ms");
+}
