Back off with jitter between failed appends

A store that took too long or refused appends was asked again by every entry each 150 ms, by all that it had turned away together at the same moments. Its queue of waiting appends, 2 s at most, then stays full.

The pause after a failed append was the constant append_retry.

It now doubles up to store_retry_max (600 ms; leader_retry_max, 300 ms, at the leader, which also stores what its peers relay) and is drawn from the upper half, as for reads; a stored append resets it. A caller that waits 3 s still gets a second append if the first one hangs for append_timeout: 900 + 600 + 900 ms is below the 2.8 s after which it is answered.

appends::that_fail_again_and_again_are_repeated_after_longer_pauses and appends::that_fail_at_two_entries_together_are_repeated_apart failed before, with the old outbox.cc.

--- a/source/dispatch/outbox.cc
+++ b/source/dispatch/outbox.cc
@@ -63,7 +63,9 @@
 }
 
 void RetryLater(const context& ctx, outbox& box) {
-  box.next_at = ctx.now() + ctx.limits().append_retry;
+  box.next_at = ctx.now() + StoreRetryPause(ctx, ctx.limits().append_retry,
+                                            box.failed_appends);
+  box.failed_appends += 1;
 }
 
 // Applies the outcome of an append that is common to all writers; true when the
@@ -80,6 +82,7 @@
                                      .value = ctx.now() - box.sent_at});
       box.sequence += 1;
       box.maybe_stored = false;
+      box.failed_appends = 0;
       box.next_at = box.sent_at + pause;
       return true;
     case work::append_outcome::kRefused:
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -77,6 +77,8 @@
   timestamp next_at;
   // An earlier append of this batch timed out and may have stored it.
   bool maybe_stored = false;
+  // Appends that failed since the last one that was stored.
+  std::uint32_t failed_appends = 0;
   // How long the latest append took that was answered or timed out.
   duration last_append_time{0};
 
--- a/source/work/limits.h
+++ b/source/work/limits.h
@@ -29,6 +29,8 @@
   const duration follower_read_pause{200};
   const duration worker_list_interval{400};
   const duration append_timeout{900};
+  // Backs off like reads. A caller that waits 3 s gets a second append even if
+  // the first one hangs for `append_timeout`.
   const duration append_retry{150};
   // Group commit: shortest time between two appends of one writer.
   const duration append_pause{20};
--- a/tests/dispatch/store_retry_test.cc
+++ b/tests/dispatch/store_retry_test.cc
@@ -89,6 +89,34 @@
     return pauses;
   }
 
+  // The next append of this entry's own records.
+  std::optional<work::append_records> NextAppend() {
+    return Next<work::append_records>([](const work::append_records& append) {
+      return append.writer == "entry/entry-0";
+    });
+  }
+
+  void Answer(const work::append_records& append,
+              work::append_outcome outcome) {
+    Deliver(work::append_answered{
+        .at = now_, .call = append.call, .outcome = outcome});
+  }
+
+  // Fails that many appends. Returns the pauses after them.
+  std::vector<work::duration> PausesAfterFailedAppends(
+      std::size_t count,
+      work::append_outcome outcome) {
+    std::vector<work::duration> pauses;
+    Answer(NextAppend().value(), outcome);
+    while (pauses.size() < count) {
+      const work::timestamp failed_at = now_;
+      const work::append_records append = NextAppend().value();
+      pauses.push_back(now_ - failed_at);
+      Answer(append, outcome);
+    }
+    return pauses;
+  }
+
   work::timestamp now() const { return now_; }
 
  private:
@@ -222,6 +250,27 @@
   cr_assert(pauses.front() <= kLimits.read_retry + kWakeDelay);
 }
 
+// Guards against appends that keep a store in trouble busy at a constant rate.
+Test(appends, that_fail_again_and_again_are_repeated_after_longer_pauses) {
+  for (const work::append_outcome outcome :
+       {work::append_outcome::kRefused, work::append_outcome::kUnknown}) {
+    const auto pauses = entry_fixture().PausesAfterFailedAppends(6, outcome);
+    cr_assert(pauses.front() <= kLimits.append_retry + kWakeDelay);
+    cr_assert(pauses.back() >= kLimits.store_retry_max / 2);
+    for (const work::duration each : pauses)
+      cr_assert(each <= kLimits.store_retry_max + kWakeDelay);
+  }
+}
+
+// Guards against entries that lost the store together and retry in step.
+Test(appends, that_fail_at_two_entries_together_are_repeated_apart) {
+  const auto pauses_of = [](std::uint64_t seed) {
+    return entry_fixture(seed).PausesAfterFailedAppends(
+        6, work::append_outcome::kRefused);
+  };
+  cr_assert(pauses_of(1) != pauses_of(2));
+}
+
 // Guards against a store in trouble that all entries ask at the same moments.
 Test(store, away_for_seconds_is_not_asked_by_all_entries_at_once) {
   shared_store_fixture fixture;
