Drop a record that the store refuses for good instead of repeating it

An append answered with 400, 403 or 413 was repeated every 150 ms without end. All later submissions and cancellations at that entry waited behind it.

These answers were decoded as kRefused, which stands for a passing refusal.

They are now the outcome kRejected. Nothing was stored, and a repeat can't help: the batch is halved until the record at fault is alone, which is dropped and logged (record_rejected; the status and the store's reason are in the line of the append), and its caller is told at once that the job was not run. Each stored append doubles the size again. If an earlier append of the batch had an unknown outcome, the next one goes under a new epoch of the writer, as the store would take it for a repeat under the same sequence number, and the caller is told that the outcome is not known.

Failed before, with a kRejected that is treated as kRefused and the old decoding: submission::that_the_store_rejects_is_answered_and_delays_no_later_ one, batch::with_one_record_that_is_rejected_stores_all_others, batch::rejected_ after_an_unknown_outcome_is_followed_under_a_new_epoch and append::that_the_store_will_never_take_is_rejected_for_good.

The leader's progress records and a candidate's claim still treat kRejected as kRefused.

--- a/source/dispatch/clients.cc
+++ b/source/dispatch/clients.cc
@@ -347,6 +347,14 @@
   AnswerCall(ctx, call, {.kind = work::answer_kind::kAccepted});
 }
 
+void AnswerRejectedCall(const context& ctx, call_number number) {
+  const open_call* call = ctx.state.calls.Find(number);
+  // A relayed call is answered by the leader.
+  if (call == nullptr || call->stage == call_stage::kRelayed)
+    return;
+  AnswerCall(ctx, number, ExpiredAnswer(ctx, *call));
+}
+
 void ResolveConfirmedCalls(const context& ctx, timestamp confirmed_at) {
   std::vector<call_number> due;
   for (const auto& [number, call] : ctx.state.calls) {
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -254,6 +254,7 @@
       leadership.next_claim_at = ctx.now() + ctx.limits().append_retry;
       return;
     case work::append_outcome::kRefused:
+    case work::append_outcome::kRejected:
       leadership.next_claim_at = ctx.now() + ctx.limits().append_retry;
       return;
     case work::append_outcome::kFenced:
--- a/source/dispatch/outbox.cc
+++ b/source/dispatch/outbox.cc
@@ -5,14 +5,16 @@
 #include <utility>
 
 #include "dispatch/parts.h"
+#include "records/record_key.h"
 
 namespace parsleyhitch::dispatch {
 
 namespace {
 
 void FillBatch(const context& ctx, outbox& box) {
-  while (!box.waiting.empty() &&
-         box.batch.size() < ctx.limits().max_batch_records) {
+  const std::size_t most =
+      box.batch_limit.value_or(ctx.limits().max_batch_records);
+  while (!box.waiting.empty() && box.batch.size() < most) {
     box.batch.push_back(std::move(box.waiting.front()));
     box.waiting.pop_front();
   }
@@ -68,6 +70,22 @@
   box.failed_appends += 1;
 }
 
+void WidenBatch(const context& ctx, outbox& box) {
+  if (!box.batch_limit)
+    return;
+  *box.batch_limit *= 2;
+  if (*box.batch_limit >= ctx.limits().max_batch_records)
+    box.batch_limit.reset();
+}
+
+// Begins a new epoch of the writer, which fences its appends of the old one.
+// Records are stored by key, so storing one twice does no harm.
+void BeginEpoch(outbox& box) {
+  box.epoch += 1;
+  box.sequence = 0;
+  box.maybe_stored = false;
+}
+
 // Applies the outcome of an append that is common to all writers; true when the
 // batch is stored.
 bool ApplyOutcome(const context& ctx,
@@ -83,9 +101,11 @@
       box.sequence += 1;
       box.maybe_stored = false;
       box.failed_appends = 0;
+      WidenBatch(ctx, box);
       box.next_at = box.sent_at + pause;
       return true;
     case work::append_outcome::kRefused:
+    case work::append_outcome::kRejected:
       if (!box.maybe_stored)
         RequeueBatch(box);
       RetryLater(ctx, box);
@@ -101,9 +121,37 @@
   return false;
 }
 
+void DropRejected(const context& ctx, outbox& box) {
+  const queued_record rejected = std::move(box.waiting.front());
+  box.waiting.pop_front();
+  ctx.Warn("record_rejected", records::KeyOf(rejected.content));
+  ctx.Count("records_rejected");
+  if (rejected.caller)
+    AnswerRejectedCall(ctx, *rejected.caller);
+}
+
+// Sends the records of a rejected append again in smaller ones, and drops a
+// record that was rejected on its own.
+void OnSubmissionsRejected(const context& ctx, std::size_t sent) {
+  outbox& box = ctx.state.submissions;
+  // The store must not take the next append for a repeat of this one, which may
+  // still be stored.
+  if (box.maybe_stored)
+    BeginEpoch(box);
+  RequeueBatch(box);
+  box.batch_limit = std::max<std::size_t>(sent / 2, 1);
+  if (sent == 1) {
+    DropRejected(ctx, box);
+    return;
+  }
+  box.failed_appends = 0;
+  box.next_at = ctx.now() + ctx.limits().append_pause;
+}
+
 void OnSubmissionsAnswered(const context& ctx,
                            const work::append_answered& event) {
   outbox& box = ctx.state.submissions;
+  const std::size_t sent = box.batch.size();
   if (ApplyOutcome(ctx, box, event.outcome, ctx.limits().append_pause)) {
     const std::vector<queued_record> stored = std::move(box.batch);
     box.batch.clear();
@@ -113,16 +161,17 @@
     }
     return;
   }
+  if (event.outcome == work::append_outcome::kRejected) {
+    OnSubmissionsRejected(ctx, sent);
+    return;
+  }
   const bool displaced = event.outcome == work::append_outcome::kFenced ||
                          event.outcome == work::append_outcome::kOutOfSequence;
   if (!displaced)
     return;
-  // Records are stored by key, so storing one twice does no harm.
   ctx.Warn("writer_fenced", box.writer,
            {Field("epoch", box.epoch), Field("sequence", box.sequence)});
-  box.epoch += 1;
-  box.sequence = 0;
-  box.maybe_stored = false;
+  BeginEpoch(box);
   RetryLater(ctx, box);
 }
 
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -54,6 +54,8 @@
 void OnCallRelayed(const context& ctx, const work::call_relayed& message);
 void OnCallSettled(const context& ctx, const work::call_settled& message);
 void AnswerStoredCall(const context& ctx, call_number call);
+// Answers a call whose record the store will never take.
+void AnswerRejectedCall(const context& ctx, call_number call);
 // Answers calls that arrived by `confirmed_at` and wait for the confirmation
 // that their job is unknown.
 void ResolveConfirmedCalls(const context& ctx, timestamp confirmed_at);
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -77,6 +77,9 @@
   timestamp next_at;
   // An earlier append of this batch timed out and may have stored it.
   bool maybe_stored = false;
+  // The most records of the next batch, after the store rejected a larger one:
+  // halved by each rejection, doubled by each append that is stored.
+  std::optional<std::size_t> batch_limit;
   // Appends that failed since the last one that was stored.
   std::uint32_t failed_appends = 0;
   // How long the latest append took that was answered or timed out.
--- a/source/platform/store_calls.cc
+++ b/source/platform/store_calls.cc
@@ -34,10 +34,13 @@
 constexpr std::uint32_t kMaxPageKb = 1024;
 
 constexpr std::uint32_t kOk = 200;
+constexpr std::uint32_t kBadRequest = 400;
+constexpr std::uint32_t kForbidden = 403;
 constexpr std::uint32_t kNotFound = 404;
 constexpr std::uint32_t kConflict = 409;
 constexpr std::uint32_t kTrimmed = 410;
 constexpr std::uint32_t kConditionFailed = 412;
+constexpr std::uint32_t kTooLarge = 413;
 constexpr std::uint32_t kServerError = 500;
 constexpr std::uint32_t kBadGateway = 502;
 constexpr std::uint32_t kGatewayTimeout = 504;
@@ -164,6 +167,10 @@
                  : work::append_outcome::kOutOfSequence;
     case kConditionFailed:
       return work::append_outcome::kOutOfSequence;
+    case kBadRequest:
+    case kForbidden:
+    case kTooLarge:
+      return work::append_outcome::kRejected;
     case kServerError:
     case kBadGateway:
     case kGatewayTimeout:
--- a/source/work/event.h
+++ b/source/work/event.h
@@ -117,6 +117,7 @@
   kOutOfSequence,  // another append of this writer used the sequence number
   kRefused,        // nothing was stored
   kUnknown,
+  kRejected,  // nothing was stored, and nothing will be if it is repeated
 };
 
 struct append_answered {
--- a/tests/dispatch/store_retry_test.cc
+++ b/tests/dispatch/store_retry_test.cc
@@ -22,6 +22,36 @@
 // The entry wakes up within this after the pause that it chose.
 constexpr work::duration kWakeDelay{1};
 
+work::published_catalog Catalog() {
+  return {.content = {.version = 1,
+                      .queues = {{.id = work::queue_id("normal"),
+                                  .host = "jobs.example",
+                                  .path_prefix = "/normal/",
+                                  .service = work::service_id("pool")}},
+                      .services = {{.id = work::service_id("pool")}},
+                      .workspaces = {{.id = work::workspace_id("team"),
+                                      .keys = {"key-1"}}}},
+          .encoded = "1"};
+}
+
+// A job's ID from a small number.
+work::job_id JobId(std::uint32_t number) {
+  constexpr std::uint32_t kFirst = 1000;
+  return work::job_id("000000000000" + std::to_string(kFirst + number));
+}
+
+// The job that the record submits; empty for other records.
+work::job_id SubmittedJob(const work::record& record) {
+  const auto* submitted = std::get_if<work::job_submitted>(&record);
+  return submitted == nullptr ? work::job_id() : submitted->content.job;
+}
+
+bool Submits(const work::append_records& append, const work::job_id& job) {
+  return std::ranges::any_of(append.records, [&](const work::record& each) {
+    return SubmittedJob(each) == job;
+  });
+}
+
 // One entry whose reducer is driven event by event. The test answers its calls.
 class entry_fixture {
  public:
@@ -39,6 +69,8 @@
         wake_at_ = wake->at;
       else
         effects_.push_back(each);
+      if (std::holds_alternative<work::answer_client>(each))
+        last_answer_at_ = now_;
     }
   }
 
@@ -102,6 +134,61 @@
         .at = now_, .call = append.call, .outcome = outcome});
   }
 
+  // Reads the configuration, so that the entry takes calls, and stores what it
+  // writes at its start.
+  void Open() {
+    Answer(NextAppend().value(), work::append_outcome::kStored);
+    Deliver(
+        work::newest_read{.at = now_,
+                          .call = NextCatalogRead().call,
+                          .source = work::feed::kCatalog,
+                          .items = {{.key = "config", .value = Catalog()}}});
+  }
+
+  // Submits the job; the call has the same number.
+  void Submit(std::uint32_t number) {
+    Deliver(work::client_called{
+        .at = now_,
+        .call = number,
+        .content = {.verb = work::call_verb::kSubmit,
+                    .host = "jobs.example",
+                    .path = "/normal/" + JobId(number).value(),
+                    .key = "key-1",
+                    .request = work::job_request{
+                        .spec = "work", .steps = {tests::Step(1, 1)}}}});
+  }
+
+  // When the latest submission was answered.
+  work::timestamp last_answer_at() const { return last_answer_at_; }
+
+  // The answer to the submission; empty while there is none.
+  std::optional<work::answer_kind> AnswerOf(std::uint32_t number) const {
+    for (const work::effect& each : effects_) {
+      const auto* answer = std::get_if<work::answer_client>(&each);
+      if (answer != nullptr && answer->call == number)
+        return answer->content.kind;
+    }
+    return {};
+  }
+
+  // Answers appends, each after `kAppendTime`, until none is left. Those that
+  // hold `rejected` are rejected. Returns all appends.
+  std::vector<work::append_records> AnswerAppends(
+      const work::job_id& rejected = {}) {
+    constexpr std::size_t kMost = 100;
+    constexpr work::duration kAppendTime{5};
+    std::vector<work::append_records> appends;
+    while (const auto append = NextAppend()) {
+      cr_assert(appends.size() < kMost);
+      appends.push_back(*append);
+      now_ += kAppendTime;
+      const bool rejects = !rejected.empty() && Submits(*append, rejected);
+      Answer(*append, rejects ? work::append_outcome::kRejected
+                              : work::append_outcome::kStored);
+    }
+    return appends;
+  }
+
   // Fails that many appends. Returns the pauses after them.
   std::vector<work::duration> PausesAfterFailedAppends(
       std::size_t count,
@@ -129,6 +216,7 @@
   dispatch::state state_;
   work::timestamp now_{work::duration(1000000)};
   work::timestamp wake_at_;
+  work::timestamp last_answer_at_;
   // A list, as effects are not assignable.
   std::list<work::effect> effects_;
 };
@@ -325,3 +413,51 @@
   const auto [least, most] = std::ranges::minmax(followers);
   cr_assert(most - least >= kLimits.store_retry_max / 2);
 }
+
+// Guards against an append that is refused for good and holds up all callers.
+Test(submission, that_the_store_rejects_is_answered_and_delays_no_later_one) {
+  entry_fixture fixture;
+  fixture.Open();
+  fixture.Submit(1);
+  const work::append_records append = fixture.NextAppend().value();
+  fixture.Submit(2);
+  fixture.Answer(append, work::append_outcome::kRejected);
+  cr_assert(fixture.AnswerOf(1) == work::answer_kind::kNotRun);
+  const work::append_records next = fixture.NextAppend().value();
+  cr_assert(Submits(next, JobId(2)) && !Submits(next, JobId(1)));
+  fixture.Answer(next, work::append_outcome::kStored);
+  cr_assert(fixture.AnswerOf(2) == work::answer_kind::kAccepted);
+}
+
+// Guards against sound submissions that are lost with one that is rejected.
+Test(batch, with_one_record_that_is_rejected_stores_all_others) {
+  constexpr std::uint32_t kJobs = 150;
+  constexpr std::uint32_t kRejected = 101;
+  entry_fixture fixture;
+  fixture.Open();
+  for (std::uint32_t job = 0; job < kJobs; ++job)
+    fixture.Submit(job);
+  const work::timestamp start = fixture.now();
+  fixture.AnswerAppends(JobId(kRejected));
+  for (std::uint32_t job = 0; job < kJobs; ++job) {
+    cr_assert(fixture.AnswerOf(job) == (job == kRejected
+                                            ? work::answer_kind::kNotRun
+                                            : work::answer_kind::kAccepted));
+  }
+  cr_assert(fixture.last_answer_at() - start <= kLimits.default_patience / 2);
+}
+
+// Guards against an append that the store takes for a repeat of a rejected one.
+Test(batch, rejected_after_an_unknown_outcome_is_followed_under_a_new_epoch) {
+  entry_fixture fixture;
+  fixture.Open();
+  fixture.Submit(1);
+  const work::append_records first = fixture.NextAppend().value();
+  fixture.Answer(first, work::append_outcome::kUnknown);
+  fixture.Answer(fixture.NextAppend().value(), work::append_outcome::kRejected);
+  cr_assert(fixture.AnswerOf(1) == work::answer_kind::kNotSettled);
+  fixture.Submit(2);
+  const work::append_records next = fixture.NextAppend().value();
+  cr_assert_gt(next.epoch, first.epoch);
+  cr_assert(!Submits(next, JobId(1)));
+}
--- a/tests/platform/store_calls_test.cc
+++ b/tests/platform/store_calls_test.cc
@@ -70,6 +70,15 @@
   cr_assert(fixture.OutcomeForResponse(200, "damaged") == outcome::kUnknown);
 }
 
+// Guards against appends that are repeated although the store never takes them.
+Test(append, that_the_store_will_never_take_is_rejected_for_good) {
+  store_fixture fixture;
+  for (const std::uint32_t status : {400U, 403U, 413U}) {
+    cr_assert(fixture.OutcomeForResponse(status, R"({"reason":"size"})") ==
+              work::append_outcome::kRejected);
+  }
+}
+
 Test(append, sent_without_a_response_has_an_unknown_outcome) {
   store_fixture fixture;
   const auto sent = platform::DecodeOutcome(
