Keep appends and records within the bytes that the store takes

Submissions with many steps could be stuck for good: up to 200 of them went into one append, however large, and the store refuses one above callBytes (2 MiB) or with a record above recordBytes (256 KiB). Found by reading; the callers of that entry then waited behind it.

A batch was bounded by its number of records only, and the platform's limits were not read from the settings.

A hook, record_bytes, gives the bytes that a record takes in an append: the runtime sets it to the codec's own count, so that the reducer knows no encoding. A batch of the callers' outbox ends before it exceeds the limit of an append. What exceeds that of a record is refused at once as invalid, which tells its caller that it did not run.

Failed before, without the two comparisons: batch::of_large_submissions_stays_ within_the_bytes_of_an_append and submission::larger_than_the_store_takes_is_refused_at_once_as_invalid.

The leader's progress records are not bounded by this.

--- a/source/dispatch/clients.cc
+++ b/source/dispatch/clients.cc
@@ -141,9 +141,13 @@
                  const incoming_call& incoming,
                  const work::job_id& job,
                  work::record record) {
+  if (!EnqueueRecord(ctx, std::move(record), incoming.call)) {
+    Reply(ctx, incoming,
+          {.kind = work::answer_kind::kInvalid,
+           .faults = model::OneFinding("", "is too large to be stored")});
+    return;
+  }
   OpenCall(ctx, incoming, job, call_stage::kStoring);
-  ctx.state.submissions.waiting.push_back(
-      {.content = std::move(record), .caller = incoming.call});
   const bool relays = ctx.state.leadership.leader_store_slow &&
                       incoming.relayed_by.empty() && IsLeaderReachable(ctx);
   if (relays)
--- a/source/dispatch/environment.h
+++ b/source/dispatch/environment.h
@@ -4,6 +4,7 @@
 #ifndef PARSLEYHITCH_DISPATCH_ENVIRONMENT_H_
 #define PARSLEYHITCH_DISPATCH_ENVIRONMENT_H_
 
+#include <cstdint>
 #include <string>
 
 #include "dispatch/hooks.h"
@@ -20,6 +21,10 @@
   std::uint32_t cpu_millis = 1000;
   // The longest lease that workers grant; they cut longer ones to it.
   work::duration longest_lease{10000};
+  // What the store takes: bytes of one record, and of all records of one
+  // append.
+  std::uint64_t max_record_bytes = 262144;
+  std::uint64_t max_append_bytes = 2097152;
   work::limits limits;
   hooks behaviour;
 };
--- a/source/dispatch/hooks.cc
+++ b/source/dispatch/hooks.cc
@@ -45,20 +45,27 @@
          static_cast<std::uint64_t>((lost + kRestartLoss).count()) / 1000;
 }
 
+std::uint64_t NoBytes(const work::record&) {
+  return 0;
+}
+
 }  // namespace
 
 hooks DefaultHooks() {
   return {.goes_first = ByRankThenSubmission,
           .stop_cost = StopCost,
-          .may_preempt = [](rank waiting, rank running) {
-            return waiting <= rank::kUrgent && waiting < running;
-          }};
+          .may_preempt =
+              [](rank waiting, rank running) {
+                return waiting <= rank::kUrgent && waiting < running;
+              },
+          .record_bytes = NoBytes};
 }
 
 hooks BaselineHooks() {
   return {.goes_first = BySubmission,
           .stop_cost = StopCost,
-          .may_preempt = [](rank, rank) { return false; }};
+          .may_preempt = [](rank, rank) { return false; },
+          .record_bytes = NoBytes};
 }
 
 }  // namespace parsleyhitch::dispatch
--- a/source/dispatch/hooks.h
+++ b/source/dispatch/hooks.h
@@ -1,5 +1,6 @@
-// Policy hooks of the dispatcher: the order of waiting units, the cost of
-// stopping a unit, and which ranks may preempt which.
+// Hooks of the dispatcher. Policy: the order of waiting units, the cost of
+// stopping a unit, and which ranks may preempt which. Encoding: the size of a
+// record.
 
 #ifndef PARSLEYHITCH_DISPATCH_HOOKS_H_
 #define PARSLEYHITCH_DISPATCH_HOOKS_H_
@@ -7,7 +8,7 @@
 #include <cstdint>
 #include <functional>
 
-#include "work/job.h"
+#include "work/record.h"
 
 namespace parsleyhitch::dispatch {
 
@@ -53,6 +54,10 @@
 
   // True when a unit of rank `waiting` may preempt one of rank `running`.
   std::function<bool(rank waiting, rank running)> may_preempt;
+
+  // The most bytes that the record takes in an append. The default counts none,
+  // for a store without limits.
+  std::function<std::uint64_t(const work::record&)> record_bytes;
 };
 
 // The default policy.
--- a/source/dispatch/outbox.cc
+++ b/source/dispatch/outbox.cc
@@ -14,7 +14,11 @@
 void FillBatch(const context& ctx, outbox& box) {
   const std::size_t most =
       box.batch_limit.value_or(ctx.limits().max_batch_records);
+  std::uint64_t bytes = 0;
   while (!box.waiting.empty() && box.batch.size() < most) {
+    bytes += box.waiting.front().bytes;
+    if (!box.batch.empty() && bytes > ctx.env.max_append_bytes)
+      return;
     box.batch.push_back(std::move(box.waiting.front()));
     box.waiting.pop_front();
   }
@@ -124,7 +128,8 @@
 void DropRejected(const context& ctx, outbox& box) {
   const queued_record rejected = std::move(box.waiting.front());
   box.waiting.pop_front();
-  ctx.Warn("record_rejected", records::KeyOf(rejected.content));
+  ctx.Warn("record_rejected", records::KeyOf(rejected.content),
+           {Field("bytes", rejected.bytes)});
   ctx.Count("records_rejected");
   if (rejected.caller)
     AnswerRejectedCall(ctx, *rejected.caller);
@@ -195,6 +200,17 @@
 
 }  // namespace
 
+bool EnqueueRecord(const context& ctx,
+                   work::record record,
+                   std::optional<call_number> caller) {
+  const std::uint64_t bytes = ctx.env.behaviour.record_bytes(record);
+  if (bytes > ctx.env.max_record_bytes)
+    return false;
+  ctx.state.submissions.waiting.push_back(
+      {.content = std::move(record), .caller = caller, .bytes = bytes});
+  return true;
+}
+
 void FlushOutboxes(const context& ctx) {
   Flush(ctx, ctx.state.submissions);
   if (ctx.state.leadership.current_role != role::kLeader)
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -43,6 +43,11 @@
                          std::uint32_t failures);
 
 // outbox.cc: group commit of records.
+// Queues a record of this entry; `caller` is answered once it is stored. False
+// when it is larger than the store takes.
+bool EnqueueRecord(const context& ctx,
+                   work::record record,
+                   std::optional<call_number> caller);
 void FlushOutboxes(const context& ctx);
 // True when this entry's latest append, or the one in flight, takes long.
 bool AreAppendsSlow(const context& ctx);
--- a/source/dispatch/progress.cc
+++ b/source/dispatch/progress.cc
@@ -3,21 +3,15 @@
 // processed end are durable once every change up to then is stored.
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "dispatch/parts.h"
 #include "dispatch/steps.h"
-#include "records/record_key.h"
 
 namespace parsleyhitch::dispatch {
 
 namespace {
 
-// An append holds records of at most about this size in all: half of what the
-// platform accepts in one call.
-constexpr std::size_t kMaxAppendBytes = std::size_t{1} << 20;
-
 bool HasStarted(const unit& each) {
   return each.attempt > 0 || each.phase == unit_phase::kDone;
 }
@@ -43,17 +37,6 @@
           .workers = WorkersOf(each)};
 }
 
-// An upper bound on the bytes of the encoded record.
-std::size_t SizeBound(const work::unit_progressed& record) {
-  constexpr std::size_t kFixedBytes = 150;
-  constexpr std::size_t kBytesPerWorker = 3;
-  std::size_t bytes = kFixedBytes + 2 * record.job.value().size() +
-                      record.progress.checkpoint.size();
-  for (const work::worker_id& worker : record.progress.workers)
-    bytes += kBytesPerWorker + worker.value().size();
-  return bytes;
-}
-
 // The record of the unit as it is now. None for a unit of a closed job: the
 // job's phase, which was queued with a change no later than the unit's, covers
 // it.
@@ -81,15 +64,15 @@
 
 void CollectUnits(const context& ctx) {
   leader_state& leader = ctx.state.leader;
-  std::size_t bytes = 0;
-  while (!leader.changed_units.empty() && bytes < kMaxAppendBytes) {
+  // Leaves room for the last record, which is smaller than the other half.
+  const std::uint64_t enough = ctx.env.max_append_bytes / 2;
+  std::uint64_t bytes = 0;
+  while (!leader.changed_units.empty() && bytes < enough) {
     const auto [change, id] = leader.changed_units.TakeOldest();
     std::optional<work::record> record = TakeRecord(ctx, id);
     if (!record)
       continue;
-    const auto* progressed = std::get_if<work::unit_progressed>(&*record);
-    bytes += progressed != nullptr ? SizeBound(*progressed)
-                                   : records::KeyOf(*record).size();
+    bytes += ctx.env.behaviour.record_bytes(*record);
     leader.unit_progress.batch.push_back(
         {.content = std::move(*record), .change = change});
   }
--- a/source/dispatch/reduce.cc
+++ b/source/dispatch/reduce.cc
@@ -18,11 +18,12 @@
   s.random_state = event.seed;
   s.submissions.writer = "entry/" + ctx.env.self.value();
   s.submissions.epoch = event.incarnation;
-  s.submissions.waiting.push_back(
-      {.content = work::member_joined{.entry = ctx.env.self,
-                                      .address = ctx.env.peer_address,
-                                      .cpu_millis = ctx.env.cpu_millis,
-                                      .incarnation = event.incarnation}});
+  EnqueueRecord(ctx,
+                work::member_joined{.entry = ctx.env.self,
+                                    .address = ctx.env.peer_address,
+                                    .cpu_millis = ctx.env.cpu_millis,
+                                    .incarnation = event.incarnation},
+                {});
   s.leadership.leader_heard_at = event.at;
   s.leadership.leader_reached_store_at = event.at;
   ctx.Log("started", ctx.env.self.value(),
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -58,6 +58,8 @@
   std::optional<call_number> caller;
   // For a record of the leader's: the oldest change that it stores.
   std::uint64_t change = 0;
+  // The most that it takes in an append.
+  std::uint64_t bytes = 0;
 
   bool operator==(const queued_record&) const = default;
 };
--- a/source/dispatch/store_health.cc
+++ b/source/dispatch/store_health.cc
@@ -38,6 +38,7 @@
     case work::append_outcome::kOutOfSequence:
       return "out_of_sequence";
     case work::append_outcome::kRefused:
+    case work::append_outcome::kRejected:
     case work::append_outcome::kUnknown:
       break;
   }
--- a/source/platform/store_calls.cc
+++ b/source/platform/store_calls.cc
@@ -151,6 +151,12 @@
   return items;
 }
 
+std::string Encode(const work::record& record) {
+  const std::string value =
+      records::IsDeletion(record) ? std::string() : wire::EncodeRecord(record);
+  return EncodeKeyedRecord(records::KeyOf(record), value);
+}
+
 work::append_outcome DecodeAppendOutcome(const wire::http_outcome& outcome) {
   const wire::http_response* response = ResponseOf(outcome);
   if (response == nullptr) {
@@ -248,14 +254,15 @@
 
 }  // namespace
 
+std::uint64_t EncodedBytes(const work::record& record) {
+  return Encode(record).size();
+}
+
 wire::http_request RequestFor(const std::string& store,
                               const work::append_records& effect) {
   std::string body;
-  for (const work::record& each : effect.records) {
-    const std::string value =
-        records::IsDeletion(each) ? std::string() : wire::EncodeRecord(each);
-    body += EncodeKeyedRecord(records::KeyOf(each), value);
-  }
+  for (const work::record& each : effect.records)
+    body += Encode(each);
   return {.method = "POST",
           .url = TopicUrl(store, "/log-append", TopicName(effect.target)) +
                  "&producer=" + UrlEscape(effect.writer) +
--- a/source/platform/store_calls.h
+++ b/source/platform/store_calls.h
@@ -3,6 +3,7 @@
 #ifndef PARSLEYHITCH_PLATFORM_STORE_CALLS_H_
 #define PARSLEYHITCH_PLATFORM_STORE_CALLS_H_
 
+#include <cstdint>
 #include <string>
 
 #include "model/finding.h"
@@ -18,6 +19,9 @@
   const model::findings findings{};
 };
 
+// The bytes that the record takes in the body of an append.
+std::uint64_t EncodedBytes(const work::record& record);
+
 // `store` is the "ip:port" of the store.
 wire::http_request RequestFor(const std::string& store,
                               const work::append_records& effect);
--- a/source/runtime/dispatch_process.cc
+++ b/source/runtime/dispatch_process.cc
@@ -41,13 +41,17 @@
 
 dispatch::environment EnvironmentOf(
     const settings::dispatch_settings& settings) {
+  dispatch::hooks behaviour = dispatch::DefaultHooks();
+  behaviour.record_bytes = platform::EncodedBytes;
   return {.self = settings.entry,
           .peer_address = settings.peers_listen,
           .cpu_millis =
               static_cast<std::uint32_t>(settings.cpu_share * kMilliCpusPerCpu),
           .longest_lease = settings.longest_lease,
+          .max_record_bytes = settings.max_record_bytes,
+          .max_append_bytes = settings.max_append_bytes,
           .limits = settings.limits,
-          .behaviour = dispatch::DefaultHooks()};
+          .behaviour = std::move(behaviour)};
 }
 
 void LogFindings(const model::findings& findings) {
--- a/source/settings/dispatch_settings.cc
+++ b/source/settings/dispatch_settings.cc
@@ -24,7 +24,9 @@
                       longest_lease,
                       task_stop,
                       max_body_bytes,
-                      limits)
+                      limits,
+                      max_record_bytes,
+                      max_append_bytes)
 
 namespace {
 
@@ -77,6 +79,10 @@
       findings,
       settings.max_body_bytes > 0 && settings.max_body_bytes <= kMaxBodyBytes,
       "/max_body_bytes", "must be from 1 to 4194304");
+  Require(findings, settings.max_record_bytes > 0, "/max_record_bytes",
+          "must be above 0");
+  Require(findings, settings.max_append_bytes >= settings.max_record_bytes,
+          "/max_append_bytes", "must be at least max_record_bytes");
   CheckLimits(findings, settings);
 }
 
--- a/source/settings/dispatch_settings.h
+++ b/source/settings/dispatch_settings.h
@@ -34,6 +34,10 @@
   const model::duration task_stop{200};
   const std::uint32_t max_body_bytes = 262144;
   const work::limits limits;
+  // What the store takes: bytes of one record, and of all records of one
+  // append.
+  const std::uint32_t max_record_bytes = 262144;
+  const std::uint32_t max_append_bytes = 2097152;
 
   bool operator==(const dispatch_settings&) const = default;
 };
--- a/tests/dispatch/store_retry_test.cc
+++ b/tests/dispatch/store_retry_test.cc
@@ -21,6 +21,9 @@
 const work::limits kLimits;
 // The entry wakes up within this after the pause that it chose.
 constexpr work::duration kWakeDelay{1};
+// What the store takes.
+constexpr std::uint64_t kMaxRecordBytes = 300;
+constexpr std::uint64_t kMaxAppendBytes = 1000;
 
 work::published_catalog Catalog() {
   return {.content = {.version = 1,
@@ -55,7 +58,11 @@
 // One entry whose reducer is driven event by event. The test answers its calls.
 class entry_fixture {
  public:
-  explicit entry_fixture(std::uint64_t seed = 1) {
+  explicit entry_fixture(
+      std::uint64_t seed = 1,
+      const std::function<std::uint64_t(const work::record&)>& record_bytes =
+          dispatch::DefaultHooks().record_bytes)
+      : environment_(EnvironmentWith(record_bytes)) {
     Deliver(work::entry_started{
         .at = now_, .incarnation = kIncarnation, .seed = seed});
   }
@@ -209,10 +216,18 @@
  private:
   static constexpr std::uint64_t kIncarnation = 1;
 
-  const dispatch::environment environment_{
-      .self = work::entry_id("entry-0"),
-      .peer_address = "entry-0:1",
-      .behaviour = dispatch::DefaultHooks()};
+  static dispatch::environment EnvironmentWith(
+      const std::function<std::uint64_t(const work::record&)>& record_bytes) {
+    dispatch::environment environment{.self = work::entry_id("entry-0"),
+                                      .peer_address = "entry-0:1",
+                                      .max_record_bytes = kMaxRecordBytes,
+                                      .max_append_bytes = kMaxAppendBytes,
+                                      .behaviour = dispatch::DefaultHooks()};
+    environment.behaviour.record_bytes = record_bytes;
+    return environment;
+  }
+
+  const dispatch::environment environment_;
   dispatch::state state_;
   work::timestamp now_{work::duration(1000000)};
   work::timestamp wake_at_;
@@ -461,3 +476,30 @@
   cr_assert_gt(next.epoch, first.epoch);
   cr_assert(!Submits(next, JobId(1)));
 }
+
+// Guards against an append that exceeds what the store takes in one call.
+Test(batch, of_large_submissions_stays_within_the_bytes_of_an_append) {
+  constexpr std::uint32_t kJobs = 20;
+  entry_fixture fixture(1, [](const work::record&) { return kMaxRecordBytes; });
+  fixture.Open();
+  for (std::uint32_t job = 0; job < kJobs; ++job)
+    fixture.Submit(job);
+  for (const work::append_records& each : fixture.AnswerAppends())
+    cr_assert(each.records.size() <= kMaxAppendBytes / kMaxRecordBytes);
+  for (std::uint32_t job = 0; job < kJobs; ++job)
+    cr_assert(fixture.AnswerOf(job) == work::answer_kind::kAccepted);
+}
+
+// Guards against a submission that the store never takes and that waits.
+Test(submission, larger_than_the_store_takes_is_refused_at_once_as_invalid) {
+  entry_fixture fixture(1, [](const work::record& record) {
+    return SubmittedJob(record) == JobId(1) ? kMaxRecordBytes + 1 : 1;
+  });
+  fixture.Open();
+  fixture.Submit(1);
+  cr_assert(fixture.AnswerOf(1) == work::answer_kind::kInvalid);
+  fixture.Submit(2);
+  for (const work::append_records& each : fixture.AnswerAppends())
+    cr_assert(!Submits(each, JobId(1)));
+  cr_assert(fixture.AnswerOf(2) == work::answer_kind::kAccepted);
+}
--- a/tests/platform/store_calls_test.cc
+++ b/tests/platform/store_calls_test.cc
@@ -54,6 +54,14 @@
                "&producer=leader&epoch=2&sequence=9");
 }
 
+Test(append, request_has_the_encoded_bytes_of_its_records) {
+  store_fixture fixture;
+  const wire::http_request request =
+      platform::RequestFor("10.0.0.1:80", fixture.append);
+  cr_assert_eq(request.body.size(),
+               platform::EncodedBytes(fixture.append.records[0]));
+}
+
 Test(append, answered_with_each_status_has_the_matching_outcome) {
   store_fixture fixture;
   using outcome = work::append_outcome;
--- a/tests/settings/dispatch_settings_test.cc
+++ b/tests/settings/dispatch_settings_test.cc
@@ -82,3 +82,22 @@
   cr_assert_eq(findings.size(), 1U);
   cr_assert_eq(findings[0].place, "/limits/leader_retry_max_ms");
 }
+
+Test(dispatch_settings, with_appends_below_the_size_of_a_record_are_rejected) {
+  const auto findings = settings_fixture::Findings(
+      std::string(kValidSettings) +
+      "max_record_bytes: 2000\nmax_append_bytes: 1000\n");
+  cr_assert_eq(findings.size(), 1U);
+  cr_assert_eq(findings[0].place, "/max_append_bytes");
+}
+
+Test(dispatch_settings,
+     with_sizes_that_the_platform_does_not_give_have_defaults) {
+  const auto parsed = wire::ValueOf([] {
+    return settings::ParseDispatchSettings(
+        std::string(kValidSettings) +
+        "max_record_bytes: \nmax_append_bytes: \n");
+  });
+  cr_assert_eq(parsed->max_record_bytes,
+               settings::dispatch_settings().max_record_bytes);
+}
