Pace the starts of a leader by its share of a core

A leader on half a core placed all waiting units at once, up to 3,548 starts within a second.

A leader now places at most `start_rate` tasks a second for each core of its share, the most important units first. The two tests of start_rate_test.cc fail without it.

--- a/source/dispatch/planning.cc
+++ b/source/dispatch/planning.cc
@@ -22,6 +22,9 @@
   planning_pass(const context& ctx, const job_ranks& ranked)
       : ctx_(ctx), ranked_(ranked), capacity_(FreeCapacity(ctx)) {}
 
+  // The number of tasks that the pass has started.
+  std::size_t started() const { return started_; }
+
   void Consider(const waiting_unit& waiting) {
     const placement::demand demand = DemandOf(ctx_, waiting);
     if (!unplaceable_demands_.contains(demand)) {
@@ -29,6 +32,7 @@
       if (workers) {
         ReserveCapacity(*workers, demand.need);
         PlaceUnit(ctx_, waiting.unit, *workers);
+        started_ += workers->size();
         return;
       }
       unplaceable_demands_.insert(demand);
@@ -95,6 +99,7 @@
   const context& ctx_;
   const job_ranks& ranked_;
   placement::capacity_map capacity_;
+  std::size_t started_ = 0;
   // Victims for the rank `victims_for_`. One set suffices, as units are
   // considered in the order of their ranks.
   std::optional<placement::victim_set> victims_;
@@ -111,6 +116,25 @@
       limits.plan_pause_max);
 }
 
+// The time that one start takes the leader.
+std::chrono::microseconds TimeOfStart(const context& ctx) {
+  constexpr std::uint64_t kMicrosPerMilliCore = 1000000000;
+  const std::uint64_t rate =
+      std::uint64_t{std::max(ctx.env.cpu_millis, 1U)} * ctx.limits().start_rate;
+  return std::chrono::microseconds(kMicrosPerMilliCore / rate);
+}
+
+// How many tasks may be started now. A leader that sends more orders than it
+// has time for takes the workers' answers for missing.
+std::size_t StartAllowance(const context& ctx) {
+  std::chrono::microseconds& until = ctx.state.leader.starts_take_until;
+  const std::chrono::microseconds now = ctx.now().time_since_epoch();
+  until = std::max(until, now - ctx.limits().plan_pause_max);
+  return until >= now
+             ? 0
+             : static_cast<std::size_t>((now - until) / TimeOfStart(ctx));
+}
+
 }  // namespace
 
 void PlanIfDue(const context& ctx) {
@@ -126,9 +150,16 @@
   leader.next_plan_at = ctx.now() + PlanningPause(ctx.limits(), waiting.size());
   if (waiting.empty())
     return;
+  const std::size_t allowance = StartAllowance(ctx);
   planning_pass pass(ctx, ranked);
-  for (const waiting_unit& each : waiting)
+  for (const waiting_unit& each : waiting) {
+    if (pass.started() >= allowance) {
+      leader.plan_due = true;
+      break;
+    }
     pass.Consider(each);
+  }
+  leader.starts_take_until += pass.started() * TimeOfStart(ctx);
 }
 
 }  // namespace parsleyhitch::dispatch
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -4,6 +4,7 @@
 #ifndef PARSLEYHITCH_DISPATCH_STATE_H_
 #define PARSLEYHITCH_DISPATCH_STATE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -369,6 +370,8 @@
   std::deque<processed_end> processed_ends;
   bool plan_due = false;
   timestamp next_plan_at;
+  // Starts are paced: those so far take the leader until this time.
+  std::chrono::microseconds starts_take_until{0};
 
   bool operator==(const leader_state&) const = default;
 };
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -147,7 +147,8 @@
                       refuse_after,
                       slow_append,
                       store_retry_max,
-                      leader_retry_max)
+                      leader_retry_max,
+                      start_rate)
 
 }  // namespace parsleyhitch::work
 
--- a/source/work/limits.h
+++ b/source/work/limits.h
@@ -114,6 +114,10 @@
   // Several attempts within `store_silent`, after which a leader without the
   // store is replaced.
   const duration leader_retry_max{300};
+  // How many tasks a leader starts a second for each core of its CPU share. A
+  // start takes up to 0.2 ms with its connection, so that starts leave most of
+  // the share to the answers of the workers.
+  const std::uint32_t start_rate{2000};
 
   bool operator==(const limits&) const = default;
 };
--- /dev/null
+++ b/tests/dispatch/start_rate_test.cc
@@ -0,0 +1,48 @@
+// How fast the leader starts tasks.
+
+#include "dispatch/simulation_fixture.h"
+
+namespace tests = parsleyhitch::tests;
+namespace work = parsleyhitch::work;
+using tests::kJob;
+using tests::kOtherJob;
+using tests::simulation_fixture;
+using tests::Step;
+
+namespace {
+
+constexpr std::uint32_t kTasks = 1000;
+
+// A job with many tasks has just begun; all of them have room.
+struct starting_fixture : simulation_fixture {
+  starting_fixture()
+      : simulation_fixture({.workers = 40,
+                            .cpu_millis = 500,
+                            .task_duration = work::duration(10000)}) {
+    simulation.Submit(Follower(), kJob, {Step(kTasks, 0)});
+    cr_assert(simulation.RunUntil([&] { return IsRunning(kJob); },
+                                  work::duration(1000)));
+  }
+};
+
+}  // namespace
+
+// Guards against a leader that floods itself with orders, takes the workers for
+// silent when it comes late to their answers, and starts their work elsewhere.
+Test(leader, with_half_a_core_starts_a_thousand_tasks_a_second_at_most) {
+  starting_fixture fixture;
+  fixture.simulation.RunFor(work::duration(300));
+  cr_assert_leq(fixture.simulation.starts(), 500U);
+  fixture.simulation.RunFor(work::duration(1200));
+  cr_assert_eq(fixture.simulation.starts(), kTasks);
+}
+
+// Guards against urgent work that waits behind the starts of other work.
+Test(urgent_job, submitted_while_many_tasks_start_begins_at_once) {
+  starting_fixture fixture;
+  fixture.simulation.Submit(fixture.Follower(), kOtherJob, {Step(2, 8)},
+                            "urgent");
+  cr_assert(fixture.simulation.RunUntil(
+      [&] { return fixture.IsRunning(kOtherJob); }, work::duration(400)));
+  cr_assert_lt(fixture.simulation.starts(), kTasks);
+}
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -90,6 +90,7 @@
         std::make_unique<dispatch::environment>(dispatch::environment{
             .self = work::entry_id("entry-" + std::to_string(i)),
             .peer_address = PeerAddress(i),
+            .cpu_millis = options.cpu_millis,
             .behaviour = options.behaviour});
     entries_[i].life = 0;
     Start(i);
--- a/tests/support/platform_simulation.h
+++ b/tests/support/platform_simulation.h
@@ -36,6 +36,8 @@
   // A hold call is answered after this time at the latest, even if no task
   // ended.
   work::duration max_hold_time{50};
+  // CPU share of each entry.
+  std::uint32_t cpu_millis = 1000;
   // Workers answer a hold at once while they list an end.
   bool listed_ends_answer_holds = false;
   // Run time of every task; 0 derives it from the task's job and step.
