Keep the tasks of a draining worker until its leases have expired

What callers saw: something that must run once ran twice.

Cause: a draining worker that was missing from the registry and had left two orders unanswered counted as gone, and its tasks were started elsewhere at once. The platform removes the entry of a worker not only when it has left, but also after three heartbeat intervals of silence and at times while the store is down; a worker that is only cut off runs its tasks on until their leases expire. The announced time of leaving gives no better bound: it is the least time that is left, and the worker may stay many seconds longer.

Change: as for any other worker, only expired leases end the tasks.

Price: a task that a worker leaves behind when it exits waits for the rest of its lease. Tasks that cannot end before the announced time are stopped beforehand, so this concerns those that the evacuation could not stop.

--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -80,13 +80,11 @@
                    : row.last_durable_end;
 }
 
-void EndLostTasks(const context& ctx,
-                  const work::worker_id& worker,
-                  std::string_view why) {
+void EndLostTasks(const context& ctx, const work::worker_id& worker) {
   const auto tasks = LoadOf(ctx, worker).tasks;
   if (!tasks.empty()) {
     ctx.Warn("tasks_lost", worker.value(),
-             {Field("count", tasks.size()), Field("why", std::string(why))});
+             {Field("count", tasks.size()), Field("why", "lease lapsed")});
   }
   NoteAbandonedTasks(ctx, worker);
   for (const auto& [unit, index] : tasks)
@@ -238,23 +236,14 @@
          !IsStoreFailing(ctx, duration(0));
 }
 
-// True when a worker that announced its departure is no longer in the registry
-// and does not answer. Its tasks have ended.
-bool HasLeft(const worker_state& row) {
-  return !row.is_listed && row.listed().draining &&
-         row.unanswered_orders >= kUnansweredOrdersUntilSilent;
-}
-
 void AdvanceWorker(const context& ctx, const work::worker_id& worker) {
   const worker_state* row = ctx.state.leader.workers.Find(worker);
   const bool unreachable =
       row->unanswered_orders > 0 || row->listed().address.empty();
-  if (unreachable && IsBusy(ctx, worker)) {
-    if (HasLeft(*row))
-      EndLostTasks(ctx, worker, "worker left");
-    else if (HaveLeasesExpired(ctx, *row))
-      EndLostTasks(ctx, worker, "lease lapsed");
-  }
+  // A missing registry entry does not show that the worker has left: the entry
+  // of a worker that is cut off expires too, before the leases of its tasks.
+  if (unreachable && IsBusy(ctx, worker) && HaveLeasesExpired(ctx, *row))
+    EndLostTasks(ctx, worker);
   row = ctx.state.leader.workers.Find(worker);
   if (IsRemovalDue(ctx, *row) && unreachable && !IsBusy(ctx, worker)) {
     ctx.Log("worker_deleted", worker.value());
