Withhold the end of a superseded task only until its lease has expired

What callers saw: something that must run once ran twice; besides, ends that workers list were not taken note of.

Cause: the successful end of a task that had been started again was withheld until its worker restarted. Acknowledgements are cumulative, so no later end of that worker could be acknowledged either. After 300 of them the withheld end was acknowledged after all, which made the later start a repetition of completed work. The platform does not count an acknowledgement once the worker's lease has expired between the end and it, and this stands for good; nothing else makes it safe, not even the end of the later run.

Change: each listing is marked by whether all leases given to its worker had expired before, by the worker's own clock. If so, the end is acknowledged with the others, and the later run decides as before. If not, it is withheld, the worker gets no new task, and once its tasks have ended and its leases have expired, the end is released. The limit of 300 is gone: what can follow a withheld end is what ran on the worker. A worker's row is not deleted before its leases have expired, so that a new row never hides a lease.

--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -182,9 +182,8 @@
 }
 
 // True for the successful end of a task that was given up as lost and has been
-// started again. Acknowledging it would make the second start a repetition of
-// completed work; unacknowledged, it counts as lapsed.
-bool MustWithhold(const context& ctx,
+// started again. The later run decides.
+bool IsSuperseded(const context& ctx,
                   const work::worker_id& worker,
                   const work::ended_task& end) {
   if (end.how != work::run_end_kind::kDone)
@@ -205,10 +204,19 @@
   return each == nullptr ? abandoned : end.attempt < each->attempt;
 }
 
-void Withhold(const context& ctx,
-              const work::worker_id& worker,
-              const work::ended_task& end) {
+// Withholds the acknowledgement of a superseded end, which would make the later
+// start a repetition of completed work. It does not once the worker's leases
+// have expired since the end.
+void WithholdUnlessLapsed(const context& ctx,
+                          const work::worker_id& worker,
+                          const work::ended_task& end) {
   worker_state row = *ctx.state.leader.workers.Find(worker);
+  if (row.listed_after_lapse) {
+    ctx.Log("end_superseded", NameOf(end.task),
+            {Field("worker", worker.value()), Field("attempt", end.attempt),
+             Field("number", end.number)});
+    return;
+  }
   row.withheld_end =
       std::min(row.withheld_end.value_or(end.number), end.number);
   ctx.state.leader.workers.Put(worker, std::move(row));
@@ -268,8 +276,8 @@
           {Field("how", NameOf(end.how)), Field("worker", worker.value()),
            Field("attempt", end.attempt), Field("number", end.number),
            Field("job", known ? "open" : "closed")});
-  if (MustWithhold(ctx, worker, end)) {
-    Withhold(ctx, worker, end);
+  if (IsSuperseded(ctx, worker, end)) {
+    WithholdUnlessLapsed(ctx, worker, end);
     return;
   }
   if (!known)
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -18,10 +18,6 @@
 // Consecutive unanswered orders after which a worker counts as unreachable.
 constexpr std::uint32_t kUnansweredOrdersUntilSilent = 2;
 
-// A worker lists a limited number of ends; beyond this many, withheld ends are
-// acknowledged so that it can list new ones.
-constexpr std::uint64_t kMaxWithheldEnds = 300;
-
 // How long ago the clock in a worker's answer was read at most: the answer may
 // have waited to be sent, and to be processed here.
 constexpr duration kOldestClock{3000};
@@ -73,11 +69,27 @@
 
 // The last end that may be acknowledged to the worker.
 std::uint64_t AcknowledgeableEnd(const worker_state& row) {
-  const bool withholds =
-      row.withheld_end &&
-      row.last_processed_end - *row.withheld_end < kMaxWithheldEnds;
-  return withholds ? std::min(row.last_durable_end, *row.withheld_end - 1)
-                   : row.last_durable_end;
+  return row.withheld_end
+             ? std::min(row.last_durable_end, *row.withheld_end - 1)
+             : row.last_durable_end;
+}
+
+// Lets the withheld end, and those after it, be acknowledged once all leases
+// have expired. The worker gets no new ones meanwhile, as it is not
+// schedulable.
+void ReleaseWithheldEndIfDue(const context& ctx,
+                             const work::worker_id& worker) {
+  const worker_state& known = *ctx.state.leader.workers.Find(worker);
+  const bool due = known.withheld_end && !IsBusy(ctx, worker) &&
+                   HaveLeasesExpired(ctx, known);
+  if (!due)
+    return;
+  ctx.Log("end_released", worker.value(),
+          {Field("number", *known.withheld_end)});
+  worker_state row = known;
+  row.withheld_end.reset();
+  ctx.state.leader.workers.Put(worker, std::move(row));
+  ctx.state.leader.plan_due = true;
 }
 
 void EndLostTasks(const context& ctx, const work::worker_id& worker) {
@@ -199,6 +211,7 @@
   const timestamp requested_at = row.hold_sent_at;
   const bool was_schedulable = IsSchedulable(row);
   RecordAnswer(ctx, row, event.worker_clock);
+  row.listed_after_lapse = HaveLeasesExpired(ctx, row);
   row.reached_late =
       row.reached_late || (!row.fenced && ctx.state.leader.reconciled);
   row.fenced = true;
@@ -244,8 +257,10 @@
   // of a worker that is cut off expires too, before the leases of its tasks.
   if (unreachable && IsBusy(ctx, worker) && HaveLeasesExpired(ctx, *row))
     EndLostTasks(ctx, worker);
+  ReleaseWithheldEndIfDue(ctx, worker);
   row = ctx.state.leader.workers.Find(worker);
-  if (IsRemovalDue(ctx, *row) && unreachable && !IsBusy(ctx, worker)) {
+  const bool idle = !IsBusy(ctx, worker) && HaveLeasesExpired(ctx, *row);
+  if (IsRemovalDue(ctx, *row) && unreachable && idle) {
     ctx.Log("worker_deleted", worker.value());
     ctx.state.leader.workers.Erase(worker);
     ctx.state.leader.loads.Erase(worker);
@@ -452,7 +467,7 @@
 
 bool IsSchedulable(const worker_state& row) {
   return row.is_listed && !row.listed().draining && row.fenced && row.clock &&
-         row.unanswered_orders == 0;
+         row.unanswered_orders == 0 && !row.withheld_end;
 }
 
 void RecordWorkerFailure(const context& ctx,
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -191,9 +191,11 @@
   std::uint64_t last_processed_end = 0;
   std::uint64_t last_durable_end = 0;
   std::uint64_t last_acknowledged_end = 0;
-  // The first end that must not be acknowledged: the task was successful, but
-  // had been given up as its lease had expired, and was started again.
+  // The first end that must not be acknowledged yet: the task was successful,
+  // but has been started again, and the leases may not have expired since.
   std::optional<std::uint64_t> withheld_end;
+  // When the latest listing arrived, every lease given before had expired.
+  bool listed_after_lapse = false;
   // First reached when units were already being placed: tasks that an earlier
   // leader had started here may have been started again.
   bool reached_late = false;
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -659,11 +659,11 @@
 
 void platform_simulation::SendHeartbeat(std::uint32_t index) {
   const simulated_worker& each = workers_[index];
-  if (each.alive && !each.cut && !store_.down)
+  const bool silent = !each.alive || each.cut || each.cut_from_store;
+  if (!silent && !store_.down)
     PublishWorker(index);
   // The registry drops a worker after three missed heartbeats.
   constexpr std::uint32_t kMaxMissedHeartbeats = 3;
-  const bool silent = !each.alive || each.cut;
   missed_heartbeats_[index] = silent ? missed_heartbeats_[index] + 1 : 0;
   if (missed_heartbeats_[index] == kMaxMissedHeartbeats)
     store_.Put(work::feed::kWorkers, each.id.value(), {});
--- a/tests/support/simulated_worker.h
+++ b/tests/support/simulated_worker.h
@@ -37,6 +37,8 @@
   bool alive = true;
   // Can't be reached by entries, and sends no heartbeats.
   bool cut = false;
+  // Can be reached by entries, but its heartbeats do not reach the store.
+  bool cut_from_store = false;
   bool draining = false;
   // While draining: when the worker leaves and all that runs on it is lost.
   std::optional<work::duration> leaves_at;
