Wait for all leases after an outage of the store: workers may be unlisted

What callers saw: something that must run once ran twice.

Cause: a new leader that followed one without store started older units once every listed worker was reached and the registry had had 3 s since the store's return. That misses a worker whose entry expired during the outage and that still does not reach the store: the earlier leader had started a task there without a record and renewed its lease until it died. The platform removes the entries of silent workers, also while the store is down, whether their tasks run or not.

Change: a leader that is elected less than 3 s after an outage that was long enough for entries to expire does not rely on the registry; older units wait until every lease of the earlier leader has expired, 8.6 s after the election. Short outages and elections without one are handled as before, and jobs that were accepted since the election are placed at once, as before.

Price: after an outage of the store and a change of the leader together, units that may have been started before wait up to about 5 s longer than they did.

--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -270,13 +270,17 @@
 }
 
 // Workers drop out of the registry during an outage of the store. True when
-// they have had time to register again.
+// they have had time to register again, and the outage does not matter to this
+// leader: those that still do not reach the store may run tasks that the leader
+// of that time started without a record.
 bool IsRegistryComplete(const context& ctx) {
-  const timestamp complete_at =
-      ctx.state.store_recovered_at + ctx.limits().unlisted_gone;
+  const duration time_to_register = ctx.limits().unlisted_gone;
   return ctx.state.workers.snapshot_complete &&
          !IsStoreFailing(ctx, duration(0)) &&
-         ctx.state.workers.confirmed_at >= complete_at;
+         ctx.state.workers.confirmed_at >=
+             ctx.state.store_recovered_at + time_to_register &&
+         ctx.state.leader.elected_at >=
+             ctx.state.store_outage_ended_at + time_to_register;
 }
 
 // True when every worker was reached, or its tasks from earlier leaders have
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -404,6 +404,9 @@
   // When the store last became reachable again after an outage; the clock's
   // epoch if there was none.
   timestamp store_recovered_at;
+  // The same for the last outage that was long enough for entries of the worker
+  // registry to expire.
+  timestamp store_outage_ended_at;
   records::ledger ledger;
   model::value_cell<work::published_catalog> in_force;
   outbox submissions;
--- a/source/dispatch/store_health.cc
+++ b/source/dispatch/store_health.cc
@@ -76,8 +76,12 @@
   CountCall(ctx, call);
   std::optional<timestamp>& since = ctx.state.store_failing_since;
   if (call.answered && since) {
+    const duration lost_for = ctx.now() - *since;
     ctx.Log("store_recovered", "store",
-            {Field("lost_for", ctx.now() - *since), Field("call", call.name)});
+            {Field("lost_for", lost_for), Field("call", call.name)});
+    // An outage may begin as long before it is noticed as a read takes.
+    if (lost_for + ctx.limits().read_timeout >= ctx.limits().unlisted_gone)
+      ctx.state.store_outage_ended_at = ctx.now();
     since.reset();
     ctx.state.store_recovered_at = ctx.now();
   }
--- a/tests/dispatch/given_up_test.cc
+++ b/tests/dispatch/given_up_test.cc
@@ -172,3 +172,12 @@
       work::duration(1000)));
   cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
 }
+
+// Guards against running a task twice at a time when a leader without store has
+// started it on a worker that is missing from its successor's registry.
+Test(successor,
+     starts_no_older_unit_while_an_unlisted_worker_may_run_it_without_record) {
+  unlisted_fixture fixture(work::duration(12000));
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
+}
