Count unlisted workers that records name among those not reached

What callers saw: something that must run once ran twice.

Cause: a new leader takes it that the leader before may have started tasks without a record only if a listed worker has not been reached. A worker that does not reach the store loses its registry entry while its tasks run on, so a start without a record on it was overlooked and the task started elsewhere.

Change: a worker that records name, that is not listed and that has not been reached counts too. Older units then wait until its leases have expired; workers_reconciled tells how many there are.

Open: a worker on which no recorded task runs is still unknown to the new leader.

--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -314,21 +314,25 @@
       !ctx.state.workers.snapshot_complete)
     return;
   std::uint64_t unreached = 0;
-  for (const auto& [worker, row] : leader.workers)
+  std::uint64_t unlisted = 0;
+  for (const auto& [worker, row] : leader.workers) {
     unreached += row.is_listed && !row.fenced ? 1 : 0;
+    unlisted += !row.is_listed && !row.fenced ? 1 : 0;
+  }
   const bool waited =
       ctx.now() - leader.elected_at >= 2 * ctx.limits().settle_timeout;
   if (unreached > 0 && !waited)
     return;
   leader.reconciled = true;
-  // The earlier leader's latest starts may have no record yet.
-  leader.earlier_tasks_unknown =
-      leader.earlier_tasks_unknown || (unreached > 0 && leader.epoch > 1);
+  // The earlier leader's latest starts may have no record yet, also those on
+  // workers that records name and the registry no longer lists.
+  leader.earlier_tasks_unknown = leader.earlier_tasks_unknown ||
+                                 (unreached + unlisted > 0 && leader.epoch > 1);
   leader.plan_due = true;
   ctx.Log(
       "workers_reconciled", ctx.env.self.value(),
       {Field("epoch", leader.epoch), Field("workers", leader.workers.size()),
-       Field("unreached", unreached),
+       Field("unreached", unreached), Field("unlisted", unlisted),
        Field("took", ctx.now() - leader.elected_at)});
 }
 
--- a/tests/dispatch/given_up_test.cc
+++ b/tests/dispatch/given_up_test.cc
@@ -181,3 +181,38 @@
   cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
   cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
 }
+
+// A leader died before it wrote a record of a start, and the worker's registry
+// entry expired before the election.
+struct unrecorded_fixture : simulation_fixture {
+  explicit unrecorded_fixture(bool runs_recorded_task)
+      : simulation_fixture(
+            {.workers = 2, .task_duration = work::duration(12000)}) {
+    const std::uint32_t first = Leader();
+    if (runs_recorded_task) {
+      simulation.Submit(Follower(), kOtherJob, {Step(1, 4)});
+      simulation.RunFor(work::duration(200));
+    }
+    simulation.RunFor(kHeartbeatInterval - work::duration(1) -
+                      simulation.now() % kHeartbeatInterval);
+    simulation.worker(0).cut_from_store = true;
+    simulation.RunFor(work::duration(2300));
+    simulation.Submit(Follower(), kJob, {Step(1, 4)});
+    while (LinesOf(std::string("job_added ") + kJob).empty())
+      simulation.RunFor(work::duration(1));
+    simulation.entry(first).cut_from_store = true;
+    cr_assert(simulation.RunUntil([&] { return IsRunning(kJob); },
+                                  work::duration(1000)));
+    cr_assert(WorkerOf(kJob).id == simulation.worker(0).id);
+    simulation.Kill(first);
+  }
+};
+
+// Guards against running a task twice at a time when it was started without a
+// record on a worker that is missing from the registry of the next leader.
+Test(successor, finding_a_recorded_worker_unlisted_starts_no_older_unit) {
+  unrecorded_fixture fixture(true);
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  fixture.simulation.RunFor(work::duration(20000));
+  cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
+}
