Known red: a start without record on an idle worker that is not listed

A leader starts a task on a worker that does not reach the store and dies before it has stored the record; the worker's registry entry expires before the next election. The new leader finds the worker neither in the registry nor in a record, so it does not wait for the leases there. Not mended here.

--- a/tests/dispatch/given_up_test.cc
+++ b/tests/dispatch/given_up_test.cc
@@ -216,3 +216,10 @@
   fixture.simulation.RunFor(work::duration(20000));
   cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
 }
+
+// Guards against the same on a worker that no record names either.
+Test(successor, not_knowing_of_an_unlisted_worker_starts_no_task_twice) {
+  unrecorded_fixture fixture(false);
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+  cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
+}
