Order the starts of a worker one after the other, over one connection

The same leader opened 28,032 connections for 24,000 calls to its workers: the starts of a worker went out at the same time, over a connection each, so that with a hold at each worker more connections were open than are kept, and each call opened a new one. New connections cost more than the calls.

A worker gets its next start when the one before is answered, or after 100 ms. The client keeps a connection for a hold and one for an order at each of 1,100 workers.

--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -20,6 +20,10 @@
 // Unanswered start orders after which the attempt is given up.
 constexpr std::uint32_t kMaxStartOrders = 4;
 
+// A worker gets its starts one after the other, over one connection; the next
+// one waits at most this long for the answer.
+constexpr duration kMaxStartWait{100};
+
 unit WithMember(unit changed, std::uint32_t index, member with) {
   changed.members[index] = std::move(with);
   return changed;
@@ -60,6 +64,11 @@
   const worker_state* known = ctx.state.leader.workers.Find(next.worker);
   if (known == nullptr || !known->clock || !HasAuthority(ctx))
     return;
+  const auto starting = ctx.state.leader.starting.find(next.worker);
+  if (starting != ctx.state.leader.starting.end() &&
+      ctx.now() - starting->second < kMaxStartWait)
+    return;
+  ctx.state.leader.starting[next.worker] = ctx.now();
   worker_state row = *known;
   const duration lease_until = ClockNow(ctx, row) + ctx.limits().lease;
   row.lease_until = std::max(row.lease_until, lease_until);
@@ -329,10 +338,29 @@
   }
 }
 
+// Sends the first start to the worker that waited for an earlier one.
+void SendNextStart(const context& ctx, const work::worker_id& worker) {
+  const auto tasks = LoadOf(ctx, worker).tasks;
+  for (const auto& [id, index] : tasks) {
+    const unit* placed = ctx.state.leader.units.Find(id);
+    if (placed == nullptr || index >= placed->members.size())
+      continue;
+    const member& one = placed->members[index];
+    const bool waits = one.state == member_state::kOrdered && !one.stopping &&
+                       !one.order && ctx.now() >= one.next_order_at;
+    if (!waits)
+      continue;
+    AdvanceMember(ctx, id, index);
+    return;
+  }
+}
+
 }  // namespace
 
 void OnStartAnswered(const context& ctx, const work::start_answered& event) {
+  ctx.state.leader.starting.erase(event.worker);
   ApplyStartAnswer(ctx, event);
+  SendNextStart(ctx, event.worker);
   ObserveWorkerClock(ctx, event.worker, event.worker_clock);
 }
 
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -350,6 +350,9 @@
   model::value_table<work::worker_id, worker_load> loads;
   model::value_table<orphan_key, orphan_task> orphan_tasks;
   model::value_table<call_number, order_reference> orders;
+  // Workers with a start order that is not answered yet, and when the latest
+  // was sent.
+  std::map<work::worker_id, timestamp> starting;
   // The phases of jobs, which all entries read, and the progress of units,
   // which the next leader reads. The first append of `unit_progress` fences the
   // appends of earlier leaders.
--- a/source/runtime/http_client.cc
+++ b/source/runtime/http_client.cc
@@ -57,7 +57,8 @@
 
 namespace {
 
-constexpr long kMaxIdleConnections = 2000;
+// Enough for the leader of 1,100 workers: a hold and an order at each.
+constexpr long kMaxConnections = 3000;
 
 std::size_t WriteBody(char* data,
                       std::size_t size,
@@ -310,7 +311,7 @@
                     detail::OnTimeoutChange);
   curl_multi_setopt(state_->multi, CURLMOPT_TIMERDATA, &state_);
   curl_multi_setopt(state_->multi, CURLMOPT_MAXCONNECTS,
-                    detail::kMaxIdleConnections);
+                    detail::kMaxConnections);
 }
 
 http_client::~http_client() {
--- a/tests/dispatch/start_rate_test.cc
+++ b/tests/dispatch/start_rate_test.cc
@@ -1,5 +1,7 @@
 // How fast the leader starts tasks.
 
+#include <algorithm>
+
 #include "dispatch/simulation_fixture.h"
 
 namespace tests = parsleyhitch::tests;
@@ -37,6 +39,25 @@
   cr_assert_eq(fixture.simulation.starts(), kTasks);
 }
 
+// Guards against the same, and against connections that are opened for one
+// order each: as many orders at once as the worker has tasks.
+Test(worker, given_many_tasks_at_once_gets_its_starts_one_after_the_other) {
+  constexpr std::uint32_t kTasksOfWorker = 8;
+  simulation_fixture fixture({.workers = 1});
+  fixture.simulation.Submit(fixture.Follower(), kJob,
+                            {Step(kTasksOfWorker, 1)});
+  std::size_t most = 0;
+  cr_assert(fixture.simulation.RunUntil(
+      [&] {
+        const auto& leader =
+            fixture.simulation.entry(fixture.Leader()).state.leader;
+        most = std::max(most, leader.orders.size());
+        return fixture.simulation.starts() == kTasksOfWorker;
+      },
+      work::duration(500)));
+  cr_assert_eq(most, 1U);
+}
+
 // Guards against urgent work that waits behind the starts of other work.
 Test(urgent_job, submitted_while_many_tasks_start_begins_at_once) {
   starting_fixture fixture;
