Judge a transfer's time-out after what has arrived was read

Answered requests failed when the process had been out of processor time until their deadline had passed. The leader then takes all its workers for silent, renews no leases and starts their work elsewhere (TWICE); answered reads and appends of the store count as lost. Found by reading; whether it explains the incident was not tested.

libcurl kept the deadline (CURLOPT_TIMEOUT_MS). After a pause of the event loop, its first action also runs the expired timers of all transfers, and a transfer checks its time before it reads its socket. The stall time-out compared with the last byte that was read: Asio runs all expired timers after one epoll_wait, which reports 128 sockets at most.

Both time-outs are now one timer of Asio for each transfer. When it expires, what lies unread in the transfer's socket by then (FIONREAD) is read first, and only then is the transfer judged, so that no grace is needed and one without bytes fails at once. libcurl expires nothing: its limit for connecting is out of reach.

A request that is past its deadline once it has a connection is no longer sent (CURLOPT_PREREQFUNCTION).

Failed before, with the old http_client.cc, in each of 3 runs with 300 requests and a pause of 1.8 s: response::that_arrives_before_a_deadline_is_taken_by_a_loop_ blocked_past_it and response::that_arrives_before_a_stall_is_taken_by_a_loop_ blocked_past_it (both also without the reading), and request::that_a_blocked_loop_did_not_send_by_its_deadline_is_never_sent (also without the check before sending). request::that_nobody_answers_fails_at_its_ deadline passes before and after. runtime_test 6 of 6, process_test 31 of 31.

The rest of a request that is partly sent at its deadline may still go out in the action before it is judged.

--- a/source/runtime/http_client.cc
+++ b/source/runtime/http_client.cc
@@ -1,18 +1,21 @@
 // libcurl says which sockets to poll and when to call it again
-// (curl_multi_socket_action); Asio waits for them.
+// (curl_multi_socket_action); Asio waits for them. Time-outs are kept here, not
+// by libcurl, which after a pause of the event loop would expire transfers
+// before it reads what has arrived for them.
 
 #include "runtime/http_client.h"
 
 #include <curl/curl.h>
 
 #include <algorithm>
+#include <asio/posix/descriptor_base.hpp>
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <cctype>
 #include <chrono>
+#include <limits>
 #include <memory>
-#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -31,17 +34,34 @@
   bool removed = false;
 };
 
+using time_point = std::chrono::steady_clock::time_point;
+
 struct transfer {
   http_request request;
   http_callback done;
+  asio::steady_timer timer;
+  const time_point start = std::chrono::steady_clock::now();
+  // When a byte of the response was last read.
+  time_point last_activity = start;
+  // The socket that libcurl has watched for it, if any.
+  curl_socket_t socket = CURL_SOCKET_BAD;
   curl_slist* headers = nullptr;
   std::map<std::string, std::string> response_headers;
   std::string response_body;
-  // Set for a request with a stall time-out.
-  std::unique_ptr<asio::steady_timer> stall_timer;
-  std::chrono::steady_clock::time_point last_activity{};
 
   void NoteActivity() { last_activity = std::chrono::steady_clock::now(); }
+
+  // When it fails if nothing more arrives.
+  time_point ExpiresAt() const {
+    const time_point deadline = start + request.timeout;
+    if (request.stall_timeout <= model::duration(0))
+      return deadline;
+    return std::min(deadline, last_activity + request.stall_timeout);
+  }
+
+  bool HasExpired() const {
+    return std::chrono::steady_clock::now() >= ExpiresAt();
+  }
 };
 
 struct client_state {
@@ -59,6 +79,10 @@
 
 // Enough for the leader of 1,100 workers: a hold and an order at each.
 constexpr long kMaxConnections = 3000;
+// What libcurl reads from a socket in one action, at least, if it is there.
+constexpr std::size_t kReadSize = CURL_MAX_WRITE_SIZE;
+// The longest that libcurl accepts; its default is 300 s.
+constexpr long kNoConnectTimeout = std::numeric_limits<int>::max();
 
 std::size_t WriteBody(char* data,
                       std::size_t size,
@@ -146,26 +170,6 @@
   });
 }
 
-// Fails the transfer once no byte has arrived for its stall time-out.
-void WatchForStall(const std::shared_ptr<client_state>& state,
-                   CURL* easy,
-                   transfer& each) {
-  each.stall_timer->expires_at(each.last_activity + each.request.stall_timeout);
-  each.stall_timer->async_wait([state, easy](const asio::error_code& error) {
-    const auto found = state->transfers.find(easy);
-    if (error || found == state->transfers.end())
-      return;
-    transfer& waiting = *found->second;
-    const bool stalled =
-        std::chrono::steady_clock::now() - waiting.last_activity >=
-        waiting.request.stall_timeout;
-    if (stalled)
-      FinishTransfer(*state, easy, CURLE_OPERATION_TIMEDOUT);
-    else
-      WatchForStall(state, easy, waiting);
-  });
-}
-
 void FinishTransfers(const std::shared_ptr<client_state>& state) {
   int remaining = 0;
   while (CURLMsg* message = curl_multi_info_read(state->multi, &remaining)) {
@@ -185,6 +189,48 @@
   FinishTransfers(state);
 }
 
+std::size_t CountUnread(const client_state& state, curl_socket_t socket) {
+  const auto found = state.sockets.find(socket);
+  if (found == state.sockets.end())
+    return 0;
+  asio::posix::descriptor_base::bytes_readable unread;
+  asio::error_code error;
+  found->second->descriptor.io_control(unread, error);
+  return error ? 0 : unread.get();
+}
+
+// Has libcurl read what lies in the transfer's socket, which may finish the
+// transfer. What arrives meanwhile is left, so that this ends.
+void ReadArrived(const std::shared_ptr<client_state>& state, CURL* easy) {
+  const curl_socket_t socket = state->transfers.at(easy)->socket;
+  const std::size_t unread = CountUnread(*state, socket);
+  for (std::size_t read = 0; read < unread; read += kReadSize) {
+    if (!state->transfers.contains(easy))
+      return;
+    RunSocketAction(state, socket, CURL_CSELECT_IN);
+  }
+}
+
+// Fails the transfer at its deadline, or once no byte has arrived for its stall
+// time-out. If the event loop was blocked, the bytes may be there unread.
+void WatchForExpiry(const std::shared_ptr<client_state>& state, CURL* easy) {
+  transfer& each = *state->transfers.at(easy);
+  each.timer.expires_at(each.ExpiresAt());
+  each.timer.async_wait([state, easy](const asio::error_code& error) {
+    if (error || !state->transfers.contains(easy))
+      return;
+    if (state->transfers.at(easy)->HasExpired())
+      ReadArrived(state, easy);
+    const auto found = state->transfers.find(easy);
+    if (found == state->transfers.end())
+      return;
+    if (found->second->HasExpired())
+      FinishTransfer(*state, easy, CURLE_OPERATION_TIMEDOUT);
+    else
+      WatchForExpiry(state, easy);
+  });
+}
+
 void WatchSocket(const std::shared_ptr<client_state>& state,
                  curl_socket_t socket,
                  const std::shared_ptr<watched_socket>& watched);
@@ -238,8 +284,15 @@
   state.sockets.erase(found);
 }
 
-int OnSocketChange(CURL*, curl_socket_t socket, int what, void* user, void*) {
+int OnSocketChange(CURL* easy,
+                   curl_socket_t socket,
+                   int what,
+                   void* user,
+                   void*) {
   const auto& state = *static_cast<std::shared_ptr<client_state>*>(user);
+  const auto owner = state->transfers.find(easy);
+  if (owner != state->transfers.end())
+    owner->second->socket = what == CURL_POLL_REMOVE ? CURL_SOCKET_BAD : socket;
   if (what == CURL_POLL_REMOVE) {
     UnwatchSocket(*state, socket);
     return 0;
@@ -268,6 +321,13 @@
   return 0;
 }
 
+// Called once there is a connection: what is late by then isn't sent at all.
+int OnReadyToSend(void* user, char*, char*, int, int) {
+  return static_cast<const transfer*>(user)->HasExpired()
+             ? CURL_PREREQFUNC_ABORT
+             : CURL_PREREQFUNC_OK;
+}
+
 void SetOptions(CURL* easy, transfer& each) {
   const http_request& request = each.request;
   curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
@@ -282,8 +342,9 @@
   for (const std::string& header : request.headers)
     each.headers = curl_slist_append(each.headers, header.c_str());
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, each.headers);
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(request.timeout.count()));
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, kNoConnectTimeout);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnReadyToSend);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &each);
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, WriteBody);
@@ -330,16 +391,14 @@
 void http_client::Send(http_request request, http_callback done) {
   CURL* easy = curl_easy_init();
   auto owned = std::make_unique<detail::transfer>(
-      detail::transfer{.request = std::move(request), .done = std::move(done)});
+      detail::transfer{.request = std::move(request),
+                       .done = std::move(done),
+                       .timer = asio::steady_timer(state_->io)});
   detail::transfer& each = *owned;
   state_->transfers.emplace(easy, std::move(owned));
   detail::SetOptions(easy, each);
   curl_multi_add_handle(state_->multi, easy);
-  if (each.request.stall_timeout <= model::duration(0))
-    return;
-  each.stall_timer = std::make_unique<asio::steady_timer>(state_->io);
-  each.NoteActivity();
-  detail::WatchForStall(state_, easy, each);
+  detail::WatchForExpiry(state_, easy);
 }
 
 }  // namespace parsleyhitch::runtime
