--- a/source/dispatch/planning.cc
+++ b/source/dispatch/planning.cc
@@ -108,11 +108,16 @@
   std::set<std::pair<rank, placement::demand>> demands_without_victims_;
 };
 
-// A pass takes longer with a longer queue, so passes are spaced further apart.
-duration PlanningPause(const work::limits& limits, std::size_t waiting) {
-  const auto queued = static_cast<std::int64_t>(waiting);
+// A pass takes longer with a longer queue, and with more units and workers to
+// look through, so passes are spaced further apart.
+duration PlanningPause(const context& ctx, std::size_t waiting) {
+  const work::limits& limits = ctx.limits();
+  const leader_state& leader = ctx.state.leader;
+  const std::size_t scanned = leader.units.size() + leader.workers.size();
+  const std::size_t extra =
+      waiting / limits.plan_rate + scanned / limits.plan_scan_rate;
   return std::min(
-      limits.plan_pause + duration(queued / std::int64_t{limits.plan_rate}),
+      limits.plan_pause + duration(static_cast<std::int64_t>(extra)),
       limits.plan_pause_max);
 }
 
@@ -147,7 +152,7 @@
   leader.plan_due = false;
   const job_ranks ranked = RankJobs(ctx);
   const std::vector<waiting_unit> waiting = WaitingUnits(ctx, ranked);
-  leader.next_plan_at = ctx.now() + PlanningPause(ctx.limits(), waiting.size());
+  leader.next_plan_at = ctx.now() + PlanningPause(ctx, waiting.size());
   if (waiting.empty())
     return;
   const std::size_t allowance = StartAllowance(ctx);
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -148,7 +148,8 @@
                       slow_append,
                       store_retry_max,
                       leader_retry_max,
-                      start_rate)
+                      start_rate,
+                      plan_scan_rate)
 
 }  // namespace parsleyhitch::work
 
--- a/source/work/limits.h
+++ b/source/work/limits.h
@@ -118,6 +118,9 @@
   // start takes up to 0.2 ms with its connection, so that starts leave most of
   // the share to the answers of the workers.
   const std::uint32_t start_rate{2000};
+  // The pause between two planning passes also grows by 1 ms for every
+  // `plan_scan_rate` units and workers, as a pass looks through all of them.
+  const std::uint32_t plan_scan_rate{75};
 
   bool operator==(const limits&) const = default;
 };
