Drop the unstored ends of a worker that is deleted

An end could be acknowledged before its effect was stored, and the task be started again after the leader's end: the ends of a deleted worker stayed among those to be stored, and when they were, they made ends with the same numbers durable of a new process under the same name. Found in review; the test end::of_a_worker_deleted_before_its_ends_were_stored_covers_no_later_one failed before with "task restarted after acknowledged end".

--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -105,6 +105,14 @@
     ctx.state.leader.orphan_tasks.Erase(each);
 }
 
+// Forgets which ends of the worker are still to be stored: a later process
+// under its name numbers its ends from the start.
+void DropProcessedEnds(const context& ctx, const work::worker_id& worker) {
+  std::erase_if(
+      ctx.state.leader.processed_ends,
+      [&](const processed_end& each) { return each.worker == worker; });
+}
+
 // Marks the worker's tasks as unverified after its restart, so that the next
 // listing decides: the answer to a start does not tell whether the old process
 // or the new one received it.
@@ -131,9 +139,7 @@
           {Field("life", life), Field("previous", row.listed().life)});
   // The new process numbers ends from the start; those being stored belong to
   // the old process.
-  std::erase_if(
-      ctx.state.leader.processed_ends,
-      [&](const processed_end& each) { return each.worker == worker; });
+  DropProcessedEnds(ctx, worker);
   MarkTasksUnverified(ctx, worker);
   const work::registered_worker& before = row.listed();
   worker_state next;
@@ -264,6 +270,7 @@
     ctx.Log("worker_deleted", worker.value());
     ctx.state.leader.workers.Erase(worker);
     ctx.state.leader.loads.Erase(worker);
+    DropProcessedEnds(ctx, worker);
     return;
   }
   HoldIfNeeded(ctx, worker);
--- a/tests/dispatch/unit_records_test.cc
+++ b/tests/dispatch/unit_records_test.cc
@@ -8,12 +8,14 @@
 namespace tests = parsleyhitch::tests;
 namespace work = parsleyhitch::work;
 using tests::kJob;
+using tests::kOtherJob;
 using tests::simulation_fixture;
 using tests::Step;
 
 namespace {
 
 constexpr std::uint32_t kTasks = 20;
+constexpr work::duration kTaskDuration{4000};
 
 struct stored_progress_fixture : simulation_fixture {
   explicit stored_progress_fixture(std::vector<work::step_spec> steps = {
@@ -53,6 +55,29 @@
   }
 };
 
+// One worker: the end of its first task can't be stored, another task runs.
+struct unstored_unit_fixture : simulation_fixture {
+  unstored_unit_fixture()
+      : simulation_fixture(
+            {.entries = 1, .workers = 1, .task_duration = kTaskDuration}) {
+    Start(kJob);
+    simulation.RunFor(kTaskDuration - work::duration(500));
+    Start(kOtherJob);
+    simulation.store().refused = {work::feed::kUnits};
+    cr_assert(
+        simulation.RunUntil([&] { return !IsRunning(kJob); }, kTaskDuration));
+    simulation.RunFor(work::duration(200));
+    cr_assert(IsRunning(kOtherJob));
+  }
+
+  void Start(const char* job) {
+    // A second step, so that the end of the first does not close the job.
+    simulation.Submit(Leader(), job, {Step(1, 1), Step(1, 1, false, {0})});
+    cr_assert(simulation.RunUntil([&] { return IsRunning(job); },
+                                  work::duration(300)));
+  }
+};
+
 }  // namespace
 
 // Guards against a store that is overloaded by its readers: each entry reads
@@ -118,3 +143,32 @@
   cr_assert_eq(fixture.simulation.starts(), 3U);
   cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
 }
+
+// Guards against an end that is acknowledged before its effect is stored: an
+// end of the worker's earlier process made it durable.
+Test(end, of_a_worker_deleted_before_its_ends_were_stored_covers_no_later_one) {
+  unstored_unit_fixture fixture;
+  auto& simulation = fixture.simulation;
+  simulation.worker(0).Crash();
+  cr_assert(simulation.RunUntil(
+      [&] { return !fixture.LinesOf("worker_deleted").empty(); },
+      work::duration(20000)));
+  simulation.worker(0).Restart(simulation.now());
+  cr_assert(simulation.RunUntil([&] { return fixture.IsRunning(kOtherJob); },
+                                work::duration(4000)));
+  simulation.store().refused.clear();
+  simulation.RunFor(work::duration(1000));
+  // Nothing that happens from here on is stored.
+  simulation.store().refused = {work::feed::kRecords, work::feed::kUnits};
+  cr_assert(simulation.RunUntil([&] { return !fixture.IsRunning(kOtherJob); },
+                                kTaskDuration));
+  simulation.RunFor(work::duration(700));
+  const auto ended = simulation.worker(0).Listing().ended;
+  simulation.Kill(0);
+  simulation.Start(0);
+  simulation.store().refused.clear();
+  cr_assert(fixture.Ends(kOtherJob, work::job_phase::kCompleted));
+  cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
+  cr_assert(!ended.empty() && ended.front().number == 1,
+            "acknowledged although neither unit nor phase is stored");
+}
