Judge the reach of each stream of the store by itself

What callers saw: while only the appends to the units were refused, jobs did not start, as leaders replaced one another. The store may be down wholly or partly.

Cause: one flag stood for all streams. A refused append to the units told the members that the leader had lost the store, and an entry that can do no better was elected; a new leader can't restore jobs before its own first append to the units. In the same way, a registry or a configuration that could be read hid that the records could not.

Change: each stream has its own state. What goes by which stream: - store_reached in heartbeats, claims and the time that a leader gets after an outage, the relaying and refusing of calls: the records, read and appended. - Asking a peer for the configuration: the configuration's. - Removing an unlisted worker: the registry's, which every leader reads. - Completeness of the registry: all streams. Only workers write there and only the leader reads it, so an outage that followers saw elsewhere counts too. - Tasks that the leader before may have started without a record: all streams of that leader. Heartbeats have a new field for it, all_streams_reached, as store_reached does not tell that units can't be stored. When only another stream than the records was lost, the members have not seen the outage, and the successor waits until all leases have expired. - An append whose sender has stepped down is counted, but judges no stream. An election forgets failures of the streams that only leaders call. store_lost and store_recovered have the stream as subject.

Price: an outage is noticed only by the calls to the stream itself. After a leader without one of its streams, older units may wait for all leases.

Why it works: a leader that loses only the units stays, and starts need no stored unit; a successor still learns that records of starts may be missing.

--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -252,7 +252,7 @@
 bool IsRemovalDue(const context& ctx, const worker_state& row) {
   return !row.is_listed &&
          ctx.now() - row.unlisted_since >= ctx.limits().unlisted_gone &&
-         !IsStoreFailing(ctx, duration(0));
+         !IsStreamFailing(ctx, work::feed::kWorkers, duration(0));
 }
 
 void AdvanceWorker(const context& ctx, const work::worker_id& worker) {
@@ -279,15 +279,18 @@
 // Workers drop out of the registry during an outage of the store. True when
 // they have had time to register again, and the outage does not matter to this
 // leader: those that still do not reach the store may run tasks that the leader
-// of that time started without a record.
+// of that time started without a record. Any stream's outage counts, as only a
+// leader reads the registry, and only the workers write there.
 bool IsRegistryComplete(const context& ctx) {
   const duration time_to_register = ctx.limits().unlisted_gone;
-  return ctx.state.workers.snapshot_complete &&
-         !IsStoreFailing(ctx, duration(0)) &&
-         ctx.state.workers.confirmed_at >=
-             ctx.state.store_recovered_at + time_to_register &&
-         ctx.state.leader.elected_at >=
-             ctx.state.store_outage_ended_at + time_to_register;
+  return ctx.state.workers.snapshot_complete && !IsAnyStreamFailing(ctx) &&
+         std::ranges::all_of(ctx.state.store_health, [&](const auto& entry) {
+           const stream_health& health = entry.second;
+           return ctx.state.workers.confirmed_at >=
+                      health.recovered_at + time_to_register &&
+                  ctx.state.leader.elected_at >=
+                      health.outage_ended_at + time_to_register;
+         });
 }
 
 // True when every worker was reached, or its tasks from earlier leaders have
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -59,18 +59,19 @@
                    .catalog_version = CatalogVersion(ctx),
                    .store_reached = !IsStoreFailing(ctx, duration(0)),
                    .resigning = ctx.state.shutdown.requested,
-                   .store_slow = AreAppendsSlow(ctx)});
+                   .store_slow = AreAppendsSlow(ctx),
+                   .all_streams_reached = !IsAnyStreamFailing(ctx)});
   }
 }
 
-// Asks a peer for a newer catalog when the store can't be read. A catalog is
+// Asks a peer for a newer catalog when the store's can't be read. A catalog is
 // large, so that a peer is not asked again before it had time to send it.
 void RequestCatalogIfNeeded(const context& ctx,
                             const std::string& address,
                             std::uint64_t version) {
   leadership_state& leadership = ctx.state.leadership;
   const bool needed = version > CatalogVersion(ctx) &&
-                      IsStoreFailing(ctx, duration(0)) &&
+                      IsStreamFailing(ctx, work::feed::kCatalog, duration(0)) &&
                       ctx.now() >= leadership.next_catalog_request_at;
   if (!needed)
     return;
@@ -131,7 +132,8 @@
   // After an outage of the store that affected all entries, the leader gets
   // time to reach the store again.
   const timestamp last_store_access =
-      std::max(s.leadership.leader_reached_store_at, s.store_recovered_at);
+      std::max(s.leadership.leader_reached_store_at,
+               HealthOf(ctx, work::feed::kRecords).recovered_at);
   const bool store_cut_off =
       ctx.now() - last_store_access >= ctx.limits().store_silent + stagger;
   return store_cut_off ? "leader cannot reach the store" : "";
@@ -172,7 +174,8 @@
   leader.elected_at = ctx.now();
   leader.election_offset = end;
   leader.earlier_tasks_unknown =
-      leader.epoch > 1 && !s.leadership.leader_reaches_store;
+      leader.epoch > 1 && !(s.leadership.leader_reaches_store &&
+                            s.leadership.leader_reaches_all_streams);
   leader.job_phases = {.writer = kLeaderWriter,
                        .epoch = leader.epoch,
                        .sequence = s.leadership.claim_sequence + 1};
@@ -188,6 +191,11 @@
   s.leader = std::move(leader);
   s.leadership.claim_sequence = 0;
   s.workers = feed_state();
+  ForgetLeaderStreams(ctx);
+  // Only the leader before saw the outage of a stream that only leaders call.
+  if (s.leadership.leader_reaches_store &&
+      !s.leadership.leader_reaches_all_streams)
+    s.store_health[work::feed::kUnits].outage_ended_at = ctx.now();
   s.records.next_at = ctx.now();
   ctx.Log("leadership_won", ctx.env.self.value(),
           {Field("epoch", s.leader.epoch), Field("records_end", end)});
@@ -288,6 +296,7 @@
     else if (!leadership.resigning_since)
       leadership.resigning_since = ctx.now();
     leadership.leader_reaches_store = message.store_reached;
+    leadership.leader_reaches_all_streams = message.all_streams_reached;
     leadership.leader_store_slow = message.store_slow;
     if (message.store_reached)
       leadership.leader_reached_store_at = ctx.now();
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -27,14 +27,21 @@
 // Starts another read of the newest records, concurrent with the one in flight.
 void StartConfirmingRead(const context& ctx);
 
-// store_health.cc: whether the store is reachable, from the outcomes of the
-// calls to it. Each outcome is recorded before the call's state changes.
+// store_health.cc: whether the streams of the store are reachable, from the
+// outcomes of the calls to them. Each outcome is recorded before the call's
+// state changes.
 void RecordStoreCall(const context& ctx, const work::feed_read& event);
 void RecordStoreCall(const context& ctx, const work::newest_read& event);
 void RecordStoreCall(const context& ctx, const work::feed_unread& event);
 void RecordStoreCall(const context& ctx, const work::append_answered& event);
-// True when every call to the store has failed for `at_least`.
+// True when every call to the stream has failed for `at_least`.
+bool IsStreamFailing(const context& ctx, work::feed stream, duration at_least);
+// What callers, claims and followers need of the store: its records.
 bool IsStoreFailing(const context& ctx, duration at_least);
+bool IsAnyStreamFailing(const context& ctx);
+stream_health HealthOf(const context& ctx, work::feed stream);
+// Forgets outages that have not ended of the streams that only a leader calls.
+void ForgetLeaderStreams(const context& ctx);
 
 // The pause before a call to the store is repeated that has failed `failures`
 // times in a row before: `shortest` at first.
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -26,6 +26,21 @@
 using work::duration;
 using work::timestamp;
 
+// Whether the calls to one stream of the store succeed. The store may be down
+// partly.
+struct stream_health {
+  // Since when every call has failed; empty while calls succeed.
+  std::optional<timestamp> failing_since;
+  // When the stream last became reachable again after an outage; the clock's
+  // epoch if there was none.
+  timestamp recovered_at;
+  // The same for the last outage that was long enough for entries of the worker
+  // registry to expire.
+  timestamp outage_ended_at;
+
+  bool operator==(const stream_health&) const = default;
+};
+
 // Progress in reading one stream of the store: first a paged snapshot of the
 // newest item of each key, then the items after it.
 // Invariant: `position` is meaningful once `snapshot_complete` is true.
@@ -126,6 +141,8 @@
   timestamp leader_reached_store_at;
   // Whether the leader could reach the store, according to its last heartbeat.
   bool leader_reaches_store = false;
+  // Whether it could reach all streams there, according to the same.
+  bool leader_reaches_all_streams = false;
   // Whether appends to the store take long, according to the same.
   bool leader_store_slow = false;
   std::optional<timestamp> resigning_since;
@@ -402,14 +419,8 @@
   feed_state records;
   feed_state catalogs;
   feed_state workers;
-  // Since when every call to the store has failed; empty while calls succeed.
-  std::optional<timestamp> store_failing_since;
-  // When the store last became reachable again after an outage; the clock's
-  // epoch if there was none.
-  timestamp store_recovered_at;
-  // The same for the last outage that was long enough for entries of the worker
-  // registry to expire.
-  timestamp store_outage_ended_at;
+  // Holds the streams that were called so far.
+  std::map<work::feed, stream_health> store_health;
   records::ledger ledger;
   model::value_cell<work::published_catalog> in_force;
   outbox submissions;
--- a/source/dispatch/store_health.cc
+++ b/source/dispatch/store_health.cc
@@ -1,6 +1,8 @@
-// Counts the calls to the store by kind and outcome, and reports its outages.
+// Counts the calls to the store by kind and outcome, and reports outages of its
+// streams.
 
 #include <algorithm>
+#include <optional>
 #include <string>
 
 #include "dispatch/names.h"
@@ -15,6 +17,8 @@
 // One call to the store, as named in log lines and metrics.
 struct store_call {
   const std::string name;
+  // Absent when it is not known any more.
+  const std::optional<work::feed> stream{};
   const std::string outcome;
   const bool answered = false;
   const work::store_exchange exchange{};
@@ -63,6 +67,15 @@
   return ctx.state.leadership.claim == call ? "append_claim" : "append_late";
 }
 
+std::optional<work::feed> AppendStream(const context& ctx, call_number call) {
+  if (ctx.state.leader.unit_progress.in_flight == call)
+    return work::feed::kUnits;
+  const bool records = ctx.state.submissions.in_flight == call ||
+                       ctx.state.leader.job_phases.in_flight == call ||
+                       ctx.state.leadership.claim == call;
+  return records ? std::optional(work::feed::kRecords) : std::nullopt;
+}
+
 void CountCall(const context& ctx, const store_call& call) {
   const std::string metric = "store_" + call.name + "_";
   ctx.Count(metric + call.outcome);
@@ -74,19 +87,23 @@
 
 void Record(const context& ctx, const store_call& call) {
   CountCall(ctx, call);
-  std::optional<timestamp>& since = ctx.state.store_failing_since;
+  if (!call.stream)
+    return;
+  const std::string stream = NameOf(*call.stream);
+  stream_health& health = ctx.state.store_health[*call.stream];
+  std::optional<timestamp>& since = health.failing_since;
   if (call.answered && since) {
     const duration lost_for = ctx.now() - *since;
-    ctx.Log("store_recovered", "store",
+    ctx.Log("store_recovered", stream,
             {Field("lost_for", lost_for), Field("call", call.name)});
     // An outage may begin as long before it is noticed as a read takes.
     if (lost_for + ctx.limits().read_timeout >= ctx.limits().unlisted_gone)
-      ctx.state.store_outage_ended_at = ctx.now();
+      health.outage_ended_at = ctx.now();
     since.reset();
-    ctx.state.store_recovered_at = ctx.now();
+    health.recovered_at = ctx.now();
   }
   if (!call.answered && !since) {
-    ctx.Warn("store_lost", "store",
+    ctx.Warn("store_lost", stream,
              {Field("call", call.name), Field("outcome", call.outcome),
               Field("status", call.exchange.status),
               Field("bytes_read", call.exchange.bytes_read)});
@@ -98,6 +115,7 @@
 
 void RecordStoreCall(const context& ctx, const work::feed_read& event) {
   Record(ctx, {.name = ReadName(ctx, event.source, event.call),
+               .stream = event.source,
                .outcome = "done",
                .answered = true,
                .exchange = event.exchange});
@@ -105,6 +123,7 @@
 
 void RecordStoreCall(const context& ctx, const work::newest_read& event) {
   Record(ctx, {.name = ReadName(ctx, event.source, event.call),
+               .stream = event.source,
                .outcome = "done",
                .answered = true,
                .exchange = event.exchange});
@@ -113,6 +132,7 @@
 void RecordStoreCall(const context& ctx, const work::feed_unread& event) {
   const bool trimmed = event.why == work::read_failure::kTrimmed;
   Record(ctx, {.name = ReadName(ctx, event.source, event.call),
+               .stream = event.source,
                .outcome = trimmed ? "trimmed" : FailureOf(event.exchange),
                .answered = trimmed,
                .exchange = event.exchange});
@@ -126,14 +146,36 @@
   const bool answered = event.outcome != work::append_outcome::kRefused &&
                         event.outcome != work::append_outcome::kUnknown;
   Record(ctx, {.name = AppendName(ctx, event.call),
+               .stream = AppendStream(ctx, event.call),
                .outcome = OutcomeOf(event),
                .answered = answered,
                .exchange = event.exchange});
 }
 
-bool IsStoreFailing(const context& ctx, duration at_least) {
-  const std::optional<timestamp>& since = ctx.state.store_failing_since;
+stream_health HealthOf(const context& ctx, work::feed stream) {
+  const auto found = ctx.state.store_health.find(stream);
+  return found == ctx.state.store_health.end() ? stream_health()
+                                               : found->second;
+}
+
+bool IsStreamFailing(const context& ctx, work::feed stream, duration at_least) {
+  const std::optional<timestamp> since = HealthOf(ctx, stream).failing_since;
   return since && ctx.now() - *since >= at_least;
 }
 
+bool IsStoreFailing(const context& ctx, duration at_least) {
+  return IsStreamFailing(ctx, work::feed::kRecords, at_least);
+}
+
+bool IsAnyStreamFailing(const context& ctx) {
+  return std::ranges::any_of(ctx.state.store_health, [](const auto& entry) {
+    return entry.second.failing_since.has_value();
+  });
+}
+
+void ForgetLeaderStreams(const context& ctx) {
+  for (const work::feed stream : {work::feed::kWorkers, work::feed::kUnits})
+    ctx.state.store_health[stream].failing_since.reset();
+}
+
 }  // namespace parsleyhitch::dispatch
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -95,7 +95,8 @@
                       catalog_version,
                       store_reached,
                       resigning,
-                      store_slow)
+                      store_slow,
+                      all_streams_reached)
 PARSLEYHITCH_DESCRIBE(heartbeat_reply, epoch, address, number, catalog_version)
 PARSLEYHITCH_DESCRIBE(catalog_wanted, address, held_version)
 PARSLEYHITCH_DESCRIBE(catalog_offered, version, content)
--- a/source/work/peer_message.h
+++ b/source/work/peer_message.h
@@ -19,13 +19,16 @@
   const std::string address;
   const std::uint64_t number = 0;
   const std::uint64_t catalog_version = 0;
-  // The leader can reach the store.
+  // The leader can reach the records in the store.
   const bool store_reached = false;
   // The leader asks the members to elect another leader.
   const bool resigning = false;
   // Appends take long. The store carries them out one at a time, so members
   // relay their calls to the leader, which stores many with one append.
   const bool store_slow = false;
+  // The leader can reach the other streams too. Unless it does, tasks may have
+  // been started without a record.
+  const bool all_streams_reached = false;
   bool operator==(const leader_heartbeat&) const = default;
 };
 
--- a/tests/dispatch/store_health_test.cc
+++ b/tests/dispatch/store_health_test.cc
@@ -67,6 +67,14 @@
                              .exchange = {.status = 200, .bytes_read = 70}});
   }
 
+  void ReadCatalogSnapshot() {
+    cr_assert(state.catalogs.in_flight.has_value());
+    Reduce(work::newest_read{.at = Time(),
+                             .call = *state.catalogs.in_flight,
+                             .source = work::feed::kCatalog,
+                             .exchange = {.status = 200, .bytes_read = 70}});
+  }
+
   const dispatch::environment environment{
       .self = work::entry_id("front-1"),
       .peer_address = "10.0.0.1:7100",
@@ -106,6 +114,20 @@
   cr_assert_eq(fixture.counters["store_append_submissions_bytes_written"], 90U);
 }
 
+// Guards against a stream that can be read hiding that another one can't.
+Test(store_lost, of_the_records_lasts_while_the_catalog_is_read) {
+  store_health_fixture fixture;
+  fixture.FailRead(work::feed::kRecords, work::read_failure::kUnavailable,
+                   {.status = 503});
+  fixture.ReadCatalogSnapshot();
+  fixture.FailRead(work::feed::kRecords, work::read_failure::kUnavailable,
+                   {.status = 503});
+  cr_assert_eq(fixture.lost.size(), 1U);
+  fixture.FailRead(work::feed::kCatalog, work::read_failure::kUnavailable,
+                   {.status = 503});
+  cr_assert_eq(fixture.lost.size(), 2U);
+}
+
 Test(failed_read, while_the_store_counts_as_lost_is_counted_but_not_logged) {
   store_health_fixture fixture;
   for (int i = 0; i < 3; ++i) {
