Let candidates behind the third draw their time, not wait for all before them

Candidates claimed 150 ms apart, in the order of all members that ever joined. With 147 entries of which 142 were lost, the election took 22.4 s: the survivors waited for the turns of entries that were gone. Callers wait 3 s.

The first three still claim one after the other, so that a leader that dies alone is replaced without competing claims. Those behind draw a time within 450 ms, once an epoch; where some claim together, the store takes one append. The latest claim is thus made 0.9 s after the leader counts as silent, whatever the number of entries.

leader::is_elected_in_time_after_most_entries_are_lost failed before with 22410 ms; now 1610 ms and 3 claims, that of the first election included. Its bound is the 3 s of callers.

--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -22,6 +22,13 @@
 
 constexpr duration kCatalogRequestInterval{1000};
 
+// The first candidates claim one after the other, `election_stagger` apart. Any
+// number of them may be lost, so that those behind draw a time at random from a
+// window. With `leader_silent` before and `settle_timeout` after it, a takeover
+// takes less than the 3 s that callers wait.
+constexpr std::uint32_t kRankedCandidates = 3;
+constexpr duration kUnrankedWindow{450};
+
 // The last part of the authority, as a fraction of it, within which its other
 // proof is looked at too.
 constexpr std::int64_t kAuthorityReserve = 4;
@@ -44,6 +51,21 @@
   return rank;
 }
 
+// How long after the first candidate this entry claims leadership.
+duration ElectionDelay(const context& ctx) {
+  const std::uint32_t rank = ElectionRank(ctx);
+  const duration stagger = ctx.limits().election_stagger;
+  if (rank < kRankedCandidates)
+    return rank * stagger;
+  std::optional<duration>& drawn = ctx.state.leadership.unranked_delay;
+  if (!drawn) {
+    constexpr auto kRange =
+        static_cast<std::uint64_t>(kUnrankedWindow.count()) + 1;
+    drawn = duration(ctx.Random() % kRange);
+  }
+  return kRankedCandidates * stagger + *drawn;
+}
+
 void SendHeartbeats(const context& ctx) {
   leadership_state& leadership = ctx.state.leadership;
   leadership.heartbeat += 1;
@@ -116,18 +138,18 @@
 // The reason to replace the leader, or empty.
 std::string ReasonToClaim(const context& ctx) {
   const state& s = ctx.state;
-  const duration stagger = ElectionRank(ctx) * ctx.limits().election_stagger;
+  const duration delay = ElectionDelay(ctx);
   if (s.ledger.epoch == 0 && s.leadership.epoch == 0)
-    return ctx.now() - s.leadership.leader_heard_at >= stagger ? "no leader yet"
-                                                               : "";
+    return ctx.now() - s.leadership.leader_heard_at >= delay ? "no leader yet"
+                                                             : "";
   if (ctx.now() - s.leadership.leader_heard_at >=
-      ctx.limits().leader_silent + stagger)
+      ctx.limits().leader_silent + delay)
     return "leader is silent";
   const bool restarted = records::HasLeaderRestarted(s.ledger);
-  if (restarted && ctx.now() - s.leadership.leader_heard_at >= stagger)
+  if (restarted && ctx.now() - s.leadership.leader_heard_at >= delay)
     return "leader has restarted";
   const std::optional<timestamp>& resigning = s.leadership.resigning_since;
-  if (resigning && ctx.now() - *resigning >= stagger)
+  if (resigning && ctx.now() - *resigning >= delay)
     return "leader is resigning";
   // After an outage of the store that affected all entries, the leader gets
   // time to reach the store again.
@@ -135,7 +157,7 @@
       std::max(s.leadership.leader_reached_store_at,
                HealthOf(ctx, work::feed::kRecords).recovered_at);
   const bool store_cut_off =
-      ctx.now() - last_store_access >= ctx.limits().store_silent + stagger;
+      ctx.now() - last_store_access >= ctx.limits().store_silent + delay;
   return store_cut_off ? "leader cannot reach the store" : "";
 }
 
@@ -342,6 +364,8 @@
     leadership.leader_reached_store_at = ctx.now();
     leadership.resigning_since.reset();
   }
+  if (epoch > leadership.epoch)
+    leadership.unranked_delay.reset();
   leadership.epoch = std::max(leadership.epoch, epoch);
 }
 
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -146,6 +146,9 @@
   // Whether appends to the store take long, according to the same.
   bool leader_store_slow = false;
   std::optional<timestamp> resigning_since;
+  // The time within the window that this entry drew for its claim to the next
+  // epoch, if its rank is behind those that claim in turn.
+  std::optional<duration> unranked_delay;
 
   // A candidate's claim to leadership: an append that is repeated unchanged
   // until its outcome is known.
--- /dev/null
+++ b/tests/dispatch/election_test.cc
@@ -0,0 +1,52 @@
+// How long an election takes, and what it asks of the store.
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "dispatch/simulation_fixture.h"
+
+namespace tests = parsleyhitch::tests;
+namespace work = parsleyhitch::work;
+using tests::simulation_fixture;
+
+namespace {
+
+// The entries of a large site.
+constexpr std::uint32_t kEntries = 147;
+
+struct large_site_fixture : simulation_fixture {
+  large_site_fixture()
+      : simulation_fixture({.entries = kEntries, .workers = 1}) {}
+
+  // Kills all entries but those that are the last to claim.
+  void KillAllButLast(std::uint32_t survivors) {
+    std::vector<std::uint32_t> by_id;
+    for (std::uint32_t i = 0; i < kEntries; ++i)
+      by_id.push_back(i);
+    std::ranges::sort(by_id, {}, [](std::uint32_t i) {
+      return "entry-" + std::to_string(i);
+    });
+    for (std::uint32_t i = 0; i + survivors < kEntries; ++i)
+      simulation.Kill(by_id[i]);
+  }
+};
+
+}  // namespace
+
+// Guards against an election that waits for entries which are gone: any number
+// may be lost, and callers wait 3 s.
+Test(leader, is_elected_in_time_after_most_entries_are_lost) {
+  constexpr std::uint32_t kSurvivors = 5;
+  constexpr work::duration kCallerPatience{3000};
+  large_site_fixture fixture;
+  auto& simulation = fixture.simulation;
+  fixture.KillAllButLast(kSurvivors);
+  const work::duration lost_at = simulation.now();
+  cr_assert(simulation.RunUntil([&] { return simulation.Leader().has_value(); },
+                                work::duration(60000)));
+  const work::duration took = simulation.now() - lost_at;
+  cr_assert_lt(took.count(), kCallerPatience.count(), "%lld ms",
+               static_cast<long long>(took.count()));
+}
