Back off between claims that fail, like between other appends

The pause is now that of the other calls to the store: doubled from append_retry up to store_retry_max, with jitter. It starts anew once the claim has ended, by election or because another entry leads.

--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -131,10 +131,19 @@
   leadership.current_role = role::kFollower;
   leadership.claim.reset();
   leadership.claim_sequence = 0;
+  leadership.failed_claims = 0;
   leadership.leader_heard_at = ctx.now();
   leadership.leader_reached_store_at = ctx.now();
 }
 
+void RetryClaimLater(const context& ctx) {
+  leadership_state& leadership = ctx.state.leadership;
+  leadership.next_claim_at =
+      ctx.now() +
+      StoreRetryPause(ctx, ctx.limits().append_retry, leadership.failed_claims);
+  leadership.failed_claims += 1;
+}
+
 // The reason to replace the leader, or empty.
 std::string ReasonToClaim(const context& ctx) {
   const state& s = ctx.state;
@@ -212,6 +221,7 @@
                                                  .epoch = leader.epoch}}}};
   s.leader = std::move(leader);
   s.leadership.claim_sequence = 0;
+  s.leadership.failed_claims = 0;
   s.workers = feed_state();
   ForgetLeaderStreams(ctx);
   // Only the leader before saw the outage of a stream that only leaders call.
@@ -281,11 +291,11 @@
       return;
     case work::append_outcome::kUnknown:
       leadership.claim_maybe_stored = true;
-      leadership.next_claim_at = ctx.now() + ctx.limits().append_retry;
+      RetryClaimLater(ctx);
       return;
     case work::append_outcome::kRefused:
     case work::append_outcome::kRejected:
-      leadership.next_claim_at = ctx.now() + ctx.limits().append_retry;
+      RetryClaimLater(ctx);
       return;
     case work::append_outcome::kFenced:
     case work::append_outcome::kOutOfSequence:
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -157,6 +157,8 @@
   std::uint64_t claim_sequence = 0;
   bool claim_maybe_stored = false;
   timestamp next_claim_at;
+  // How often the claim failed so far.
+  std::uint32_t failed_claims = 0;
 
   // Heartbeats sent by this entry as leader.
   std::uint64_t heartbeat = 0;
--- a/tests/dispatch/election_test.cc
+++ b/tests/dispatch/election_test.cc
@@ -33,6 +33,17 @@
   }
 };
 
+// The leader is gone, and the store refuses the claims of the other entry.
+struct refused_claim_fixture : simulation_fixture {
+  refused_claim_fixture() : simulation_fixture({.entries = 2, .workers = 1}) {
+    simulation.Kill(Leader());
+    simulation.store().refused = {work::feed::kRecords};
+    simulation.RunFor(work::duration(4000));
+  }
+
+  std::size_t Claims() const { return LinesOf("leadership_claimed").size(); }
+};
+
 }  // namespace
 
 // Guards against an election that waits for entries which are gone: any number
@@ -50,3 +61,17 @@
   cr_assert_lt(took.count(), kCallerPatience.count(), "%lld ms",
                static_cast<long long>(took.count()));
 }
+
+// Guards against candidates that keep a store in trouble busy at a constant
+// rate: their claims were the only appends without a growing pause.
+Test(claims, that_fail_again_and_again_are_repeated_after_longer_pauses) {
+  constexpr work::duration kTime{6000};
+  refused_claim_fixture fixture;
+  const std::size_t before = fixture.Claims();
+  cr_assert_gt(before, 0U);
+  fixture.simulation.RunFor(kTime);
+  const std::size_t claims = fixture.Claims() - before;
+  const auto most = static_cast<std::size_t>(
+      kTime / (work::limits().store_retry_max / 2) + 1);
+  cr_assert_leq(claims, most, "%zu claims", claims);
+}
