Share one read of the records among calls about unknown jobs

A call about a job that its entry did not know sent a read of the records of its own, from the position of the entry's last read: 50 calls at an entry that lagged by 50 kB read 2.0 MB. The load on the store grew with the calls, most of all while entries could not keep up.

At most one such read is in flight now. Calls that arrive meanwhile wait for the next one, since a read confirms only calls that arrived before it was sent: each call holds the number of the first read sent after it, which is exact also for calls in the same millisecond. The next read continues where the last one ended, and one that failed is repeated with a growing pause while a call waits for it; before, that call waited for its deadline. Deadlines end calls as before.

--- a/source/dispatch/clients.cc
+++ b/source/dispatch/clients.cc
@@ -88,14 +88,17 @@
                                 : ctx.limits().default_patience;
   const duration usable =
       std::max(patience - ctx.limits().answer_margin, patience / 2);
-  ctx.state.calls.Put(incoming.call,
-                      open_call{.content = incoming.content,
-                                .arrived = ctx.now(),
-                                .deadline = ctx.now() + usable,
-                                .stage = stage,
-                                .job = job,
-                                .relayed_by = incoming.relayed_by,
-                                .peer_call_number = incoming.peer_call_number});
+  const bool confirms = stage == call_stage::kConfirming;
+  ctx.state.calls.Put(
+      incoming.call,
+      open_call{.content = incoming.content,
+                .arrived = ctx.now(),
+                .deadline = ctx.now() + usable,
+                .stage = stage,
+                .job = job,
+                .confirming_read = confirms ? RequestConfirmingRead(ctx) : 0,
+                .relayed_by = incoming.relayed_by,
+                .peer_call_number = incoming.peer_call_number});
 }
 
 // Removes the call's record if it was never sent to the store; true when it was
@@ -202,7 +205,6 @@
   const records::stored_job* known = records::FindJob(ctx.state.ledger, job);
   if (known == nullptr) {
     OpenCall(ctx, incoming, job, call_stage::kConfirming);
-    StartConfirmingRead(ctx);
     return;
   }
   if (!Owns(*known, owner)) {
@@ -359,10 +361,18 @@
   AnswerCall(ctx, number, ExpiredAnswer(ctx, *call));
 }
 
-void ResolveConfirmedCalls(const context& ctx, timestamp confirmed_at) {
+bool HasUnconfirmedCalls(const context& ctx) {
+  return std::ranges::any_of(ctx.state.calls, [](const auto& row) {
+    return row.second.stage == call_stage::kConfirming;
+  });
+}
+
+void ResolveConfirmedCalls(const context& ctx) {
+  const std::uint64_t last_read = ctx.state.confirming_reads.sent;
   std::vector<call_number> due;
   for (const auto& [number, call] : ctx.state.calls) {
-    if (call.stage == call_stage::kConfirming && call.arrived <= confirmed_at)
+    if (call.stage == call_stage::kConfirming &&
+        call.confirming_read <= last_read)
       due.push_back(number);
   }
   for (const call_number number : due) {
--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/feeds.cc
@@ -120,6 +120,35 @@
                            .timeout = ctx.limits().read_timeout});
 }
 
+// Sends the confirming read that calls wait for, once the one before has ended.
+void ConfirmIfDue(const context& ctx) {
+  confirming_read_state& confirming = ctx.state.confirming_reads;
+  const feed_state& records = ctx.state.records;
+  const bool can_send = confirming.due && !confirming.in_flight &&
+                        records.snapshot_complete &&
+                        ctx.now() >= confirming.next_at;
+  if (!can_send)
+    return;
+  confirming.due = false;
+  confirming.in_flight = ctx.NewCall();
+  confirming.sent += 1;
+  ctx.Emit(
+      work::read_feed{.call = *confirming.in_flight,
+                      .source = work::feed::kRecords,
+                      .from = std::max(records.position, confirming.position),
+                      .timeout = ctx.limits().append_timeout});
+}
+
+// Repeats a confirming read that failed, if a call still waits for it.
+void RepeatConfirmingRead(const context& ctx) {
+  confirming_read_state& confirming = ctx.state.confirming_reads;
+  confirming.in_flight.reset();
+  confirming.due = HasUnconfirmedCalls(ctx);
+  confirming.next_at = ctx.now() + StoreRetryPause(ctx, ctx.limits().read_retry,
+                                                   confirming.failed_reads);
+  confirming.failed_reads += 1;
+}
+
 // Reads the feed from its newest items again.
 void RestartSnapshot(feed_state& feed) {
   feed.snapshot_complete = false;
@@ -151,6 +180,7 @@
 void PollFeeds(const context& ctx) {
   Poll(ctx, work::feed::kCatalog);
   Poll(ctx, work::feed::kRecords);
+  ConfirmIfDue(ctx);
   if (ctx.state.leadership.current_role != role::kLeader)
     return;
   Poll(ctx, work::feed::kWorkers);
@@ -174,12 +204,13 @@
   RecordStoreCall(ctx, event);
   feed_state& feed = StateOf(ctx, event.source);
   feed.known_end = std::max(feed.known_end, event.end);
-  const auto confirming_read = ctx.state.confirming_reads.find(event.call);
-  if (confirming_read != ctx.state.confirming_reads.end()) {
-    const timestamp sent_at = confirming_read->second;
-    ctx.state.confirming_reads.erase(confirming_read);
+  confirming_read_state& confirming = ctx.state.confirming_reads;
+  if (confirming.in_flight == event.call) {
+    confirming.in_flight.reset();
+    confirming.failed_reads = 0;
+    confirming.position = event.next;
     ApplyAll(ctx, event.source, event.items);
-    ResolveConfirmedCalls(ctx, sent_at);
+    ResolveConfirmedCalls(ctx);
     return;
   }
   if (!TakeReadInFlight(feed, event.call))
@@ -226,7 +257,8 @@
 void OnFeedUnread(const context& ctx, const work::feed_unread& event) {
   const bool trimmed = event.why == work::read_failure::kTrimmed;
   RecordStoreCall(ctx, event);
-  ctx.state.confirming_reads.erase(event.call);
+  if (ctx.state.confirming_reads.in_flight == event.call)
+    RepeatConfirmingRead(ctx);
   feed_state& feed = StateOf(ctx, event.source);
   if (!TakeReadInFlight(feed, event.call))
     return;
@@ -259,16 +291,9 @@
   s.leader.plan_due = true;
 }
 
-void StartConfirmingRead(const context& ctx) {
-  feed_state& feed = ctx.state.records;
-  if (!feed.snapshot_complete)
-    return;
-  const call_number call = ctx.NewCall();
-  ctx.state.confirming_reads[call] = ctx.now();
-  ctx.Emit(work::read_feed{.call = call,
-                           .source = work::feed::kRecords,
-                           .from = feed.position,
-                           .timeout = ctx.limits().append_timeout});
+std::uint64_t RequestConfirmingRead(const context& ctx) {
+  ctx.state.confirming_reads.due = true;
+  return ctx.state.confirming_reads.sent + 1;
 }
 
 duration StoreRetryPause(const context& ctx,
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -24,8 +24,9 @@
                      std::string_view source);
 // Restores the jobs once every record from before the election has been read.
 void RestoreIfCaughtUp(const context& ctx);
-// Starts another read of the newest records, concurrent with the one in flight.
-void StartConfirmingRead(const context& ctx);
+// Requests another read of the newest records, concurrent with that of the
+// feed. Returns its number.
+std::uint64_t RequestConfirmingRead(const context& ctx);
 
 // store_health.cc: whether the streams of the store are reachable, from the
 // outcomes of the calls to them. Each outcome is recorded before the call's
@@ -68,9 +69,11 @@
 void AnswerStoredCall(const context& ctx, call_number call);
 // Answers a call whose record the store will never take.
 void AnswerRejectedCall(const context& ctx, call_number call);
-// Answers calls that arrived by `confirmed_at` and wait for the confirmation
-// that their job is unknown.
-void ResolveConfirmedCalls(const context& ctx, timestamp confirmed_at);
+// True when a call waits for the confirmation that its job is unknown.
+bool HasUnconfirmedCalls(const context& ctx);
+// Answers calls that wait for the confirmation, if the confirming read that was
+// just answered was sent after they arrived.
+void ResolveConfirmedCalls(const context& ctx);
 void AdvanceCalls(const context& ctx);
 
 // peers.cc: messages from other entries.
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -68,6 +68,24 @@
   bool operator==(const feed_state&) const = default;
 };
 
+// Extra reads of the newest records, which make sure that a job is unknown. At
+// most one is in flight. It confirms only calls that arrived before it was
+// sent; later ones wait for the next.
+struct confirming_read_state {
+  std::optional<call_number> in_flight;
+  // How many were sent, the one in flight included.
+  std::uint64_t sent = 0;
+  // Items before this have been read, by these or by the feed's own reads.
+  std::uint64_t position = 0;
+  // A call waits for one that is not sent yet.
+  bool due = false;
+  timestamp next_at;
+  // Reads that failed since the last one that was answered.
+  std::uint32_t failed_reads = 0;
+
+  bool operator==(const confirming_read_state&) const = default;
+};
+
 struct queued_record {
   work::record content;
   // The client call that is answered once the record is stored, if any.
@@ -119,6 +137,9 @@
   timestamp deadline;
   call_stage stage = call_stage::kStoring;
   work::job_id job;
+  // In `kConfirming`: the first confirming read sent after it arrived, counted
+  // from 1.
+  std::uint64_t confirming_read = 0;
   // Its record was part of an append whose outcome is unknown.
   bool maybe_stored = false;
   // For a call that a peer relayed: the peer's address and the peer's own
@@ -430,9 +451,7 @@
   model::value_cell<work::published_catalog> in_force;
   outbox submissions;
   model::value_table<call_number, open_call> calls;
-  // Extra reads of the records, sent to make sure that a job is unknown, with
-  // the times when they were sent.
-  std::map<call_number, timestamp> confirming_reads;
+  confirming_read_state confirming_reads;
   leadership_state leadership;
   leader_state leader;
   shutdown_state shutdown;
--- a/source/dispatch/store_health.cc
+++ b/source/dispatch/store_health.cc
@@ -50,7 +50,7 @@
 }
 
 std::string ReadName(const context& ctx, work::feed source, call_number call) {
-  if (ctx.state.confirming_reads.contains(call))
+  if (ctx.state.confirming_reads.in_flight == call)
     return "confirm_" + NameOf(source);
   const bool snapshot = !StateOf(ctx, source).snapshot_complete;
   return (snapshot ? "newest_" : "read_") + NameOf(source);
