--- a/source/work/record.h
+++ b/source/work/record.h
@@ -35,7 +35,8 @@
 };
 
 // Written by the leader only, fenced by its epoch. A unit without a record has
-// not been started.
+// not been started, unless its start is still to be stored: then the listing of
+// its worker shows it.
 struct unit_progressed {
   const job_id job;
   const unit_progress progress{};
