Refuse rates of zero, by which planning divides

A limit plan_rate, plan_scan_rate or start_rate of 0 in the settings file passed the checks, and planning divides by them: undefined, and the end of the process where the machine traps it. One wrong setting, put in force by SIGHUP, would take down one leader after the other. Found while reading the diff.

--- a/source/dispatch/planning.cc
+++ b/source/dispatch/planning.cc
@@ -123,10 +123,12 @@
 
 // The time that one start takes the leader.
 std::chrono::microseconds TimeOfStart(const context& ctx) {
-  constexpr std::uint64_t kMicrosPerMilliCore = 1000000000;
+  // A second of a core, in millionths of a thousandth of it.
+  constexpr std::uint64_t kMicrosOfMilliCores = 1000000000;
   const std::uint64_t rate =
       std::uint64_t{std::max(ctx.env.cpu_millis, 1U)} * ctx.limits().start_rate;
-  return std::chrono::microseconds(kMicrosPerMilliCore / rate);
+  return std::chrono::microseconds(
+      std::max(kMicrosOfMilliCores / rate, std::uint64_t{1}));
 }
 
 // How many tasks may be started now. A leader that sends more orders than it
--- a/source/settings/dispatch_settings.cc
+++ b/source/settings/dispatch_settings.cc
@@ -40,6 +40,9 @@
     findings.push_back({.place = place, .message = message});
 }
 
+// Faster than any core starts tasks.
+constexpr std::uint32_t kMaxStartRate = 10000;
+
 void CheckLimits(model::findings& findings, const dispatch_settings& settings) {
   const work::limits& limits = settings.limits;
   Require(findings, limits.read_timeout > limits.read_wait,
@@ -60,6 +63,12 @@
           "must be above 0");
   Require(findings, limits.max_batch_records > 0, "/limits/max_batch_records",
           "must be above 0");
+  Require(findings, limits.plan_rate > 0, "/limits/plan_rate",
+          "must be above 0");
+  Require(findings, limits.plan_scan_rate > 0, "/limits/plan_scan_rate",
+          "must be above 0");
+  Require(findings, limits.start_rate > 0 && limits.start_rate <= kMaxStartRate,
+          "/limits/start_rate", "must be from 1 to 10000");
 }
 
 void CheckSettings(model::findings& findings,
--- a/tests/settings/dispatch_settings_test.cc
+++ b/tests/settings/dispatch_settings_test.cc
@@ -83,6 +83,16 @@
   cr_assert_eq(findings[0].place, "/limits/leader_retry_max_ms");
 }
 
+// Guards against a division by zero in planning.
+Test(dispatch_settings, with_rates_of_zero_are_rejected) {
+  const auto findings = settings_fixture::Findings(
+      std::string(kValidSettings) +
+      "limits:\n  plan_rate: 0\n  plan_scan_rate: 0\n  start_rate: 0\n");
+  cr_assert_eq(findings.size(), 3U);
+  cr_assert_eq(findings[0].place, "/limits/plan_rate");
+  cr_assert_eq(findings[2].place, "/limits/start_rate");
+}
+
 Test(dispatch_settings, with_appends_below_the_size_of_a_record_are_rejected) {
   const auto findings = settings_fixture::Findings(
       std::string(kValidSettings) +
