--- a/source/runtime/http_client.cc
+++ b/source/runtime/http_client.cc
@@ -79,6 +79,8 @@
 
 // Enough for the leader of 1,100 workers: a hold and an order at each.
 constexpr long kMaxConnections = 3000;
+// Multi handles of libcurl, among which the hosts are divided.
+constexpr std::size_t kShards = 32;
 // What libcurl reads from a socket in one action, at least, if it is there.
 constexpr std::size_t kReadSize = CURL_MAX_WRITE_SIZE;
 // The longest that libcurl accepts; its default is 300 s.
@@ -357,48 +359,71 @@
   }
 }
 
+// The "host:port" of a URL.
+std::string_view HostOf(std::string_view url) {
+  constexpr std::string_view kSchemeEnd = "://";
+  const std::size_t scheme = url.find(kSchemeEnd);
+  if (scheme != std::string_view::npos)
+    url.remove_prefix(scheme + kSchemeEnd.size());
+  return url.substr(0, url.find('/'));
+}
+
+// Sets up the multi handle. libcurl keeps the address of `state`.
+void Open(std::shared_ptr<client_state>& state) {
+  state->multi = curl_multi_init();
+  curl_multi_setopt(state->multi, CURLMOPT_SOCKETFUNCTION, OnSocketChange);
+  curl_multi_setopt(state->multi, CURLMOPT_SOCKETDATA, &state);
+  curl_multi_setopt(state->multi, CURLMOPT_TIMERFUNCTION, OnTimeoutChange);
+  curl_multi_setopt(state->multi, CURLMOPT_TIMERDATA, &state);
+  curl_multi_setopt(state->multi, CURLMOPT_MAXCONNECTS,
+                    kMaxConnections / static_cast<long>(kShards));
+}
+
+void Close(client_state& state) {
+  while (!state.transfers.empty())
+    ReleaseTransfer(state, state.transfers.begin()->first);
+  curl_multi_cleanup(state.multi);
+  state.multi = nullptr;
+  state.timer.cancel();
+  for (auto& [socket, watched] : state.sockets) {
+    watched->removed = true;
+    watched->descriptor.release();
+  }
+  state.sockets.clear();
+}
+
 }  // namespace
 
 }  // namespace detail
 
-http_client::http_client(asio::io_context& io)
-    : state_(std::make_shared<detail::client_state>(io)) {
+http_client::http_client(asio::io_context& io) {
   curl_global_init(CURL_GLOBAL_DEFAULT);
-  state_->multi = curl_multi_init();
-  curl_multi_setopt(state_->multi, CURLMOPT_SOCKETFUNCTION,
-                    detail::OnSocketChange);
-  curl_multi_setopt(state_->multi, CURLMOPT_SOCKETDATA, &state_);
-  curl_multi_setopt(state_->multi, CURLMOPT_TIMERFUNCTION,
-                    detail::OnTimeoutChange);
-  curl_multi_setopt(state_->multi, CURLMOPT_TIMERDATA, &state_);
-  curl_multi_setopt(state_->multi, CURLMOPT_MAXCONNECTS,
-                    detail::kMaxConnections);
+  for (std::size_t i = 0; i < detail::kShards; ++i)
+    shards_.push_back(std::make_shared<detail::client_state>(io));
+  for (std::shared_ptr<detail::client_state>& shard : shards_)
+    detail::Open(shard);
 }
 
 http_client::~http_client() {
-  while (!state_->transfers.empty())
-    detail::ReleaseTransfer(*state_, state_->transfers.begin()->first);
-  curl_multi_cleanup(state_->multi);
-  state_->multi = nullptr;
-  state_->timer.cancel();
-  for (auto& [socket, watched] : state_->sockets) {
-    watched->removed = true;
-    watched->descriptor.release();
-  }
-  state_->sockets.clear();
+  for (const std::shared_ptr<detail::client_state>& shard : shards_)
+    detail::Close(*shard);
 }
 
 void http_client::Send(http_request request, http_callback done) {
+  const std::size_t host =
+      std::hash<std::string_view>()(detail::HostOf(request.url));
+  const std::shared_ptr<detail::client_state>& shard =
+      shards_[host % shards_.size()];
   CURL* easy = curl_easy_init();
   auto owned = std::make_unique<detail::transfer>(
       detail::transfer{.request = std::move(request),
                        .done = std::move(done),
-                       .timer = asio::steady_timer(state_->io)});
+                       .timer = asio::steady_timer(shard->io)});
   detail::transfer& each = *owned;
-  state_->transfers.emplace(easy, std::move(owned));
+  shard->transfers.emplace(easy, std::move(owned));
   detail::SetOptions(easy, each);
-  curl_multi_add_handle(state_->multi, easy);
-  detail::WatchForExpiry(state_, easy);
+  curl_multi_add_handle(shard->multi, easy);
+  detail::WatchForExpiry(shard, easy);
 }
 
 }  // namespace parsleyhitch::runtime
--- a/source/runtime/http_client.h
+++ b/source/runtime/http_client.h
@@ -6,6 +6,7 @@
 #include <asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "wire/http_exchange.h"
 
@@ -34,7 +35,11 @@
   void Send(http_request request, http_callback done);
 
  private:
-  std::shared_ptr<detail::client_state> state_;
+  // Each host belongs to one of them, by its hash. libcurl walks the lists of a
+  // multi handle for each transfer, so that one for all hosts would take more
+  // time for each the more there are. Not resized after the constructor:
+  // libcurl has the addresses of the elements.
+  std::vector<std::shared_ptr<detail::client_state>> shards_;
 };
 
 }  // namespace parsleyhitch::runtime
