Settle ends while jobs close without a pause

The change of a job's phase took the oldest number that was unstored at all, which could be that of another job's phase in flight, and so on from append to append. It takes the oldest number of its own units only, which is what the phase stands for. Workers listed the ends again at each hold meanwhile.

The new test failed before with 86 ends listed, where 25 are allowed.

--- a/source/dispatch/change_queue.h
+++ b/source/dispatch/change_queue.h
@@ -3,6 +3,7 @@
 #ifndef PARSLEYHITCH_DISPATCH_CHANGE_QUEUE_H_
 #define PARSLEYHITCH_DISPATCH_CHANGE_QUEUE_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -41,6 +42,18 @@
                           : order_.begin()->first;
   }
 
+  // The oldest change of the keys from `first` on for which `matches` holds; it
+  // must hold for none behind the first for which it does not.
+  template <typename Matches>
+  std::optional<std::uint64_t> OldestChangeOf(const Key& first,
+                                              Matches matches) const {
+    std::optional<std::uint64_t> oldest;
+    for (auto at = changes_.lower_bound(first);
+         at != changes_.end() && matches(at->first); ++at)
+      oldest = std::min(oldest.value_or(at->second), at->second);
+    return oldest;
+  }
+
   std::size_t size() const { return order_.size(); }
   bool empty() const { return order_.empty(); }
 
--- a/source/dispatch/progress.cc
+++ b/source/dispatch/progress.cc
@@ -3,6 +3,7 @@
 // processed end are durable once every change up to then is stored.
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "dispatch/parts.h"
@@ -108,6 +109,24 @@
   return oldest;
 }
 
+// The oldest change of the job's units that is not known to be stored; the
+// largest number if there is none.
+std::uint64_t OldestUnstoredChangeOf(const leader_state& leader,
+                                     const work::job_id& job) {
+  std::uint64_t oldest =
+      leader.changed_units
+          .OldestChangeOf(
+              {.job = job},
+              [&](const work::unit_id& unit) { return unit.job == job; })
+          .value_or(std::numeric_limits<std::uint64_t>::max());
+  for (const queued_record& each : leader.unit_progress.batch) {
+    const auto* unit = std::get_if<work::unit_progressed>(&each.content);
+    if (unit != nullptr && unit->job == job)
+      oldest = std::min(oldest, each.change);
+  }
+  return oldest;
+}
+
 void MakeDurable(const context& ctx, const processed_end& end) {
   const worker_state* known = ctx.state.leader.workers.Find(end.worker);
   if (known == nullptr)
@@ -131,7 +150,8 @@
   const std::uint64_t change = ++leader.last_change;
   // Units of a job that closes are not written any more, so their changes are
   // stored only with the job's.
-  leader.changed_jobs.Add(job, OldestUnstoredChange(leader).value_or(change));
+  leader.changed_jobs.Add(
+      job, std::min(change, OldestUnstoredChangeOf(leader, job)));
 }
 
 void DeleteUnitRecords(const context& ctx, const work::job_id& job) {
--- a/tests/dispatch/unit_records_test.cc
+++ b/tests/dispatch/unit_records_test.cc
@@ -2,6 +2,7 @@
 // of tasks are acknowledged.
 
 #include <algorithm>
+#include <string>
 
 #include "dispatch/simulation_fixture.h"
 
@@ -172,3 +173,23 @@
   cr_assert(!ended.empty() && ended.front().number == 1,
             "acknowledged although neither unit nor phase is stored");
 }
+
+// Guards against ends that are never acknowledged while jobs close one after
+// the other, so that there is always a change in an append.
+Test(ends, of_jobs_that_close_without_pause_are_acknowledged_meanwhile) {
+  constexpr work::duration kSubmitInterval{40};
+  constexpr std::uint64_t kFirstJob = 1000000000000000;
+  constexpr std::uint32_t kJobs = 100;
+  simulation_fixture fixture({.task_duration = work::duration(300)});
+  fixture.simulation.store().append_time = work::duration(50);
+  for (std::uint32_t i = 0; i < kJobs; ++i) {
+    fixture.simulation.Submit(fixture.Follower(), std::to_string(kFirstJob + i),
+                              {Step(1, 1)});
+    fixture.simulation.RunFor(kSubmitInterval);
+  }
+  std::size_t listed = 0;
+  for (std::uint32_t i = 0; i < fixture.simulation.worker_count(); ++i)
+    listed += fixture.simulation.worker(i).Listing().ended.size();
+  // Those of the last second.
+  cr_assert_leq(listed, 25U, "%s ends listed", std::to_string(listed).c_str());
+}
