Claim in turn from when an entry is able to, on a new site

Turns count from the time at which the entry has all that a claim needs. The test failed before: the largest entry was not the leader.

--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -144,13 +144,14 @@
   leadership.failed_claims += 1;
 }
 
-// The reason to replace the leader, or empty.
+// The reason to replace the leader, or empty. The entry must be able to claim.
 std::string ReasonToClaim(const context& ctx) {
   const state& s = ctx.state;
   const duration delay = ElectionDelay(ctx);
   if (s.ledger.epoch == 0 && s.leadership.epoch == 0)
-    return ctx.now() - s.leadership.leader_heard_at >= delay ? "no leader yet"
-                                                             : "";
+    return ctx.now() - *s.leadership.able_to_claim_since >= delay
+               ? "no leader yet"
+               : "";
   if (ctx.now() - s.leadership.leader_heard_at >=
       ctx.limits().leader_silent + delay)
     return "leader is silent";
@@ -171,10 +172,13 @@
 }
 
 void AdvanceFollower(const context& ctx) {
-  const state& s = ctx.state;
+  state& s = ctx.state;
   const bool can_claim = s.records.snapshot_complete &&
                          !IsStoreFailing(ctx, duration(0)) &&
                          !s.shutdown.requested && s.in_force.Get() != nullptr;
+  std::optional<timestamp>& able_since = s.leadership.able_to_claim_since;
+  able_since =
+      can_claim ? able_since.value_or(ctx.now()) : std::optional<timestamp>();
   if (!can_claim || ctx.now() < s.leadership.next_claim_at)
     return;
   const std::string reason = ReasonToClaim(ctx);
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -178,6 +178,9 @@
   std::uint64_t claim_sequence = 0;
   bool claim_maybe_stored = false;
   timestamp next_claim_at;
+  // Since when this follower has had all that a claim needs. All entries of a
+  // new site wait for its first configuration, and claim in turn only then.
+  std::optional<timestamp> able_to_claim_since;
   // How often the claim failed so far.
   std::uint32_t failed_claims = 0;
 
--- a/tests/dispatch/election_test.cc
+++ b/tests/dispatch/election_test.cc
@@ -75,3 +75,24 @@
       kTime / (work::limits().store_retry_max / 2) + 1);
   cr_assert_leq(claims, most, "%zu claims", claims);
 }
+
+// Guards against a small entry as leader of a new site: all entries waited for
+// the first configuration longer than their turns to claim are apart.
+Test(leader, of_a_site_that_waits_for_its_configuration_is_the_largest_entry) {
+  constexpr std::uint32_t kLargest = kEntries - 1;
+  large_site_fixture fixture;
+  auto& simulation = fixture.simulation;
+  for (std::uint32_t i = 0; i < kEntries; ++i)
+    simulation.Kill(i);
+  // What is under way arrives nowhere.
+  simulation.RunFor(work::duration(100));
+  simulation.store() = tests::simulated_store();
+  simulation.entry(kLargest).environment->cpu_millis = 2000;
+  for (std::uint32_t i = 0; i < kEntries; ++i)
+    simulation.Start(i);
+  simulation.RunFor(work::duration(800));
+  simulation.Publish({.version = 1});
+  simulation.RunFor(work::duration(1000));
+  cr_assert_eq(fixture.Leader(), kLargest);
+  cr_assert_eq(fixture.LinesOf("leadership_won").size(), 2U);
+}
