--- a/source/dispatch/backoff.h
+++ b/source/dispatch/backoff.h
@@ -1,4 +1,4 @@
-// Exponential backoff and its jitter.
+// Exponential backoff, its jitter, and random pauses.
 
 #ifndef PARSLEYHITCH_DISPATCH_BACKOFF_H_
 #define PARSLEYHITCH_DISPATCH_BACKOFF_H_
@@ -19,12 +19,17 @@
   return std::min(base * (1 << std::min(doublings, kMaxDoublings)), longest);
 }
 
+// A pause of at most `longest`. `random` is any 64-bit number.
+inline work::duration RandomUpTo(work::duration longest, std::uint64_t random) {
+  return work::duration(random %
+                        (static_cast<std::uint64_t>(longest.count()) + 1));
+}
+
 // A pause from the upper half of `longest`, so that callers that failed
-// together don't retry together. `random` is any 64-bit number.
+// together don't retry together. `random` as above.
 inline work::duration WithJitter(work::duration longest, std::uint64_t random) {
   const work::duration least = longest / 2;
-  const auto range = static_cast<std::uint64_t>((longest - least).count()) + 1;
-  return least + work::duration(random % range);
+  return least + RandomUpTo(longest - least, random);
 }
 
 }  // namespace parsleyhitch::dispatch
--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/feeds.cc
@@ -43,10 +43,7 @@
   const auto* stored = std::get_if<work::unit_progressed>(&record);
   if (stored == nullptr)
     return;
-  ctx.state.leader.stored_units.Put({.job = stored->job,
-                                     .occurrence = stored->progress.occurrence,
-                                     .step = stored->progress.step,
-                                     .index = stored->progress.index},
+  ctx.state.leader.stored_units.Put(work::UnitOf(stored->job, stored->progress),
                                     stored->progress);
 }
 
@@ -170,9 +167,7 @@
 duration SnapshotPause(const context& ctx) {
   if (ctx.state.leadership.current_role == role::kLeader)
     return duration(0);
-  const duration longest = ctx.limits().store_retry_max;
-  return duration(ctx.Random() %
-                  (static_cast<std::uint64_t>(longest.count()) + 1));
+  return RandomUpTo(ctx.limits().store_retry_max, ctx.Random());
 }
 
 }  // namespace
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -105,14 +105,6 @@
     ctx.state.leader.orphan_tasks.Erase(each);
 }
 
-// Forgets which ends of the worker are still to be stored: a later process
-// under its name numbers its ends from the start.
-void DropProcessedEnds(const context& ctx, const work::worker_id& worker) {
-  std::erase_if(
-      ctx.state.leader.processed_ends,
-      [&](const processed_end& each) { return each.worker == worker; });
-}
-
 // Marks the worker's tasks as unverified after its restart, so that the next
 // listing decides: the answer to a start does not tell whether the old process
 // or the new one received it.
@@ -137,8 +129,6 @@
                              std::uint64_t life) {
   ctx.Log("worker_restarted", worker.value(),
           {Field("life", life), Field("previous", row.listed().life)});
-  // The new process numbers ends from the start; those being stored belong to
-  // the old process.
   DropProcessedEnds(ctx, worker);
   MarkTasksUnverified(ctx, worker);
   const work::registered_worker& before = row.listed();
@@ -435,10 +425,7 @@
   row.hold_sent_at = ctx.now();
   row.hold_acknowledged_end = acknowledged;
   ctx.Emit(work::hold_worker{.call = *row.hold,
-                             .target = {.worker = worker,
-                                        .address = row.listed().address,
-                                        .token = ctx.state.leader.epoch,
-                                        .valid_until = AuthorityExpiresAt(ctx)},
+                             .target = TargetOf(ctx, worker, row),
                              .lease_until = lease_until,
                              .acknowledged = acknowledged,
                              .wait = wait,
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "dispatch/backoff.h"
 #include "dispatch/parts.h"
 
 namespace parsleyhitch::dispatch {
@@ -58,11 +59,8 @@
   if (rank < kRankedCandidates)
     return rank * stagger;
   std::optional<duration>& drawn = ctx.state.leadership.unranked_delay;
-  if (!drawn) {
-    constexpr auto kRange =
-        static_cast<std::uint64_t>(kUnrankedWindow.count()) + 1;
-    drawn = duration(ctx.Random() % kRange);
-  }
+  if (!drawn)
+    drawn = RandomUpTo(kUnrankedWindow, ctx.Random());
   return kRankedCandidates * stagger + *drawn;
 }
 
--- a/source/dispatch/load_report.cc
+++ b/source/dispatch/load_report.cc
@@ -25,10 +25,6 @@
               std::max(value, duration::zero()).count())};
 }
 
-duration AgeOfAppend(const context& ctx, const outbox& box) {
-  return box.in_flight ? ctx.now() - box.sent_at : duration(0);
-}
-
 // How long ago the records that have been read were complete.
 duration AgeOfRecords(const context& ctx) {
   const timestamp confirmed_at = ctx.state.records.confirmed_at;
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -37,15 +37,6 @@
   ctx.state.leader.units.Put(id, WithMember(*known, index, std::move(with)));
 }
 
-work::order_target TargetOf(const context& ctx,
-                            const work::worker_id& worker,
-                            const worker_state& row) {
-  return {.worker = worker,
-          .address = row.listed().address,
-          .token = ctx.state.leader.epoch,
-          .valid_until = AuthorityExpiresAt(ctx)};
-}
-
 call_number NewOrder(const context& ctx,
                      const work::unit_id& id,
                      std::uint32_t index,
@@ -178,12 +169,17 @@
   EndMember(ctx, about.unit, about.member, gang_effect::kKeepsOthers);
 }
 
+// True when an order to the member, if it needs one, may be sent.
+bool IsOrderDue(const context& ctx, const member& one) {
+  return one.state != member_state::kEnded && !one.order &&
+         ctx.now() >= one.next_order_at;
+}
+
 void AdvanceMember(const context& ctx,
                    const work::unit_id& id,
                    std::uint32_t index) {
   const member one = ctx.state.leader.units.Find(id)->members[index];
-  if (one.state == member_state::kEnded || one.order ||
-      ctx.now() < one.next_order_at)
+  if (!IsOrderDue(ctx, one))
     return;
   if (one.stopping) {
     if (!one.acknowledged_at || one.state != member_state::kOrdered)
@@ -224,6 +220,15 @@
 
 }  // namespace
 
+work::order_target TargetOf(const context& ctx,
+                            const work::worker_id& worker,
+                            const worker_state& row) {
+  return {.worker = worker,
+          .address = row.listed().address,
+          .token = ctx.state.leader.epoch,
+          .valid_until = AuthorityExpiresAt(ctx)};
+}
+
 std::uint64_t FirstAttemptOfEpoch(const context& ctx) {
   return (ctx.state.leader.epoch - 1) * ctx.limits().attempts_per_epoch + 1;
 }
@@ -340,19 +345,20 @@
 
 // Sends the first start to the worker that waited for an earlier one.
 void SendNextStart(const context& ctx, const work::worker_id& worker) {
-  const auto tasks = LoadOf(ctx, worker).tasks;
-  for (const auto& [id, index] : tasks) {
-    const unit* placed = ctx.state.leader.units.Find(id);
-    if (placed == nullptr || index >= placed->members.size())
-      continue;
-    const member& one = placed->members[index];
-    const bool waits = one.state == member_state::kOrdered && !one.stopping &&
-                       !one.order && ctx.now() >= one.next_order_at;
-    if (!waits)
-      continue;
-    AdvanceMember(ctx, id, index);
+  const auto& tasks = LoadOf(ctx, worker).tasks;
+  const auto next = std::ranges::find_if(tasks, [&](const auto& task) {
+    const unit* placed = ctx.state.leader.units.Find(task.first);
+    if (placed == nullptr || task.second >= placed->members.size())
+      return false;
+    const member& one = placed->members[task.second];
+    return one.state == member_state::kOrdered && !one.stopping &&
+           IsOrderDue(ctx, one);
+  });
+  if (next == tasks.end())
     return;
-  }
+  // The order may replace the load that holds the task.
+  const auto [id, index] = *next;
+  AdvanceMember(ctx, id, index);
 }
 
 }  // namespace
@@ -387,9 +393,8 @@
   for (const auto& [id, each] : ctx.state.leader.units) {
     for (std::uint32_t i = 0; i < each.members.size(); ++i) {
       const member& one = each.members[i];
-      const bool open = one.state != member_state::kEnded &&
-                        (one.stopping || one.state == member_state::kOrdered);
-      if (open && !one.order && ctx.now() >= one.next_order_at)
+      const bool open = one.stopping || one.state == member_state::kOrdered;
+      if (open && IsOrderDue(ctx, one))
         due.emplace_back(id, i);
     }
   }
--- a/source/dispatch/outbox.cc
+++ b/source/dispatch/outbox.cc
@@ -222,14 +222,16 @@
   Flush(ctx, leader.unit_progress);
 }
 
+duration AgeOfAppend(const context& ctx, const outbox& box) {
+  return box.in_flight ? ctx.now() - box.sent_at : duration(0);
+}
+
 bool AreAppendsSlow(const context& ctx) {
   return std::ranges::any_of(
       std::array{&ctx.state.submissions, &ctx.state.leader.job_phases,
                  &ctx.state.leader.unit_progress},
       [&](const outbox* each) {
-        const duration so_far =
-            each->in_flight ? ctx.now() - each->sent_at : duration(0);
-        return std::max(so_far, each->last_append_time) >
+        return std::max(AgeOfAppend(ctx, *each), each->last_append_time) >
                ctx.limits().slow_append;
       });
 }
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -57,6 +57,8 @@
                    work::record record,
                    std::optional<call_number> caller);
 void FlushOutboxes(const context& ctx);
+// How long the append in flight has taken; 0 if there is none.
+duration AgeOfAppend(const context& ctx, const outbox& box);
 // True when this entry's latest append, or the one in flight, takes long.
 bool AreAppendsSlow(const context& ctx);
 void OnAppendAnswered(const context& ctx, const work::append_answered& event);
@@ -136,6 +138,9 @@
 void NoteEndsProcessed(const context& ctx,
                        const work::worker_id& worker,
                        std::uint64_t number);
+// Forgets which ends of the worker are still to be stored: a later process
+// under its name numbers its ends from the start.
+void DropProcessedEnds(const context& ctx, const work::worker_id& worker);
 // Makes ends durable whose changes are all stored.
 void SettleProcessedEnds(const context& ctx);
 // Fills the leader's outboxes with records of what has changed, as it is now.
@@ -176,6 +181,9 @@
 void EvacuateLeavingWorkers(const context& ctx);
 
 // orders.cc: orders to start and stop tasks.
+work::order_target TargetOf(const context& ctx,
+                            const work::worker_id& worker,
+                            const worker_state& row);
 // The lowest attempt number of this leader's epoch.
 std::uint64_t FirstAttemptOfEpoch(const context& ctx);
 void PlaceUnit(const context& ctx,
--- a/source/dispatch/progress.cc
+++ b/source/dispatch/progress.cc
@@ -171,6 +171,12 @@
       {.worker = worker, .number = number, .change = leader.last_change});
 }
 
+void DropProcessedEnds(const context& ctx, const work::worker_id& worker) {
+  std::erase_if(
+      ctx.state.leader.processed_ends,
+      [&](const processed_end& each) { return each.worker == worker; });
+}
+
 void SettleProcessedEnds(const context& ctx) {
   leader_state& leader = ctx.state.leader;
   const std::optional<std::uint64_t> unstored = OldestUnstoredChange(leader);
@@ -197,10 +203,7 @@
       leader.changed_jobs.Add(job->job, each.change);
     } else if (const auto* unit =
                    std::get_if<work::unit_progressed>(&each.content)) {
-      leader.changed_units.Add({.job = unit->job,
-                                .occurrence = unit->progress.occurrence,
-                                .step = unit->progress.step,
-                                .index = unit->progress.index},
+      leader.changed_units.Add(work::UnitOf(unit->job, unit->progress),
                                each.change);
     } else if (const auto* deleted =
                    std::get_if<work::unit_deleted>(&each.content)) {
--- a/source/dispatch/restore.cc
+++ b/source/dispatch/restore.cc
@@ -44,10 +44,7 @@
   if (saved.step >= ContentOf(job).request.steps.size())
     return;
   const work::step_spec& step = ContentOf(job).request.steps[saved.step];
-  const work::unit_id unit_id{.job = id,
-                              .occurrence = saved.occurrence,
-                              .step = saved.step,
-                              .index = saved.index};
+  const work::unit_id unit_id = work::UnitOf(id, saved);
   unit restored{.phase = saved.done              ? unit_phase::kDone
                          : saved.workers.empty() ? unit_phase::kWaiting
                                                  : unit_phase::kPlaced,
--- a/source/dispatch/store_health.cc
+++ b/source/dispatch/store_health.cc
@@ -56,24 +56,23 @@
   return (snapshot ? "newest_" : "read_") + NameOf(source);
 }
 
-std::string AppendName(const context& ctx, call_number call) {
+// Who made an append, and to which stream; the stream of a leader that has
+// stepped down is not known any more.
+struct append_origin {
+  const std::string name;
+  const std::optional<work::feed> stream{};
+};
+
+append_origin OriginOf(const context& ctx, call_number call) {
   if (ctx.state.submissions.in_flight == call)
-    return "append_submissions";
+    return {.name = "append_submissions", .stream = work::feed::kRecords};
   if (ctx.state.leader.job_phases.in_flight == call)
-    return "append_phases";
+    return {.name = "append_phases", .stream = work::feed::kRecords};
   if (ctx.state.leader.unit_progress.in_flight == call)
-    return "append_units";
-  // The append of a leader that has stepped down counts as late.
-  return ctx.state.leadership.claim == call ? "append_claim" : "append_late";
-}
-
-std::optional<work::feed> AppendStream(const context& ctx, call_number call) {
-  if (ctx.state.leader.unit_progress.in_flight == call)
-    return work::feed::kUnits;
-  const bool records = ctx.state.submissions.in_flight == call ||
-                       ctx.state.leader.job_phases.in_flight == call ||
-                       ctx.state.leadership.claim == call;
-  return records ? std::optional(work::feed::kRecords) : std::nullopt;
+    return {.name = "append_units", .stream = work::feed::kUnits};
+  if (ctx.state.leadership.claim == call)
+    return {.name = "append_claim", .stream = work::feed::kRecords};
+  return {.name = "append_late"};
 }
 
 void CountCall(const context& ctx, const store_call& call) {
@@ -111,31 +110,32 @@
   }
 }
 
-}  // namespace
-
-void RecordStoreCall(const context& ctx, const work::feed_read& event) {
+template <typename Event>
+void RecordRead(const context& ctx,
+                const Event& event,
+                const std::string& outcome,
+                bool answered) {
   Record(ctx, {.name = ReadName(ctx, event.source, event.call),
                .stream = event.source,
-               .outcome = "done",
-               .answered = true,
+               .outcome = outcome,
+               .answered = answered,
                .exchange = event.exchange});
 }
 
+}  // namespace
+
+void RecordStoreCall(const context& ctx, const work::feed_read& event) {
+  RecordRead(ctx, event, "done", true);
+}
+
 void RecordStoreCall(const context& ctx, const work::newest_read& event) {
-  Record(ctx, {.name = ReadName(ctx, event.source, event.call),
-               .stream = event.source,
-               .outcome = "done",
-               .answered = true,
-               .exchange = event.exchange});
+  RecordRead(ctx, event, "done", true);
 }
 
 void RecordStoreCall(const context& ctx, const work::feed_unread& event) {
   const bool trimmed = event.why == work::read_failure::kTrimmed;
-  Record(ctx, {.name = ReadName(ctx, event.source, event.call),
-               .stream = event.source,
-               .outcome = trimmed ? "trimmed" : FailureOf(event.exchange),
-               .answered = trimmed,
-               .exchange = event.exchange});
+  RecordRead(ctx, event, trimmed ? "trimmed" : FailureOf(event.exchange),
+             trimmed);
 }
 
 void RecordStoreCall(const context& ctx, const work::append_answered& event) {
@@ -145,8 +145,9 @@
   }
   const bool answered = event.outcome != work::append_outcome::kRefused &&
                         event.outcome != work::append_outcome::kUnknown;
-  Record(ctx, {.name = AppendName(ctx, event.call),
-               .stream = AppendStream(ctx, event.call),
+  const append_origin origin = OriginOf(ctx, event.call);
+  Record(ctx, {.name = origin.name,
+               .stream = origin.stream,
                .outcome = OutcomeOf(event),
                .answered = answered,
                .exchange = event.exchange});
--- a/source/records/record_key.cc
+++ b/source/records/record_key.cc
@@ -18,22 +18,17 @@
   return "progress/" + record.job.value();
 }
 
-std::string UnitKey(const work::job_id& job,
-                    std::uint32_t occurrence,
-                    std::uint32_t step,
-                    std::uint32_t index) {
-  return "unit/" + job.value() + "/" + std::to_string(occurrence) + "/" +
-         std::to_string(step) + "/" + std::to_string(index);
+std::string UnitKey(const work::unit_id& unit) {
+  return "unit/" + unit.job.value() + "/" + std::to_string(unit.occurrence) +
+         "/" + std::to_string(unit.step) + "/" + std::to_string(unit.index);
 }
 
 std::string Key(const work::unit_progressed& record) {
-  return UnitKey(record.job, record.progress.occurrence, record.progress.step,
-                 record.progress.index);
+  return UnitKey(work::UnitOf(record.job, record.progress));
 }
 
 std::string Key(const work::unit_deleted& record) {
-  return UnitKey(record.unit.job, record.unit.occurrence, record.unit.step,
-                 record.unit.index);
+  return UnitKey(record.unit);
 }
 
 std::string Key(const work::member_joined& record) {
--- a/source/work/job.h
+++ b/source/work/job.h
@@ -141,6 +141,14 @@
   bool operator==(const unit_progress&) const = default;
 };
 
+// The unit that the progress belongs to.
+inline unit_id UnitOf(const job_id& job, const unit_progress& progress) {
+  return {.job = job,
+          .occurrence = progress.occurrence,
+          .step = progress.step,
+          .index = progress.index};
+}
+
 }  // namespace parsleyhitch::work
 
 #endif  // PARSLEYHITCH_WORK_JOB_H_
--- a/tests/dispatch/evacuation_test.cc
+++ b/tests/dispatch/evacuation_test.cc
@@ -23,8 +23,7 @@
                         .need = gang.need,
                         .estimate = task_duration,
                         .gang = true}});
-    cr_assert(simulation.RunUntil([&] { return IsRunning(kJob); },
-                                  work::duration(3000)));
+    cr_assert(Runs(kJob, work::duration(3000)));
     leaving = IndexOfWorkerOf(kJob);
     simulation.Drain(leaving, kNotice);
   }
--- a/tests/dispatch/given_up_test.cc
+++ b/tests/dispatch/given_up_test.cc
@@ -24,8 +24,7 @@
     const work::step_spec step = Step(1, 8);
     simulation.Submit(
         0, kJob, {{.tasks = 1, .need = step.need, .estimate = kTaskDuration}});
-    cr_assert(simulation.RunUntil([&] { return IsRunning(kJob); },
-                                  work::duration(3000)));
+    cr_assert(Runs(kJob, work::duration(3000)));
     draining = IndexOfWorkerOf(kJob);
     simulation.Drain(draining, kLongNotice);
     simulation.RunFor(kHeartbeatInterval);
@@ -47,8 +46,7 @@
 struct superseded_fixture : simulation_fixture {
   superseded_fixture() : simulation_fixture({.task_duration = kTaskDuration}) {
     simulation.Submit(Follower(), kJob, {Step(1, 8)});
-    cr_assert(simulation.RunUntil([&] { return IsRunning(kJob); },
-                                  work::duration(3000)));
+    cr_assert(Runs(kJob, work::duration(3000)));
     first = &WorkerOf(kJob);
     first->cut = true;
     cr_assert(simulation.RunUntil([&] { return simulation.starts() == 2; },
@@ -91,8 +89,7 @@
     while (LinesOf("job_added").empty())
       simulation.RunFor(work::duration(1));
     simulation.store().down = true;
-    cr_assert(simulation.RunUntil([&] { return IsRunning(kJob); },
-                                  work::duration(1000)));
+    cr_assert(Runs(kJob, work::duration(1000)));
     unlisted = &WorkerOf(kJob);
     unlisted->cut_from_store = true;
     simulation.RunFor(3 * kHeartbeatInterval);
@@ -201,8 +198,7 @@
     while (LinesOf(std::string("job_added ") + kJob).empty())
       simulation.RunFor(work::duration(1));
     simulation.entry(first).cut_from_store = true;
-    cr_assert(simulation.RunUntil([&] { return IsRunning(kJob); },
-                                  work::duration(1000)));
+    cr_assert(Runs(kJob, work::duration(1000)));
     cr_assert(WorkerOf(kJob).id == simulation.worker(0).id);
     simulation.Kill(first);
   }
--- a/tests/dispatch/hold_rate_test.cc
+++ b/tests/dispatch/hold_rate_test.cc
@@ -40,8 +40,7 @@
  private:
   void Start(const char* job) {
     simulation.Submit(Follower(), job, {Step(1, 1)});
-    cr_assert(simulation.RunUntil([&] { return IsRunning(job); },
-                                  work::duration(300)));
+    cr_assert(Runs(job, work::duration(300)));
   }
 };
 
--- a/tests/dispatch/jobs_test.cc
+++ b/tests/dispatch/jobs_test.cc
@@ -45,8 +45,7 @@
 Test(job, cancelled_while_it_runs_is_stopped_and_shown_as_cancelled) {
   simulation_fixture fixture;
   fixture.simulation.Submit(0, kJob, {Step(2, 8)});
-  cr_assert(fixture.simulation.RunUntil([&] { return fixture.IsRunning(kJob); },
-                                        work::duration(3000)));
+  cr_assert(fixture.Runs(kJob, work::duration(3000)));
   const auto call = fixture.simulation.Cancel(fixture.Follower(), kJob);
   cr_assert(fixture.Ends(kJob, work::job_phase::kCancelled));
   cr_assert(fixture.simulation.IsAnswered(call, work::answer_kind::kAccepted));
@@ -57,8 +56,7 @@
 Test(job, cancelled_while_its_leader_reads_no_records_ends_alike_everywhere) {
   simulation_fixture fixture({.task_duration = work::duration(1000)});
   fixture.simulation.Submit(0, kJob, {Step(1, 1)});
-  cr_assert(fixture.simulation.RunUntil([&] { return fixture.IsRunning(kJob); },
-                                        work::duration(3000)));
+  cr_assert(fixture.Runs(kJob, work::duration(3000)));
   const std::uint32_t leader = fixture.Leader();
   const std::uint32_t follower = fixture.Follower();
   fixture.simulation.RunFor(work::duration(600));
@@ -103,11 +101,9 @@
      without_room_preempts_background_work_and_starts_within_a_second) {
   simulation_fixture fixture;
   fixture.simulation.Submit(0, kJob, {Step(6, 8)}, "background");
-  cr_assert(fixture.simulation.RunUntil([&] { return fixture.IsRunning(kJob); },
-                                        work::duration(3000)));
+  cr_assert(fixture.Runs(kJob, work::duration(3000)));
   fixture.simulation.Submit(1, kOtherJob, {Step(3, 8, true)}, "urgent");
-  cr_assert(fixture.simulation.RunUntil(
-      [&] { return fixture.IsRunning(kOtherJob); }, work::duration(1000)));
+  cr_assert(fixture.Runs(kOtherJob, work::duration(1000)));
   cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
   cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
 }
@@ -116,11 +112,9 @@
      stopped_for_urgent_work_backs_off_before_it_starts_again) {
   simulation_fixture fixture;
   fixture.simulation.Submit(0, kJob, {Step(6, 8)}, "background");
-  cr_assert(fixture.simulation.RunUntil([&] { return fixture.IsRunning(kJob); },
-                                        work::duration(3000)));
+  cr_assert(fixture.Runs(kJob, work::duration(3000)));
   fixture.simulation.Submit(1, kOtherJob, {Step(1, 8)}, "urgent");
-  cr_assert(fixture.simulation.RunUntil(
-      [&] { return fixture.IsRunning(kOtherJob); }, work::duration(1000)));
+  cr_assert(fixture.Runs(kOtherJob, work::duration(1000)));
   // Its capacity is free again at once.
   fixture.simulation.Cancel(0, kOtherJob);
   const auto second_start = [&] {
--- a/tests/dispatch/load_report_test.cc
+++ b/tests/dispatch/load_report_test.cc
@@ -70,8 +70,7 @@
 Test(leader_load, with_a_worker_out_of_reach_reports_it_as_silent) {
   load_report_fixture fixture;
   fixture.simulation.Submit(0, kJob, {Step(1, 8)});
-  cr_assert(fixture.simulation.RunUntil([&] { return fixture.IsRunning(kJob); },
-                                        work::duration(3000)));
+  cr_assert(fixture.Runs(kJob, work::duration(3000)));
   fixture.WorkerOf(kJob).cut = true;
   cr_assert(fixture.Reports("workers_silent", 1));
 }
--- a/tests/dispatch/partial_store_test.cc
+++ b/tests/dispatch/partial_store_test.cc
@@ -22,8 +22,7 @@
       : simulation_fixture(
             {.workers = 2, .seed = 5, .task_duration = task_duration}) {
     simulation.Submit(Follower(), kJob, {Step(4, 1), Step(4, 1, false, {0})});
-    cr_assert(simulation.RunUntil([&] { return IsRunning(kJob); },
-                                  work::duration(1000)));
+    cr_assert(Runs(kJob, work::duration(1000)));
     simulation.store().refused = {work::feed::kUnits};
   }
 };
@@ -45,8 +44,7 @@
   auto& simulation = fixture.simulation;
   simulation.RunFor(kOutage);
   simulation.Submit(fixture.Follower(), kOtherJob, {Step(1, 1)});
-  cr_assert(simulation.RunUntil([&] { return fixture.IsRunning(kOtherJob); },
-                                kMaxStartDelay));
+  cr_assert(fixture.Runs(kOtherJob, kMaxStartDelay));
 }
 
 // Guards against running a task twice at a time when a leader without units has
@@ -57,8 +55,7 @@
   auto& simulation = fixture.simulation;
   simulation.store().refused = {work::feed::kUnits};
   simulation.Submit(fixture.Follower(), kJob, {Step(1, 8)});
-  cr_assert(simulation.RunUntil([&] { return fixture.IsRunning(kJob); },
-                                kMaxStartDelay));
+  cr_assert(fixture.Runs(kJob, kMaxStartDelay));
   fixture.WorkerOf(kJob).cut_from_store = true;
   simulation.RunFor(work::duration(4000));
   simulation.Kill(fixture.Leader());
--- a/tests/dispatch/simulation_fixture.h
+++ b/tests/dispatch/simulation_fixture.h
@@ -47,6 +47,11 @@
                                within);
   }
 
+  // Runs until a task of the job runs.
+  bool Runs(const std::string& job, work::duration within) {
+    return simulation.RunUntil([&] { return IsRunning(job); }, within);
+  }
+
   // The first violated invariant, or empty.
   std::string Violation() const {
     return simulation.breaches().empty() ? std::string()
--- a/tests/dispatch/start_rate_test.cc
+++ b/tests/dispatch/start_rate_test.cc
@@ -22,8 +22,7 @@
                             .cpu_millis = 500,
                             .task_duration = work::duration(10000)}) {
     simulation.Submit(Follower(), kJob, {Step(kTasks, 0)});
-    cr_assert(simulation.RunUntil([&] { return IsRunning(kJob); },
-                                  work::duration(1000)));
+    cr_assert(Runs(kJob, work::duration(1000)));
   }
 };
 
@@ -63,7 +62,6 @@
   starting_fixture fixture;
   fixture.simulation.Submit(fixture.Follower(), kOtherJob, {Step(2, 8)},
                             "urgent");
-  cr_assert(fixture.simulation.RunUntil(
-      [&] { return fixture.IsRunning(kOtherJob); }, work::duration(400)));
+  cr_assert(fixture.Runs(kOtherJob, work::duration(400)));
   cr_assert_lt(fixture.simulation.starts(), kTasks);
 }
--- a/tests/dispatch/takeover_test.cc
+++ b/tests/dispatch/takeover_test.cc
@@ -16,8 +16,7 @@
 struct running_fixture : simulation_fixture {
   explicit running_fixture(std::vector<work::step_spec> steps = {Step(4, 4)}) {
     simulation.Submit(Follower(), kJob, steps);
-    cr_assert(simulation.RunUntil([&] { return IsRunning(kJob); },
-                                  work::duration(3000)));
+    cr_assert(Runs(kJob, work::duration(3000)));
   }
 
   void ExpectCompletedWithoutViolation() {
@@ -303,8 +302,7 @@
       },
       work::duration(4000)));
   fixture.simulation.Submit(fixture.Leader(), kJob, {Step(2, 8)}, "urgent");
-  cr_assert(fixture.simulation.RunUntil([&] { return fixture.IsRunning(kJob); },
-                                        work::duration(400)));
+  cr_assert(fixture.Runs(kJob, work::duration(400)));
 }
 
 Test(successor, starts_no_older_unit_while_a_worker_may_run_it_without_record) {
@@ -312,8 +310,7 @@
   const std::uint32_t first = fixture.Leader();
   // The store takes the job, but none of the leader's records of its start.
   fixture.simulation.Submit(fixture.Follower(), kJob, {Step(1, 8)});
-  cr_assert(fixture.simulation.RunUntil([&] { return fixture.IsRunning(kJob); },
-                                        work::duration(1000)));
+  cr_assert(fixture.Runs(kJob, work::duration(1000)));
   fixture.simulation.Kill(first);
   fixture.WorkerOf(kJob).cut = true;
   fixture.simulation.RunFor(work::duration(20000));
--- a/tests/dispatch/unit_records_test.cc
+++ b/tests/dispatch/unit_records_test.cc
@@ -22,8 +22,7 @@
   explicit stored_progress_fixture(std::vector<work::step_spec> steps = {
                                        Step(kTasks, 1)}) {
     simulation.Submit(Follower(), kJob, steps);
-    cr_assert(simulation.RunUntil([&] { return IsRunning(kJob); },
-                                  work::duration(1000)));
+    cr_assert(Runs(kJob, work::duration(1000)));
   }
 
   std::size_t UnitRecords() {
@@ -43,6 +42,12 @@
     return false;
   }
 
+  void ExpectCompletedWithStarts(std::uint64_t starts) {
+    cr_assert(Ends(kJob, work::job_phase::kCompleted));
+    cr_assert_eq(simulation.starts(), starts);
+    cr_assert(Violation().empty(), "%s", Violation().c_str());
+  }
+
   void ReplaceLeader() {
     const std::uint32_t first = Leader();
     simulation.Kill(first);
@@ -74,8 +79,7 @@
   void Start(const char* job) {
     // A second step, so that the end of the first does not close the job.
     simulation.Submit(Leader(), job, {Step(1, 1), Step(1, 1, false, {0})});
-    cr_assert(simulation.RunUntil([&] { return IsRunning(job); },
-                                  work::duration(300)));
+    cr_assert(Runs(job, work::duration(300)));
   }
 };
 
@@ -125,9 +129,7 @@
   fixture.simulation.RunFor(work::duration(1500));
   cr_assert(fixture.HasUnacknowledgedEnd());
   fixture.ReplaceLeader();
-  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
-  cr_assert_eq(fixture.simulation.starts(), 2U);
-  cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
+  fixture.ExpectCompletedWithStarts(2U);
 }
 
 // Guards against work that runs twice: its end was acknowledged, and its unit
@@ -140,9 +142,7 @@
   fixture.simulation.RunFor(work::duration(300));
   cr_assert(fixture.HasUnacknowledgedEnd());
   fixture.ReplaceLeader();
-  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
-  cr_assert_eq(fixture.simulation.starts(), 3U);
-  cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
+  fixture.ExpectCompletedWithStarts(3U);
 }
 
 // Guards against an end that is acknowledged before its effect is stored: an
@@ -155,8 +155,7 @@
       [&] { return !fixture.LinesOf("worker_deleted").empty(); },
       work::duration(20000)));
   simulation.worker(0).Restart(simulation.now());
-  cr_assert(simulation.RunUntil([&] { return fixture.IsRunning(kOtherJob); },
-                                work::duration(4000)));
+  cr_assert(fixture.Runs(kOtherJob, work::duration(4000)));
   simulation.store().refused.clear();
   simulation.RunFor(work::duration(1000));
   // Nothing that happens from here on is stored.
--- a/tests/runtime/http_client_test.cc
+++ b/tests/runtime/http_client_test.cc
@@ -12,6 +12,7 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <chrono>
+#include <functional>
 #include <future>
 #include <optional>
 #include <string>
@@ -31,6 +32,27 @@
 constexpr model::duration kStallTimeout{1500};
 constexpr model::duration kTimeout{10000};
 
+std::string UrlOf(const asio::ip::tcp::acceptor& acceptor) {
+  return "http://127.0.0.1:" +
+         std::to_string(acceptor.local_endpoint().port()) + "/";
+}
+
+// Answers the next request on the socket with `response`, then calls
+// `answered`.
+void AnswerRequest(asio::ip::tcp::socket& socket,
+                   std::string& request,
+                   const std::string& response,
+                   const std::function<void()>& answered) {
+  asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                         [&socket, response, answered](
+                             const asio::error_code& error, std::size_t) {
+                           if (error)
+                             return;
+                           asio::write(socket, asio::buffer(response));
+                           answered();
+                         });
+}
+
 // Answers one request, a byte at a time, up to `pieces_sent` of kPieces bytes.
 class slow_server_fixture {
  public:
@@ -46,8 +68,7 @@
     runtime::http_client client(io_);
     std::optional<wire::http_outcome> result;
     client.Send({.method = "GET",
-                 .url = "http://127.0.0.1:" +
-                        std::to_string(acceptor_.local_endpoint().port()) + "/",
+                 .url = UrlOf(acceptor_),
                  .timeout = kTimeout,
                  .stall_timeout = kStallTimeout},
                 [&](const wire::http_outcome& outcome) {
@@ -60,16 +81,10 @@
 
  private:
   void ReceiveRequest() {
-    asio::async_read_until(
-        socket_, asio::dynamic_buffer(request_), "\r\n\r\n",
-        [this](const asio::error_code& error, std::size_t) {
-          if (error)
-            return;
-          asio::write(socket_,
-                      asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
-                                   std::to_string(kPieces) + "\r\n\r\n"));
-          SendPieces();
-        });
+    AnswerRequest(socket_, request_,
+                  "HTTP/1.1 200 OK\r\nContent-Length: " +
+                      std::to_string(kPieces) + "\r\n\r\n",
+                  [this] { SendPieces(); });
   }
 
   void SendPieces() {
@@ -125,17 +140,15 @@
     runtime::http_client client(io_);
     outcome_list outcomes;
     for (std::uint32_t each = 0; each < kRequests; ++each) {
-      client.Send(
-          {.method = "GET",
-           .url = "http://127.0.0.1:" +
-                  std::to_string(acceptor_.local_endpoint().port()) + "/",
-           .timeout = timeout,
-           .stall_timeout = stall_timeout},
-          [&](const wire::http_outcome& outcome) {
-            outcomes.push_back(outcome);
-            if (outcomes.size() == kRequests)
-              io_.stop();
-          });
+      client.Send({.method = "GET",
+                   .url = UrlOf(acceptor_),
+                   .timeout = timeout,
+                   .stall_timeout = stall_timeout},
+                  [&](const wire::http_outcome& outcome) {
+                    outcomes.push_back(outcome);
+                    if (outcomes.size() == kRequests)
+                      io_.stop();
+                  });
     }
     io_.run();
     server.join();
@@ -188,8 +201,10 @@
  public:
   silent_server_fixture() {
     acceptor_.async_accept(socket_, [this](const asio::error_code& error) {
-      if (!error)
-        AnswerFirst();
+      if (error)
+        return;
+      AnswerRequest(socket_, request_,
+                    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", [] {});
     });
     Send();
     io_.run();
@@ -207,24 +222,9 @@
   }
 
  private:
-  void AnswerFirst() {
-    asio::async_read_until(
-        socket_, asio::dynamic_buffer(request_), "\r\n\r\n",
-        [this](const asio::error_code& error, std::size_t) {
-          if (error)
-            return;
-          asio::write(socket_,
-                      asio::buffer(std::string("HTTP/1.1 200 OK\r\n"
-                                               "Content-Length: 0\r\n\r\n")));
-        });
-  }
-
   void Send() {
     client_.Send(
-        {.method = "GET",
-         .url = "http://127.0.0.1:" +
-                std::to_string(acceptor_.local_endpoint().port()) + "/",
-         .timeout = kShortTimeout},
+        {.method = "GET", .url = UrlOf(acceptor_), .timeout = kShortTimeout},
         [this](const wire::http_outcome& outcome) {
           result_.emplace(outcome);
           io_.stop();
