Account for what a process spends its time on

leader_load tells how long queues are, not where a busy leader's time goes, so that more work, repeated work and slower work look the same. A process that was busy for a tenth of a second or more logs time_spent: for each kind of event and effect how often it occurred and how long it took.

--- a/source/runtime/dispatch_process.cc
+++ b/source/runtime/dispatch_process.cc
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <type_traits>
 #include <utility>
 
 #include "dispatch/reduce.h"
@@ -19,6 +20,7 @@
 #include "platform/store_calls.h"
 #include "platform/worker_calls.h"
 #include "report/metrics.h"
+#include "report/time_account.h"
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
 #include "runtime/json_log.h"
@@ -36,6 +38,8 @@
 constexpr double kMilliCpusPerCpu = 1000.0;
 // Interval at which the settings file is read again without a SIGHUP.
 constexpr std::chrono::seconds kSettingsPollInterval{3};
+// Interval at which a busy process logs what it spends its time on.
+constexpr std::chrono::seconds kTimeReportInterval{1};
 // Health probes and metrics scrapes have no bodies.
 constexpr std::uint32_t kMaxProbeBodyBytes = 1024;
 
@@ -114,15 +118,44 @@
     return {
         .reduce =
             [this](dispatch::state state, const work::event& event) {
-              return dispatch::Reduce(*environment_, std::move(state), event);
+              return Timed(report::PartOf(event), [&] {
+                return dispatch::Reduce(*environment_, std::move(state), event);
+              });
             },
         .perform =
             [this](const work::effect& effect) {
-              std::visit([this](const auto& each) { Execute(each); }, effect);
+              Timed(report::PartOf(effect), [&] {
+                std::visit([this](const auto& each) { Execute(each); }, effect);
+              });
             },
         .observe = {}};
   }
 
+  // Does a part of the work and accounts for the time that it takes.
+  template <typename Work>
+  std::invoke_result_t<Work> Timed(const std::string& part, Work work) {
+    const time_of_part timed(*this, part);
+    return work();
+  }
+
+  // Logs what the time since the last report was spent on, if the process was
+  // busy for a tenth of it or more.
+  void ReportTimeIfDue(std::chrono::steady_clock::time_point now) {
+    constexpr int kBusyShare = 10;
+    constexpr std::chrono::milliseconds kLeastTime{1};
+    const auto since = now - time_reported_at_;
+    if (since < kTimeReportInterval)
+      return;
+    if (report::Total(time_spent_) * kBusyShare >= since) {
+      WriteJsonLog(
+          work::write_log{.decision = "time_spent",
+                          .subject = settings_->entry.value(),
+                          .fields = report::FieldsOf(time_spent_, kLeastTime)});
+    }
+    time_spent_ = {};
+    time_reported_at_ = now;
+  }
+
   http_handlers CallerHandlers() {
     return {.call =
                 [this](const wire::http_call& call, std::uint64_t connection,
@@ -162,8 +195,9 @@
   template <typename Effect>
   void SendRequest(const wire::http_request& request, const Effect& effect) {
     client_.Send(request, [this, effect](const wire::http_outcome& outcome) {
-      platform::decoded_event decoded =
-          platform::DecodeOutcome(effect, outcome, clock_.Now());
+      platform::decoded_event decoded = Timed("decode", [&] {
+        return platform::DecodeOutcome(effect, outcome, clock_.Now());
+      });
       LogFindings(decoded.findings);
       loop_.Post(decoded.event);
     });
@@ -344,6 +378,27 @@
         std::make_unique<dispatch::environment>(EnvironmentOf(*settings_));
   }
 
+  // Accounts for the time until the end of its scope.
+  class time_of_part {
+   public:
+    time_of_part(dispatch_process& process, const std::string& part)
+        : process_(process), part_(part) {}
+    ~time_of_part() {
+      const auto now = std::chrono::steady_clock::now();
+      process_.time_spent_ = report::Add(std::move(process_.time_spent_), part_,
+                                         now - started_at_);
+      process_.ReportTimeIfDue(now);
+    }
+    time_of_part(const time_of_part&) = delete;
+    time_of_part& operator=(const time_of_part&) = delete;
+
+   private:
+    dispatch_process& process_;
+    const std::string part_;
+    const std::chrono::steady_clock::time_point started_at_ =
+        std::chrono::steady_clock::now();
+  };
+
   struct pending_call {
     std::uint64_t connection = 0;
     http_responder respond;
@@ -364,6 +419,10 @@
   asio::signal_set stop_signals_;
   asio::signal_set reload_signal_;
   report::metrics metrics_;
+  // Since the last report.
+  report::time_account time_spent_;
+  std::chrono::steady_clock::time_point time_reported_at_ =
+      std::chrono::steady_clock::now();
   work::call_number last_call_ = 0;
   std::map<work::call_number, pending_call> pending_calls_;
   std::map<std::uint64_t, work::call_number> calls_by_connection_;
