Send no stops for the tasks of a unit that is done

Callers saw jobs start late or fail in a crest of the large site. One cause: when a job closes, all of its units were stopped, those that are done too, as their members are only marked as ended afterwards.

A job that closes stops only units that are not done. A unit that is done by another attempt than its latest one has the latest stopped when that is known, and a task that is listed as running well after its unit was done is stopped.

--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -117,6 +117,17 @@
   ctx.state.leader.units.Put(id, std::move(next));
 }
 
+// Stops what is still listed as running although its unit was done before the
+// listing.
+void StopIfDone(const context& ctx, const work::unit_id& id) {
+  const unit* each = ctx.state.leader.units.Find(id);
+  const bool listed_later =
+      each->phase == unit_phase::kDone &&
+      ctx.now() - each->since > ctx.limits().order_timeout;
+  if (listed_later)
+    StopUnit(ctx, id, "done");
+}
+
 void ResetWorkerFailures(const context& ctx, const work::worker_id& worker) {
   const worker_state* known = ctx.state.leader.workers.Find(worker);
   if (known == nullptr || known->failures == 0)
@@ -256,6 +267,7 @@
         index && each->members[*index].state != member_state::kEnded;
     if (live) {
       MarkRunning(ctx, id, *index, task);
+      StopIfDone(ctx, id);
       return;
     }
   }
@@ -292,6 +304,9 @@
   RaiseAttempt(ctx, id, end.attempt);
   if (end.how == work::run_end_kind::kDone && !endless) {
     ResetWorkerFailures(ctx, worker);
+    // Another attempt runs on.
+    if (end.attempt != each->attempt)
+      StopUnit(ctx, id, "done elsewhere");
     FinishUnit(ctx, id);
     each = leader.units.Find(id);
     if (each == nullptr)
--- a/source/dispatch/jobs.cc
+++ b/source/dispatch/jobs.cc
@@ -221,6 +221,7 @@
   if (done.phase == unit_phase::kDone)
     return;
   done.phase = unit_phase::kDone;
+  done.since = ctx.now();
   leader.units.Put(id, std::move(done));
   NoteUnitChanged(ctx, id);
   FinishSteps(ctx, id.job);
@@ -245,7 +246,9 @@
     units.push_back(unit_id);
   });
   for (const work::unit_id& unit_id : units) {
-    StopUnit(ctx, unit_id, "job closed");
+    // The tasks of a unit that is done have ended, all at once.
+    if (leader.units.Find(unit_id)->phase != unit_phase::kDone)
+      StopUnit(ctx, unit_id, "job closed");
     EraseUnitIfEnded(ctx, unit_id);
   }
 }
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -418,6 +418,7 @@
     const bool reached = !cut && worker->alive && !worker->cut;
     const auto outcome =
         reached ? worker->Stop(effect, now_) : work::order_outcome::kUnknown;
+    stops_ += reached ? 1 : 0;
     Schedule(now_ + (reached ? RandomDelay() : effect.timeout),
              [this, index, life, effect, outcome] {
                Deliver(index, life,
--- a/tests/support/platform_simulation.h
+++ b/tests/support/platform_simulation.h
@@ -133,6 +133,8 @@
   std::uint64_t starts() const { return monitor_.starts(); }
   // The number of holds that reached a worker.
   std::uint64_t holds() const { return holds_; }
+  // The number of stop orders that reached a worker.
+  std::uint64_t stops() const { return stops_; }
 
  private:
   struct scheduled {
@@ -210,6 +212,7 @@
   std::map<std::uint64_t, simulated_call> calls_;
   std::uint64_t last_call_ = 0;
   std::uint64_t holds_ = 0;
+  std::uint64_t stops_ = 0;
   // Jobs with a submission that is unanswered or was not refused.
   std::set<std::string> possibly_accepted_;
   std::set<std::string> submitted_;
