Have proxies call the workers of a large site

Callers of the large site saw jobs start late, fail or expire in a crest and long after it: the leader's half core was full while 23 other cores idled. The leader saturates at 2,000 calls a second, half of whose time goes to libcurl, sockets and JSON (profile and time_spent). No order of the work fits it into half a core.

A leader with more workers than its share of a core allows (200 a core) now forwards its orders, in batches, to other entries, its proxies: the largest entries that answer its heartbeats, each with as many workers as its own share allows. A proxy makes the calls and returns the answers; it decides nothing. Orders keep the leader's epoch, number and lease. Their validity is stated on the proxy's clock, from the clock in its reply to a heartbeat, so that a proxy that was paused sends none. A proxy that is silent for 1.1 s, restarts, shuts down, or does not reach workers that answer the leader is replaced; orders without an answer count as unanswered. Both are judged a tick late, so that what arrived while the leader was paused is read first.

Without proxies urgent_jobs::submitted_in_a_crest_* fails: the calls alone take the leader 5.0 s of 6; leader::of_more_workers_* fails too.

--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -426,12 +426,13 @@
   row.hold = ctx.NewCall();
   row.hold_sent_at = ctx.now();
   row.hold_acknowledged_end = acknowledged;
-  ctx.Emit(work::hold_worker{.call = *row.hold,
-                             .target = TargetOf(ctx, worker, row),
-                             .lease_until = lease_until,
-                             .acknowledged = acknowledged,
-                             .wait = wait,
-                             .timeout = wait + ctx.limits().order_timeout});
+  SendOrder(ctx,
+            work::hold_worker{.call = *row.hold,
+                              .target = TargetOf(ctx, worker, row),
+                              .lease_until = lease_until,
+                              .acknowledged = acknowledged,
+                              .wait = wait,
+                              .timeout = wait + ctx.limits().order_timeout});
   ctx.state.leader.workers.Put(worker, std::move(row));
 }
 
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -336,11 +336,15 @@
       leadership.leader_reached_store_at = ctx.now();
   }
   RequestCatalogIfNeeded(ctx, message.address, message.catalog_version);
-  SendToPeer(ctx, message.address,
-             work::heartbeat_reply{.epoch = leadership.epoch,
-                                   .address = ctx.env.peer_address,
-                                   .number = message.number,
-                                   .catalog_version = CatalogVersion(ctx)});
+  SendToPeer(
+      ctx, message.address,
+      work::heartbeat_reply{.epoch = leadership.epoch,
+                            .address = ctx.env.peer_address,
+                            .number = message.number,
+                            .catalog_version = CatalogVersion(ctx),
+                            .clock = ctx.now(),
+                            .incarnation = ctx.state.incarnation,
+                            .takes_orders = !ctx.state.shutdown.requested});
 }
 
 void OnHeartbeatReply(const context& ctx,
@@ -350,6 +354,7 @@
   leadership_state& leadership = ctx.state.leadership;
   if (leadership.current_role != role::kLeader)
     return;
+  NoteProxyReport(ctx, from, message);
   // A reply confirms that its sender followed this leader when the heartbeat
   // arrived. The newest heartbeat was sent at most one interval ago.
   if (message.number == leadership.heartbeat) {
--- a/source/dispatch/load_report.cc
+++ b/source/dispatch/load_report.cc
@@ -62,6 +62,8 @@
       {.name = "workers_listed", .value = workers_listed},
       {.name = "workers_silent", .value = workers_silent},
       {.name = "orders_in_flight", .value = leader.orders.size()},
+      {.name = "orders_forwarded", .value = leader.forwarded_orders.size()},
+      {.name = "proxies", .value = leader.proxies.size()},
       {.name = "unsaved_changes",
        .value = leader.changed_jobs.size() + leader.changed_units.size()},
       Figure("unsaved_for", unsaved_for),
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -67,14 +67,14 @@
   next.order = NewOrder(ctx, id, index, placed.attempt);
   next.start_orders_sent += 1;
   next.next_order_at = ctx.now() + ctx.limits().order_retry;
-  ctx.Emit(work::start_run{.call = *next.order,
-                           .target = TargetOf(ctx, next.worker, row),
-                           .task = TaskOf(id, index),
-                           .attempt = placed.attempt,
-                           .spec = job.content.Get()->request.spec,
-                           .checkpoint = placed.checkpoint,
-                           .lease_until = lease_until,
-                           .timeout = ctx.limits().order_timeout});
+  SendOrder(ctx, work::start_run{.call = *next.order,
+                                 .target = TargetOf(ctx, next.worker, row),
+                                 .task = TaskOf(id, index),
+                                 .attempt = placed.attempt,
+                                 .spec = job.content.Get()->request.spec,
+                                 .checkpoint = placed.checkpoint,
+                                 .lease_until = lease_until,
+                                 .timeout = ctx.limits().order_timeout});
   const work::worker_id worker = next.worker;
   ctx.state.leader.workers.Put(worker, std::move(row));
   PutMember(ctx, id, index, std::move(next));
@@ -90,11 +90,11 @@
     return;
   next.order = NewOrder(ctx, id, index, placed.attempt);
   next.next_order_at = ctx.now() + ctx.limits().order_retry;
-  ctx.Emit(work::stop_run{.call = *next.order,
-                          .target = TargetOf(ctx, next.worker, *row),
-                          .task = TaskOf(id, index),
-                          .attempt = placed.attempt,
-                          .timeout = ctx.limits().order_timeout});
+  SendOrder(ctx, work::stop_run{.call = *next.order,
+                                .target = TargetOf(ctx, next.worker, *row),
+                                .task = TaskOf(id, index),
+                                .attempt = placed.attempt,
+                                .timeout = ctx.limits().order_timeout});
   PutMember(ctx, id, index, std::move(next));
 }
 
@@ -209,11 +209,11 @@
       continue;
     next.next_order_at =
         ctx.now() + ctx.limits().order_timeout + ctx.limits().order_retry;
-    ctx.Emit(work::stop_run{.call = ctx.NewCall(),
-                            .target = TargetOf(ctx, id.worker, *row),
-                            .task = id.task,
-                            .attempt = next.attempt,
-                            .timeout = ctx.limits().order_timeout});
+    SendOrder(ctx, work::stop_run{.call = ctx.NewCall(),
+                                  .target = TargetOf(ctx, id.worker, *row),
+                                  .task = id.task,
+                                  .attempt = next.attempt,
+                                  .timeout = ctx.limits().order_timeout});
     ctx.state.leader.orphan_tasks.Put(id, next);
   }
 }
@@ -226,7 +226,7 @@
   return {.worker = worker,
           .address = row.listed().address,
           .token = ctx.state.leader.epoch,
-          .valid_until = AuthorityExpiresAt(ctx)};
+          .valid_until = AuthorityExpiresAt(ctx) + ClockAheadFor(ctx, worker)};
 }
 
 std::uint64_t FirstAttemptOfEpoch(const context& ctx) {
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -201,6 +201,31 @@
 void OnStopAnswered(const context& ctx, const work::stop_answered& event);
 void AdvanceOrders(const context& ctx);
 
+// proxies.cc: orders that other entries send for this leader, and those that
+// this entry sends for another one.
+// Sends the order, or forwards it to the worker's proxy.
+void SendOrder(const context& ctx, work::order order);
+// How far the clock on which an order to the worker states its validity is
+// ahead of this entry's, at least.
+duration ClockAheadFor(const context& ctx, const work::worker_id& worker);
+// Notes from the reply to a heartbeat whether its sender may be a proxy.
+void NoteProxyReport(const context& ctx,
+                     const work::entry_id& from,
+                     const work::heartbeat_reply& message);
+// Replaces proxies that are silent and assigns workers to them.
+void AdvanceProxies(const context& ctx);
+// Sends the orders and answers that were collected.
+void FlushForwarded(const context& ctx);
+// The time at which something collected is to be sent, if there is any.
+std::optional<timestamp> NextForwardAt(const context& ctx);
+void OnOrdersForwarded(const context& ctx,
+                       const work::orders_forwarded& message);
+void OnAnswersReturned(const context& ctx,
+                       const work::answers_returned& message);
+// Returns the answer to the leader that forwarded the order. False when the
+// order is this entry's own.
+bool ReturnAnswer(const context& ctx, const work::order_answer& answer);
+
 // ends.cc: running and ended tasks in workers' listings.
 void OnTaskRunning(const context& ctx,
                    const work::worker_id& worker,
--- a/source/dispatch/peers.cc
+++ b/source/dispatch/peers.cc
@@ -46,6 +46,18 @@
   OnCallSettled(ctx, message);
 }
 
+void On(const context& ctx,
+        const work::entry_id&,
+        const work::orders_forwarded& message) {
+  OnOrdersForwarded(ctx, message);
+}
+
+void On(const context& ctx,
+        const work::entry_id&,
+        const work::answers_returned& message) {
+  OnAnswersReturned(ctx, message);
+}
+
 }  // namespace
 
 void OnPeerHeard(const context& ctx, const work::peer_heard& event) {
--- a/source/dispatch/reduce.cc
+++ b/source/dispatch/reduce.cc
@@ -49,15 +49,18 @@
 }
 
 void On(const context& ctx, const work::start_answered& event) {
-  OnStartAnswered(ctx, event);
+  if (!ReturnAnswer(ctx, event))
+    OnStartAnswered(ctx, event);
 }
 
 void On(const context& ctx, const work::stop_answered& event) {
-  OnStopAnswered(ctx, event);
+  if (!ReturnAnswer(ctx, event))
+    OnStopAnswered(ctx, event);
 }
 
 void On(const context& ctx, const work::hold_answered& event) {
-  OnHoldAnswered(ctx, event);
+  if (!ReturnAnswer(ctx, event))
+    OnHoldAnswered(ctx, event);
 }
 
 void On(const context& ctx, const work::peer_heard& event) {
@@ -101,6 +104,7 @@
   AdvanceCalls(ctx);
   AdvanceLeadership(ctx);
   if (s.leadership.current_role == role::kLeader) {
+    AdvanceProxies(ctx);
     OpenDueSteps(ctx);
     AdvanceWorkers(ctx);
     AdvanceOrders(ctx);
@@ -129,6 +133,7 @@
     if (!each->in_flight)
       next = std::min(next, each->next_at);
   }
+  next = std::min(next, NextForwardAt(ctx).value_or(next));
   next = std::max(next, s.now + duration(1));
   const bool still_set =
       s.wake_scheduled_at > s.now && s.wake_scheduled_at <= next;
@@ -149,6 +154,7 @@
   Tick(ctx);
   PlanIfDue(ctx);
   FlushOutboxes(ctx);
+  FlushForwarded(ctx);
   TrackUnsavedProgress(ctx);
   PollFeeds(ctx);
   SetWake(ctx);
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -19,6 +19,7 @@
 #include "model/value_table.h"
 #include "records/ledger.h"
 #include "work/effect.h"
+#include "work/order.h"
 
 namespace parsleyhitch::dispatch {
 
@@ -307,7 +308,7 @@
   std::uint64_t restored_attempt = 0;
   // Workers on which an attempt failed.
   std::set<work::worker_id> failed_on;
-  // When it was last placed or last began to wait.
+  // When it was last placed, last began to wait, or was done.
   timestamp since;
 
   bool operator==(const unit&) const = default;
@@ -375,6 +376,57 @@
   bool operator==(const processed_end&) const = default;
 };
 
+// What an entry's latest reply to a heartbeat tells of it as a proxy.
+struct proxy_report {
+  timestamp heard_at;
+  std::uint64_t incarnation = 0;
+  bool takes_orders = false;
+  // How far its clock is ahead of this one, at least.
+  duration clock_ahead{0};
+  // It is not used until then: workers that did not answer it answered this
+  // leader.
+  timestamp avoided_until;
+
+  bool operator==(const proxy_report&) const = default;
+};
+
+// An entry that sends this leader's orders to a share of the workers, which
+// spares the leader the calls themselves.
+struct proxy_state {
+  std::string address;
+  std::uint64_t incarnation = 0;
+  duration clock_ahead{0};
+  // How many workers it is to call at most, and how many it is assigned.
+  std::size_t capacity = 0;
+  std::size_t workers = 0;
+  // How many workers that did not answer it answered this leader.
+  std::uint32_t failures = 0;
+  // Orders that are to be forwarded at `flush_at`.
+  std::vector<work::order> waiting;
+  timestamp flush_at;
+
+  bool operator==(const proxy_state&) const = default;
+};
+
+// A worker that did not answer its proxy, and is called by the leader since.
+struct unanswered_proxy {
+  work::entry_id proxy;
+  timestamp since;
+
+  bool operator==(const unanswered_proxy&) const = default;
+};
+
+// An order that was forwarded and is not answered yet.
+struct forwarded_order {
+  work::entry_id proxy;
+  work::worker_id worker;
+  // Index of its kind in `work::order`.
+  std::size_t kind = 0;
+  timestamp expires_at;
+
+  bool operator==(const forwarded_order&) const = default;
+};
+
 // State that only the leader has. It starts empty with each election.
 struct leader_state {
   std::uint64_t epoch = 0;
@@ -419,6 +471,14 @@
   std::optional<timestamp> unsaved_since;
   // In the order of their changes.
   std::deque<processed_end> processed_ends;
+  std::map<work::entry_id, proxy_report> proxy_reports;
+  model::value_table<work::entry_id, proxy_state> proxies;
+  // The proxy of each worker that has one; the leader calls the others itself.
+  std::map<work::worker_id, work::entry_id> proxy_of;
+  std::map<work::worker_id, unanswered_proxy> unanswered_proxies;
+  model::value_table<call_number, forwarded_order> forwarded_orders;
+  // The tick before the latest.
+  timestamp previous_tick_at;
   bool plan_due = false;
   timestamp next_plan_at;
   // Starts are paced: those so far take the leader until this time.
@@ -427,6 +487,33 @@
   bool operator==(const leader_state&) const = default;
 };
 
+// A call to a worker that this entry makes as the proxy of a leader.
+struct proxied_call {
+  std::string leader_address;
+  std::uint64_t epoch = 0;
+  // The leader's number of the call.
+  call_number leader_call = 0;
+
+  bool operator==(const proxied_call&) const = default;
+};
+
+// What this entry does as a proxy.
+struct proxying_state {
+  model::value_table<call_number, proxied_call> calls;
+  // Answers by the address of the leader that they are returned to, all of its
+  // epoch `epoch`.
+  struct returned {
+    std::uint64_t epoch = 0;
+    std::vector<work::order_answer> answers;
+
+    bool operator==(const returned&) const = default;
+  };
+  std::map<std::string, returned> returning;
+  timestamp flush_at;
+
+  bool operator==(const proxying_state&) const = default;
+};
+
 struct shutdown_state {
   bool requested = false;
   timestamp stop_at;
@@ -457,6 +544,7 @@
   confirming_read_state confirming_reads;
   leadership_state leadership;
   leader_state leader;
+  proxying_state proxying;
   shutdown_state shutdown;
 
   bool operator==(const state&) const = default;
--- a/source/settings/dispatch_settings.cc
+++ b/source/settings/dispatch_settings.cc
@@ -67,6 +67,8 @@
           "must be above 0");
   Require(findings, limits.plan_scan_rate > 0, "/limits/plan_scan_rate",
           "must be above 0");
+  Require(findings, limits.workers_per_core > 0, "/limits/workers_per_core",
+          "must be above 0");
   Require(findings, limits.start_rate > 0 && limits.start_rate <= kMaxStartRate,
           "/limits/start_rate", "must be from 1 to 10000");
 }
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -30,6 +30,23 @@
                     kNotRun,
                     kNotSettled)
 
+BOOST_DESCRIBE_ENUM(run_end_kind,
+                    kDone,
+                    kFailed,
+                    kStopped,
+                    kLeaseExpired,
+                    kGangMemberEnded,
+                    kGangIncomplete)
+BOOST_DESCRIBE_ENUM(order_outcome,
+                    kDone,
+                    kFenced,
+                    kOutdated,
+                    kTooLate,
+                    kNoRoom,
+                    kRefused,
+                    kRestarted,
+                    kUnknown)
+
 PARSLEYHITCH_DESCRIBE(resources, cpu_millis, memory_mb, accelerators)
 PARSLEYHITCH_DESCRIBE(step_spec,
                       tasks,
@@ -97,11 +114,51 @@
                       resigning,
                       store_slow,
                       all_streams_reached)
-PARSLEYHITCH_DESCRIBE(heartbeat_reply, epoch, address, number, catalog_version)
+PARSLEYHITCH_DESCRIBE(heartbeat_reply,
+                      epoch,
+                      address,
+                      number,
+                      catalog_version,
+                      clock,
+                      incarnation,
+                      takes_orders)
 PARSLEYHITCH_DESCRIBE(catalog_wanted, address, held_version)
 PARSLEYHITCH_DESCRIBE(catalog_offered, version, content)
 PARSLEYHITCH_DESCRIBE(call_relayed, call, address, content)
 PARSLEYHITCH_DESCRIBE(call_settled, call, answer)
+PARSLEYHITCH_DESCRIBE(task_id, job, occurrence, step, index)
+PARSLEYHITCH_DESCRIBE(order_target, worker, address, token, valid_until)
+PARSLEYHITCH_DESCRIBE(start_run,
+                      call,
+                      target,
+                      task,
+                      attempt,
+                      spec,
+                      checkpoint,
+                      lease_until,
+                      timeout)
+PARSLEYHITCH_DESCRIBE(stop_run, call, target, task, attempt, timeout)
+PARSLEYHITCH_DESCRIBE(hold_worker,
+                      call,
+                      target,
+                      lease_until,
+                      acknowledged,
+                      wait,
+                      timeout)
+PARSLEYHITCH_DESCRIBE(running_task, task, attempt, checkpoint, percent)
+PARSLEYHITCH_DESCRIBE(ended_task, number, task, attempt, how, checkpoint)
+PARSLEYHITCH_DESCRIBE(worker_listing, life, running, ended)
+PARSLEYHITCH_DESCRIBE(start_answered, at, call, worker, outcome, worker_clock)
+PARSLEYHITCH_DESCRIBE(stop_answered, at, call, worker, outcome)
+PARSLEYHITCH_DESCRIBE(hold_answered,
+                      at,
+                      call,
+                      worker,
+                      outcome,
+                      worker_clock,
+                      listing)
+PARSLEYHITCH_DESCRIBE(orders_forwarded, epoch, address, incarnation, orders)
+PARSLEYHITCH_DESCRIBE(answers_returned, epoch, answers)
 PARSLEYHITCH_DESCRIBE(peer_message, from, content)
 
 PARSLEYHITCH_DESCRIBE(limits,
@@ -150,7 +207,11 @@
                       store_retry_max,
                       leader_retry_max,
                       start_rate,
-                      plan_scan_rate)
+                      plan_scan_rate,
+                      workers_per_core,
+                      proxy_silent,
+                      forward_pause,
+                      forward_margin)
 
 }  // namespace parsleyhitch::work
 
--- a/source/work/effect.h
+++ b/source/work/effect.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "work/event.h"
+#include "work/order.h"
 
 namespace parsleyhitch::work {
 
@@ -52,56 +53,6 @@
   bool operator==(const append_records&) const = default;
 };
 
-// The worker that an order is sent to, and the fencing token that authorises
-// it.
-struct order_target {
-  const worker_id worker;
-  const std::string address;
-  const std::uint64_t token = 0;
-  // When the sender's authority expires unless it is renewed. A process that
-  // was paused since the order was decided must not send it afterwards.
-  const timestamp valid_until{};
-  bool operator==(const order_target&) const = default;
-};
-
-struct start_run {
-  const call_number call = 0;
-  const order_target target{};
-  const task_id task;
-  const std::uint64_t attempt = 0;
-  const std::string spec;
-  const std::string checkpoint;
-  // On the worker's clock: when the lease expires the worker kills all its
-  // tasks, unless `hold_worker` renewed the lease.
-  const duration lease_until{0};
-  const duration timeout{0};
-  bool operator==(const start_run&) const = default;
-};
-
-struct stop_run {
-  const call_number call = 0;
-  const order_target target{};
-  const task_id task;
-  const std::uint64_t attempt = 0;
-  const duration timeout{0};
-  bool operator==(const stop_run&) const = default;
-};
-
-// Renews the lease of all tasks on the worker, acknowledges ended tasks and
-// asks for the lists of running and ended tasks.
-struct hold_worker {
-  const call_number call = 0;
-  const order_target target{};
-  // On the worker's clock; absent while that clock is unknown.
-  const std::optional<duration> lease_until{};
-  // Ended tasks up to this `ended_task::number` are acknowledged.
-  const std::uint64_t acknowledged = 0;
-  // Long poll: the worker delays its answer by at most this while no task ends.
-  const duration wait{0};
-  const duration timeout{0};
-  bool operator==(const hold_worker&) const = default;
-};
-
 struct send_to_peer {
   const std::string address;
   const peer_message message{};
--- a/source/work/event.h
+++ b/source/work/event.h
@@ -13,16 +13,13 @@
 
 #include "work/call.h"
 #include "work/catalog.h"
+#include "work/order.h"
 #include "work/peer_message.h"
 #include "work/record.h"
 #include "work/worker.h"
 
 namespace parsleyhitch::work {
 
-// Identifies one request within this process: an order, read or append that it
-// sent, or a client call that it received.
-using call_number = std::uint64_t;
-
 // The streams of keyed items kept by the store. `kUnits` holds the progress of
 // units, which its writer, the leader, reads once after its election.
 enum class feed { kRecords, kCatalog, kWorkers, kUnits };
@@ -130,44 +127,6 @@
   bool operator==(const append_answered&) const = default;
 };
 
-enum class order_outcome {
-  kDone,
-  kFenced,     // the worker saw a higher token
-  kOutdated,   // an attempt with this or a higher number ended there
-  kTooLate,    // the order's deadline had passed on the worker's clock
-  kNoRoom,     // the worker lacks the capacity
-  kRefused,    // the worker is unhealthy or can't read the order; nothing done
-  kRestarted,  // the worker restarted since it was listed
-  kUnknown,
-};
-
-struct start_answered {
-  const timestamp at;
-  const call_number call = 0;
-  const worker_id worker;
-  const order_outcome outcome = order_outcome::kUnknown;
-  const std::optional<duration> worker_clock{};
-  bool operator==(const start_answered&) const = default;
-};
-
-struct stop_answered {
-  const timestamp at;
-  const call_number call = 0;
-  const worker_id worker;
-  const order_outcome outcome = order_outcome::kUnknown;
-  bool operator==(const stop_answered&) const = default;
-};
-
-struct hold_answered {
-  const timestamp at;
-  const call_number call = 0;
-  const worker_id worker;
-  const order_outcome outcome = order_outcome::kUnknown;
-  const std::optional<duration> worker_clock{};
-  const std::optional<worker_listing> listing{};
-  bool operator==(const hold_answered&) const = default;
-};
-
 struct peer_heard {
   const timestamp at;
   const peer_message message{};
--- a/source/work/limits.h
+++ b/source/work/limits.h
@@ -122,6 +122,20 @@
   // `plan_scan_rate` units and workers, as a pass looks through all of them.
   const std::uint32_t plan_scan_rate{75};
 
+  // Proxies. How many workers an entry calls for each core of its CPU share: a
+  // call takes up to 0.3 ms, a worker is called four times a second in a crest,
+  // and calls should take less than a quarter of the share. A leader of more
+  // workers forwards its orders to other entries, its proxies.
+  const std::uint32_t workers_per_core{200};
+  // A proxy is replaced after four missed heartbeats, well before the leases of
+  // its workers expire.
+  const duration proxy_silent{1100};
+  // Forwarded orders and their answers are collected for this long.
+  const duration forward_pause{5};
+  // Added to an order's time-out before a forwarded order counts as unanswered:
+  // the way to the proxy and back.
+  const duration forward_margin{400};
+
   bool operator==(const limits&) const = default;
 };
 
--- a/source/work/peer_message.h
+++ b/source/work/peer_message.h
@@ -7,8 +7,10 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "work/call.h"
+#include "work/order.h"
 #include "work/record.h"
 
 namespace parsleyhitch::work {
@@ -38,6 +40,12 @@
   // The number of the heartbeat that this replies to.
   const std::uint64_t number = 0;
   const std::uint64_t catalog_version = 0;
+  // The sender's clock when it sent this, and its process: the leader states
+  // the validity of forwarded orders on that clock.
+  const timestamp clock{};
+  const std::uint64_t incarnation = 0;
+  // The sender takes forwarded orders.
+  const bool takes_orders = false;
   bool operator==(const heartbeat_reply&) const = default;
 };
 
@@ -70,12 +78,33 @@
   bool operator==(const call_settled&) const = default;
 };
 
+// Orders for the receiver to send to workers in the name of the leader.
+struct orders_forwarded {
+  const std::uint64_t epoch = 0;
+  // Of the leader, to which the answers are returned.
+  const std::string address;
+  // The process that the orders are meant for; another one drops them, as their
+  // validity is stated on its clock.
+  const std::uint64_t incarnation = 0;
+  const std::vector<order> orders{};
+  bool operator==(const orders_forwarded&) const = default;
+};
+
+// Answers to `orders_forwarded`, with the leader's numbers of the calls.
+struct answers_returned {
+  const std::uint64_t epoch = 0;
+  const std::vector<order_answer> answers{};
+  bool operator==(const answers_returned&) const = default;
+};
+
 using peer_content = std::variant<leader_heartbeat,
                                   heartbeat_reply,
                                   catalog_wanted,
                                   catalog_offered,
                                   call_relayed,
-                                  call_settled>;
+                                  call_settled,
+                                  orders_forwarded,
+                                  answers_returned>;
 
 struct peer_message {
   const entry_id from;
--- a/tests/dispatch/properties_test.cc
+++ b/tests/dispatch/properties_test.cc
@@ -47,9 +47,16 @@
              << " for " << each.duration << " on " << each.target << "}";
 }
 
+// With every second seed the leader forwards the orders to most of its workers.
+constexpr std::uint32_t kForwardingWorkersPerCore = 2;
+constexpr std::uint32_t kNoForwarding = 1000000;
+
 struct fault_fixture : simulation_fixture {
   explicit fault_fixture(std::uint64_t seed)
-      : simulation_fixture(tests::simulation_options{.seed = seed}) {}
+      : simulation_fixture(tests::simulation_options{
+            .seed = seed,
+            .workers_per_core =
+                seed % 2 == 0 ? kForwardingWorkersPerCore : kNoForwarding}) {}
 
   void Inject(const injected_fault& each) {
     const std::uint32_t entry = each.target % 3;
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -63,6 +63,7 @@
 platform_simulation::platform_simulation(const simulation_options& options)
     : random_(options.seed),
       on_reduced_(options.on_reduced),
+      cost_of_(options.cost_of),
       max_hold_time_(options.max_hold_time),
       listed_ends_answer_holds_(options.listed_ends_answer_holds),
       task_duration_(options.task_duration),
@@ -91,6 +92,7 @@
             .self = work::entry_id("entry-" + std::to_string(i)),
             .peer_address = PeerAddress(i),
             .cpu_millis = options.cpu_millis,
+            .limits = {.workers_per_core = options.workers_per_core},
             .behaviour = options.behaviour});
     entries_[i].life = 0;
     Start(i);
@@ -165,11 +167,51 @@
     entry.held_events.push_back(std::move(event));
     return;
   }
+  if (!entry.waiting_events.empty() ||
+      entry.busy_until >= now_ + work::duration(1)) {
+    const bool first = entry.waiting_events.empty();
+    entry.waiting_events.push_back(std::move(event));
+    if (first) {
+      Schedule(std::chrono::floor<work::duration>(entry.busy_until),
+               [this, index, life] { ProcessWaiting(index, life); });
+    }
+    return;
+  }
+  Process(index, event);
+}
+
+void platform_simulation::ProcessWaiting(std::uint32_t index,
+                                         std::uint64_t life) {
+  simulated_entry& entry = entries_[index];
+  const auto runs = [&] { return entry.alive && entry.life == life; };
+  // An event that waited is reduced at a later time than its own.
+  if (runs() && !entry.waiting_events.empty())
+    Process(index, work::wake_due{.at = Timestamp()});
+  while (runs() && !entry.waiting_events.empty() &&
+         entry.busy_until < now_ + work::duration(1)) {
+    const work::event next = std::move(entry.waiting_events.front());
+    entry.waiting_events.pop_front();
+    Process(index, next);
+  }
+  if (runs() && !entry.waiting_events.empty()) {
+    Schedule(std::chrono::floor<work::duration>(entry.busy_until),
+             [this, index, life] { ProcessWaiting(index, life); });
+  }
+}
+
+void platform_simulation::Process(std::uint32_t index,
+                                  const work::event& event) {
+  simulated_entry& entry = entries_[index];
+  const std::uint64_t life = entry.life;
   const auto start = std::chrono::steady_clock::now();
   dispatch::step step =
       dispatch::Reduce(*entry.environment, std::move(entry.state), event);
   entry.state = std::move(step.state);
   on_reduced_(index, event, std::chrono::steady_clock::now() - start);
+  const std::chrono::microseconds cost = cost_of_(event, step.effects);
+  entry.busy_for += cost;
+  entry.busy_until =
+      std::max<std::chrono::microseconds>(entry.busy_until, now_) + cost;
   for (const work::effect& effect : step.effects) {
     if (entry.alive && entry.life == life)
       Perform(index, effect);
@@ -382,6 +424,7 @@
 void platform_simulation::Apply(std::uint32_t index,
                                 const work::start_run& effect) {
   const std::uint64_t life = entries_[index].life;
+  entries_[index].worker_calls += 1;
   const bool cut = entries_[index].cut_from_workers ||
                    Timestamp() > effect.target.valid_until;
   Schedule(now_ + RandomDelay(), [this, index, life, effect, cut] {
@@ -411,6 +454,7 @@
 void platform_simulation::Apply(std::uint32_t index,
                                 const work::stop_run& effect) {
   const std::uint64_t life = entries_[index].life;
+  entries_[index].worker_calls += 1;
   const bool cut = entries_[index].cut_from_workers ||
                    Timestamp() > effect.target.valid_until;
   Schedule(now_ + RandomDelay(), [this, index, life, effect, cut] {
@@ -433,6 +477,7 @@
 void platform_simulation::Apply(std::uint32_t index,
                                 const work::hold_worker& effect) {
   const std::uint64_t life = entries_[index].life;
+  entries_[index].worker_calls += 1;
   const bool cut = entries_[index].cut_from_workers ||
                    Timestamp() > effect.target.valid_until;
   Schedule(now_ + RandomDelay(), [this, index, life, effect, cut] {
@@ -602,6 +647,8 @@
   entry.alive = true;
   entry.frozen = false;
   entry.held_events.clear();
+  entry.waiting_events.clear();
+  entry.busy_until = now_;
   entry.life += 1;
   entry.state = dispatch::state();
   Deliver(index, entry.life,
--- a/tests/support/platform_simulation.h
+++ b/tests/support/platform_simulation.h
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -44,6 +45,16 @@
   work::duration task_duration{0};
   // The tasks of a step take up to this much longer, each its own time.
   work::duration task_duration_spread{0};
+  // `workers_per_core` of the entries' limits. The default never has an entry
+  // forward its orders.
+  std::uint32_t workers_per_core = 1000000;
+  // The processor time that an entry takes for an event and its effects, of its
+  // whole CPU share. Events wait while it is busy.
+  std::function<std::chrono::microseconds(const work::event&,
+                                          const work::effects&)>
+      cost_of = [](const work::event&, const work::effects&) {
+        return std::chrono::microseconds(0);
+      };
   store_limits store;
   dispatch::hooks behaviour = dispatch::DefaultHooks();
   // Called with the time an entry took to reduce an event; for measurements.
@@ -73,6 +84,13 @@
   std::uint64_t bytes_read = 0;
   // Events that arrived while the entry was frozen.
   std::vector<work::event> held_events;
+  // Until when the entry is busy with earlier events, and those that wait.
+  std::chrono::microseconds busy_until{0};
+  // How long it has been busy in all.
+  std::chrono::microseconds busy_for{0};
+  std::deque<work::event> waiting_events;
+  // The number of calls to workers that it has made.
+  std::uint64_t worker_calls = 0;
 };
 
 // One call of a caller, and its answer if there is one.
@@ -153,6 +171,10 @@
   // Passes an event to the entry's reducer and performs the effects.
   void Deliver(std::uint32_t entry, std::uint64_t life, work::event event);
   void Perform(std::uint32_t entry, const work::effect& effect);
+  // Has the entry reduce the event, and performs the effects.
+  void Process(std::uint32_t entry, const work::event& event);
+  // Has the entry process events that waited while it was busy.
+  void ProcessWaiting(std::uint32_t entry, std::uint64_t life);
   void Apply(std::uint32_t entry, const work::read_feed& effect);
   void Apply(std::uint32_t entry, const work::read_newest& effect);
   void Apply(std::uint32_t entry, const work::append_records& effect);
@@ -199,6 +221,7 @@
   std::uint64_t last_order_ = 0;
   std::mt19937_64 random_;
   decltype(simulation_options::on_reduced) on_reduced_;
+  decltype(simulation_options::cost_of) cost_of_;
   const work::duration max_hold_time_;
   const bool listed_ends_answer_holds_;
   const work::duration task_duration_;
