Reserve the ports of a process test until it ends

FindFreePorts looks at a block of ports and leaves it free until the children bind them; a test process whose ID is 400 higher, as many are forked beside a build, looks at the same block in between. The process now listens on the last port of its block.

--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -25,6 +25,25 @@
 constexpr std::chrono::seconds kAwaitTimeout{60};
 constexpr std::chrono::milliseconds kPollInterval{20};
 
+// Reserves the block for this process, until it ends, by listening on the
+// block's last port. Between the look at the other ports and the bind of the
+// child that gets them, a concurrent test may look at the same block.
+bool ReserveBlock(std::uint16_t last_port) {
+  static asio::io_context io;
+  static std::vector<asio::ip::tcp::acceptor> reserved;
+  asio::ip::tcp::acceptor acceptor(io);
+  asio::error_code error;
+  acceptor.open(asio::ip::tcp::v4(), error);
+  if (!error)
+    acceptor.bind({asio::ip::address_v4::loopback(), last_port}, error);
+  if (!error)
+    acceptor.listen(1, error);
+  if (error)
+    return false;
+  reserved.push_back(std::move(acceptor));
+  return true;
+}
+
 // Returns true if every port of the block can be bound now.
 bool ArePortsFree(std::uint16_t first, std::size_t count) {
   asio::io_context io;
@@ -53,7 +72,8 @@
   constexpr std::uint32_t kBlockPorts = 50;
   auto block = static_cast<std::uint32_t>(getpid()) % kBlocks;
   auto first = static_cast<std::uint16_t>(kFirstPort + block * kBlockPorts);
-  while (!ArePortsFree(first, count)) {
+  while (!ReserveBlock(static_cast<std::uint16_t>(first + kBlockPorts - 1)) ||
+         !ArePortsFree(first, count)) {
     block = (block + 1) % kBlocks;
     first = static_cast<std::uint16_t>(kFirstPort + block * kBlockPorts);
   }
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -41,7 +41,7 @@
 // Sends one HTTP request and blocks until it has an outcome.
 wire::http_outcome SendAndWait(const wire::http_request& request);
 
-// Returns `count` consecutive free loopback ports, at most 50, below the
+// Returns `count` consecutive free loopback ports, at most 49, below the
 // kernel's ephemeral port range. Concurrent test processes start their search
 // at different blocks, chosen by process ID.
 std::vector<std::uint16_t> FindFreePorts(std::size_t count);
