Give up tasks that crash one worker after the other

Cause: only ends that a worker lists as failed count as attempts. A crashed worker lists none; its tasks were started elsewhere once its lease had expired, and nothing remembered that. The class of fault: a retry without a bound, because the failure has no reporter.

The loss of an attempt with its worker (expired lease, restart under the same name; not a worker that had announced its departure) counts for each unit that may have run there, once an attempt, in the unit's record, so that it lasts over a change of the leader. The job is given up after three losses if nothing ran beside the last one, after four in any case. A worker that comes back under its name and life was only silent, and its losses are taken back. Losses more than five minutes apart are unrelated.

--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -72,6 +72,13 @@
   return ctx.now() - each.since < pause;
 }
 
+bool CarriesSuspect(const context& ctx, const worker_load& carried) {
+  return std::ranges::any_of(carried.tasks, [&](const auto& task) {
+    const unit* each = ctx.state.leader.units.Find(task.first);
+    return each != nullptr && IsSuspect(*each);
+  });
+}
+
 }  // namespace
 
 job_ranks RankJobs(const context& ctx) {
@@ -148,6 +155,7 @@
       .data_rack = step.data_rack,
       .accepts_remote = waiting.waited >= patience,
       .accepts_shunned = waiting.idle >= ctx.limits().shun_patience,
+      .alone = IsSuspect(unit) && waiting.idle < ctx.limits().shun_patience,
       .avoided = unit.failed_on,
       .max_per_worker = step.max_per_worker};
   if (step.max_per_worker == 0)
@@ -205,13 +213,16 @@
     if (!IsSchedulable(row))
       continue;
     const worker_load& carried = LoadOf(ctx, worker);
+    if (CarriesSuspect(ctx, carried))
+      continue;
     workers.push_back({.worker = worker,
                        .service = row.listed().service,
                        .rack = row.listed().rack,
                        .labels = row.listed().labels,
                        .free = row.listed().capacity - carried.used,
                        .leaving = carried.leaving,
-                       .shunned = ctx.now() < row.shunned_until});
+                       .shunned = ctx.now() < row.shunned_until,
+                       .idle = carried.tasks.empty()});
   }
   placement::capacity_map capacity(std::move(workers));
   for (const auto& [id, each] : ctx.state.leader.orphan_tasks)
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -99,6 +99,7 @@
              {Field("count", tasks.size()), Field("why", "lease lapsed")});
   }
   NoteAbandonedTasks(ctx, worker);
+  CountLosses(ctx, worker);
   for (const auto& [unit, index] : tasks)
     EndMember(ctx, unit, index, gang_effect::kKeepsOthers);
   for (const orphan_key& each : OrphanTasksOn(ctx, worker))
@@ -130,6 +131,8 @@
   ctx.Log("worker_restarted", worker.value(),
           {Field("life", life), Field("previous", row.listed().life)});
   DropProcessedEnds(ctx, worker);
+  if (life > row.listed().life)
+    CountLosses(ctx, worker);
   MarkTasksUnverified(ctx, worker);
   const work::registered_worker& before = row.listed();
   worker_state next;
@@ -171,6 +174,7 @@
       OnTaskEnded(ctx, worker, end);
     last_processed_end = std::max(last_processed_end, end.number);
   }
+  OnWorkerSeen(ctx, worker, listing.life);
   worker_state row = *ctx.state.leader.workers.Find(worker);
   row.last_processed_end = last_processed_end;
   // Whatever of them has ended is in this listing.
--- /dev/null
+++ b/source/dispatch/losses.cc
@@ -0,0 +1,148 @@
+// Tasks that are lost with their workers. A task may crash each worker that
+// starts it, and takes all that runs beside it along, so that a lost task is
+// suspected, tried again alone, and given up at last. At the time of its loss a
+// crashed worker can't be told from a silent one; the latter comes back under
+// its name and life, and its losses no longer count.
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "dispatch/loads.h"
+#include "dispatch/names.h"
+#include "dispatch/parts.h"
+#include "dispatch/steps.h"
+
+namespace parsleyhitch::dispatch {
+
+namespace {
+
+// From this many losses on, a unit gets workers of its own if there are any.
+constexpr std::uint32_t kLossesUntilAlone = 2;
+// A unit is given up after this many losses if nothing ran beside it at the
+// last one, or after one more in any case. The users' bound is two further
+// starts after three crashes; one start may have no record when its leader is
+// lost.
+constexpr std::uint32_t kMaxLossesAlone = 3;
+constexpr std::uint32_t kMaxLosses = 4;
+// Losses further apart than this are unrelated: a task that runs for days
+// outlives workers that fail for causes of their own.
+constexpr duration kLossWindow = std::chrono::minutes(5);
+
+bool MayHaveStarted(const member& one) {
+  return one.state != member_state::kEnded &&
+         (one.state != member_state::kOrdered || one.start_orders_sent > 0);
+}
+
+// The units with tasks that may have run on the worker.
+std::set<work::unit_id> UnitsOn(const context& ctx,
+                                const work::worker_id& worker) {
+  std::set<work::unit_id> found;
+  for (const auto& [id, index] : LoadOf(ctx, worker).tasks) {
+    const unit* each = ctx.state.leader.units.Find(id);
+    const bool placed = each != nullptr && each->phase == unit_phase::kPlaced &&
+                        index < each->members.size();
+    if (placed && MayHaveStarted(each->members[index]))
+      found.insert(id);
+  }
+  return found;
+}
+
+// Counts the loss of an attempt once, with whichever of its workers is lost
+// first.
+bool CountLoss(const context& ctx, const work::unit_id& id) {
+  unit lost = *ctx.state.leader.units.Find(id);
+  if (lost.lost_attempts.contains(lost.attempt))
+    return false;
+  if (ctx.now() - lost.last_loss_at > kLossWindow) {
+    lost.losses = 0;
+    lost.lost_attempts.clear();
+  }
+  lost.lost_attempts.insert(lost.attempt);
+  lost.losses += 1;
+  lost.last_loss_at = ctx.now();
+  ctx.state.leader.units.Put(id, std::move(lost));
+  NoteUnitChanged(ctx, id);
+  return true;
+}
+
+// The count does not include the attempt any more.
+void TakeBackLoss(const context& ctx,
+                  const work::unit_id& id,
+                  std::uint64_t attempt) {
+  const unit* known = ctx.state.leader.units.Find(id);
+  if (known == nullptr || !known->lost_attempts.contains(attempt))
+    return;
+  unit kept = *known;
+  kept.lost_attempts.erase(attempt);
+  kept.losses -= std::min<std::uint32_t>(kept.losses, 1);
+  ctx.state.leader.units.Put(id, std::move(kept));
+  NoteUnitChanged(ctx, id);
+}
+
+void ForgetOldLosses(const context& ctx) {
+  std::erase_if(ctx.state.leader.losses, [&](const auto& each) {
+    return ctx.now() - each.second.at > kLossWindow;
+  });
+}
+
+void GiveUpIfLostTooOften(const context& ctx,
+                          const work::unit_id& id,
+                          const work::worker_id& worker,
+                          bool alone) {
+  const std::uint32_t losses = ctx.state.leader.units.Find(id)->losses;
+  const std::uint32_t most = alone ? kMaxLossesAlone : kMaxLosses;
+  ctx.Warn(
+      "unit_lost", NameOf(id),
+      {Field("worker", worker.value()), Field("losses", losses),
+       Field("alone", std::string(alone ? "yes" : "no")), Field("most", most)});
+  if (losses < most)
+    return;
+  ctx.Count("units_given_up");
+  CloseJob(ctx, id.job, work::job_phase::kFailed);
+}
+
+}  // namespace
+
+void CountLosses(const context& ctx, const work::worker_id& worker) {
+  // A draining worker has announced that it ends what runs on it.
+  const worker_state* row = ctx.state.leader.workers.Find(worker);
+  if (row == nullptr || row->listed().draining)
+    return;
+  ForgetOldLosses(ctx);
+  const std::set<work::unit_id> units = UnitsOn(ctx, worker);
+  worker_losses lost{.life = row->listed().life, .at = ctx.now()};
+  for (const work::unit_id& id : units) {
+    // Giving up one unit closes its job, and with it the job's other units.
+    const active_job* job = ctx.state.leader.jobs.Find(id.job);
+    if (job == nullptr || work::IsClosed(job->phase) || !CountLoss(ctx, id))
+      continue;
+    lost.attempts.insert({id, ctx.state.leader.units.Find(id)->attempt});
+    GiveUpIfLostTooOften(ctx, id, worker, units.size() == 1);
+  }
+  if (!lost.attempts.empty())
+    ctx.state.leader.losses[worker] = std::move(lost);
+}
+
+void OnWorkerSeen(const context& ctx,
+                  const work::worker_id& worker,
+                  std::uint64_t life) {
+  auto& losses = ctx.state.leader.losses;
+  const auto found = losses.find(worker);
+  if (found == losses.end() || life < found->second.life)
+    return;
+  const worker_losses lost = std::move(found->second);
+  losses.erase(found);
+  // A later life confirms the crash.
+  if (life > lost.life)
+    return;
+  for (const auto& [id, attempt] : lost.attempts)
+    TakeBackLoss(ctx, id, attempt);
+}
+
+bool IsSuspect(const unit& each) {
+  return each.losses >= kLossesUntilAlone;
+}
+
+}  // namespace parsleyhitch::dispatch
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -251,6 +251,19 @@
                      const work::worker_listing& listing,
                      timestamp listed_after);
 
+// losses.cc: tasks that are lost with their workers, which they may have
+// crashed.
+// Counts the loss of the attempts on the worker, which has crashed or counts as
+// lost, and gives up jobs with a task that was lost too often.
+void CountLosses(const context& ctx, const work::worker_id& worker);
+// Called when a process of the worker has shown itself. If it is the one with
+// which tasks were lost, it was only silent, and the losses no longer count.
+void OnWorkerSeen(const context& ctx,
+                  const work::worker_id& worker,
+                  std::uint64_t life);
+// True when the unit is to have its workers for itself.
+bool IsSuspect(const unit& each);
+
 // planning.cc: placing waiting units.
 void PlanIfDue(const context& ctx);
 
--- a/source/dispatch/planning.cc
+++ b/source/dispatch/planning.cc
@@ -31,6 +31,8 @@
       const auto workers = placement::FindPlacement(capacity_, demand);
       if (workers) {
         ReserveCapacity(*workers, demand.need);
+        if (demand.alone)
+          ReserveWorkers(*workers);
         PlaceUnit(ctx_, waiting.unit, *workers);
         started_ += workers->size();
         return;
@@ -50,6 +52,11 @@
       capacity_.Take(worker, need);
   }
 
+  void ReserveWorkers(const std::vector<work::worker_id>& workers) {
+    for (const work::worker_id& worker : workers)
+      capacity_.TakeAll(worker);
+  }
+
   placement::victim_set& VictimsOf(rank importance) {
     if (!victims_ || victims_for_ != importance) {
       victims_.emplace(capacity_, VictimsFor(ctx_, ranked_, importance));
--- a/source/dispatch/progress.cc
+++ b/source/dispatch/progress.cc
@@ -35,7 +35,8 @@
           .attempt = each.attempt,
           .attempt_failed = each.failed_attempts.contains(each.attempt),
           .checkpoint = each.checkpoint,
-          .workers = WorkersOf(each)};
+          .workers = WorkersOf(each),
+          .losses = each.losses};
 }
 
 // The record of the unit as it is now. None for a unit of a closed job: the
--- a/source/dispatch/restore.cc
+++ b/source/dispatch/restore.cc
@@ -53,6 +53,8 @@
                 .checkpoint = saved.checkpoint,
                 .members = RestoredMembers(saved),
                 .restored_attempt = saved.attempt,
+                .losses = saved.losses,
+                .last_loss_at = ctx.now(),
                 .since = ctx.now()};
   if (saved.attempt_failed)
     restored.failed_attempts.insert(saved.attempt);
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -308,6 +308,12 @@
   std::uint64_t restored_attempt = 0;
   // Workers on which an attempt failed.
   std::set<work::worker_id> failed_on;
+  // Attempts that were lost with a worker: it crashed, or was out of reach
+  // until its leases had expired. `lost_attempts` has those that this leader
+  // counted.
+  std::uint32_t losses = 0;
+  std::set<std::uint64_t> lost_attempts;
+  timestamp last_loss_at;
   // When it was last placed, last began to wait, or was done.
   timestamp since;
 
@@ -416,6 +422,16 @@
   bool operator==(const unanswered_proxy&) const = default;
 };
 
+// What was lost with one process of a worker.
+struct worker_losses {
+  std::uint64_t life = 0;
+  timestamp at;
+  // Units and their attempts.
+  std::set<std::pair<work::unit_id, std::uint64_t>> attempts;
+
+  bool operator==(const worker_losses&) const = default;
+};
+
 // An order that was forwarded and is not answered yet.
 struct forwarded_order {
   work::entry_id proxy;
@@ -447,6 +463,8 @@
   model::value_table<work::worker_id, worker_state> workers;
   model::value_table<work::worker_id, worker_load> loads;
   model::value_table<orphan_key, orphan_task> orphan_tasks;
+  // What was lost with workers that have not shown since whether they crashed.
+  std::map<work::worker_id, worker_losses> losses;
   model::value_table<call_number, order_reference> orders;
   // Workers with a start order that is not answered yet, and when the latest
   // was sent.
--- a/source/placement/capacity_map.cc
+++ b/source/placement/capacity_map.cc
@@ -72,8 +72,16 @@
 void capacity_map::Take(const work::worker_id& worker,
                         const work::resources& need) {
   const auto index = IndexOf(worker);
+  if (!index)
+    return;
+  slots_[*index].free = slots_[*index].free - need;
+  slots_[*index].idle = false;
+}
+
+void capacity_map::TakeAll(const work::worker_id& worker) {
+  const auto index = IndexOf(worker);
   if (index)
-    slots_[*index].free = slots_[*index].free - need;
+    Take(worker, slots_[*index].free);
 }
 
 void capacity_map::AddLeaving(const work::worker_id& worker,
@@ -84,7 +92,7 @@
 }
 
 bool IsEligible(const demand& wanted, const worker_capacity& slot) {
-  if (wanted.service != slot.service)
+  if (wanted.service != slot.service || (wanted.alone && !slot.idle))
     return false;
   if (!wanted.accepts_shunned &&
       (slot.shunned || wanted.avoided.contains(slot.worker)))
--- a/source/placement/capacity_map.h
+++ b/source/placement/capacity_map.h
@@ -29,6 +29,8 @@
   work::resources leaving;
   // The worker failed recently and is used only for demands that accept it.
   bool shunned = false;
+  // Nothing runs on it.
+  bool idle = true;
 };
 
 // Contiguous slots from `first` up to, but not including, `last`. A slot is an
@@ -64,6 +66,8 @@
   // Allocates `need` on the worker. `free` may become negative, to be covered
   // by `leaving`.
   void Take(const work::worker_id& worker, const work::resources& need);
+  // Allocates all that the worker has.
+  void TakeAll(const work::worker_id& worker);
   // Records that a task which occupies `need` on the worker is being stopped.
   void AddLeaving(const work::worker_id& worker, const work::resources& need);
 
@@ -90,6 +94,8 @@
   bool accepts_remote = false;
   // Workers that failed recently, and those in `avoided`, are acceptable.
   bool accepts_shunned = false;
+  // Only workers on which nothing else runs are acceptable.
+  bool alone = false;
   // Workers on which an earlier attempt of the unit failed.
   std::set<work::worker_id> avoided;
   // 0 for no bound.
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -85,7 +85,8 @@
                       attempt,
                       attempt_failed,
                       checkpoint,
-                      workers)
+                      workers,
+                      losses)
 
 PARSLEYHITCH_DESCRIBE(job_submitted, content)
 PARSLEYHITCH_DESCRIBE(job_cancelled, job)
--- a/source/work/job.h
+++ b/source/work/job.h
@@ -137,6 +137,8 @@
   const std::string checkpoint;
   // Workers of the running attempt, one per task; empty when none is running.
   const std::vector<worker_id> workers{};
+  // Attempts that were lost with a worker, as far as they still count.
+  const std::uint32_t losses = 0;
 
   bool operator==(const unit_progress&) const = default;
 };
--- a/tests/placement/room_test.cc
+++ b/tests/placement/room_test.cc
@@ -125,6 +125,17 @@
   cr_assert_eq(fixture.Find(wanted).size(), 1U);
 }
 
+Test(placement, of_a_unit_that_is_to_be_alone_uses_only_idle_workers) {
+  capacity_fixture fixture;
+  for (const char* worker : {"a1", "a2", "b1"})
+    fixture.Use(worker, 1);
+  placement::demand wanted = fixture.Demand(1, 1);
+  wanted.alone = true;
+  cr_assert(fixture.Find(wanted) == std::vector<std::string>{"b2"});
+  fixture.capacity.TakeAll(work::worker_id("b2"));
+  cr_assert(fixture.Find(wanted).empty());
+}
+
 Test(victims, that_cost_least_are_stopped) {
   capacity_fixture fixture;
   std::vector<placement::victim> victims;
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -64,6 +64,7 @@
     : random_(options.seed),
       on_reduced_(options.on_reduced),
       cost_of_(options.cost_of),
+      restarts_after_(options.restarts_after),
       max_hold_time_(options.max_hold_time),
       listed_ends_answer_holds_(options.listed_ends_answer_holds),
       task_duration_(options.task_duration),
@@ -82,6 +83,9 @@
     each.capacity = {
         .cpu_millis = 64000, .memory_mb = 65536, .accelerators = 8};
     each.clock_rate = i % 2 == 0 ? 1.0 : 0.98;
+    each.is_deadly = [deadly = options.deadly_jobs](const work::task_id& task) {
+      return deadly.contains(task.job.value());
+    };
     monitor_.Watch(each);
     SendHeartbeat(i);
   }
@@ -432,8 +436,12 @@
     const bool reached = !cut && worker->alive && !worker->cut;
     const auto outcome =
         reached ? worker->Start(effect, now_) : work::order_outcome::kUnknown;
-    const bool answer_lost = reached && worker->lose_order_answers > 0;
-    worker->lose_order_answers -= answer_lost ? 1 : 0;
+    const bool crashed = reached && !worker->alive;
+    if (crashed && restarts_after_ > work::duration(0))
+      worker->restarts_at = now_ + restarts_after_;
+    const bool answer_lost =
+        crashed || (reached && worker->lose_order_answers > 0);
+    worker->lose_order_answers -= answer_lost && !crashed ? 1 : 0;
     const bool answered = reached && !answer_lost;
     const std::optional<work::duration> clock =
         answered ? std::optional(worker->Clock(now_)) : std::nullopt;
@@ -723,6 +731,10 @@
     worker.Advance(now_);
     if (worker.alive && worker.leaves_at && now_ >= *worker.leaves_at)
       worker.Crash();
+    if (worker.restarts_at && now_ >= *worker.restarts_at) {
+      worker.restarts_at.reset();
+      worker.Restart(now_);
+    }
   }
   Schedule(now_ + kAdvanceInterval, [this] { AdvanceWorkers(); });
 }
--- a/tests/support/platform_simulation.h
+++ b/tests/support/platform_simulation.h
@@ -48,6 +48,10 @@
   // `workers_per_core` of the entries' limits. The default never has an entry
   // forward its orders.
   std::uint32_t workers_per_core = 1000000;
+  // Jobs whose tasks crash the workers that start them.
+  std::set<std::string> deadly_jobs;
+  // How long after that a worker starts again under its name; never if zero.
+  work::duration restarts_after{0};
   // The processor time that an entry takes for an event and its effects, of its
   // whole CPU share. Events wait while it is busy.
   std::function<std::chrono::microseconds(const work::event&,
@@ -222,6 +226,7 @@
   std::mt19937_64 random_;
   decltype(simulation_options::on_reduced) on_reduced_;
   decltype(simulation_options::cost_of) cost_of_;
+  const work::duration restarts_after_;
   const work::duration max_hold_time_;
   const bool listed_ends_answer_holds_;
   const work::duration task_duration_;
--- a/tests/support/simulated_worker.cc
+++ b/tests/support/simulated_worker.cc
@@ -58,6 +58,8 @@
   if (!work::Fits(Used(), capacity))
     on_breach("worker " + id.value() + " is over its capacity");
   on_started(order.task);
+  if (is_deadly(order.task))
+    Crash();
   return work::order_outcome::kDone;
 }
 
--- a/tests/support/simulated_worker.h
+++ b/tests/support/simulated_worker.h
@@ -45,6 +45,8 @@
   // Number of start orders that are carried out but not answered.
   std::uint32_t lose_order_answers = 0;
   bool fails_all_tasks = false;
+  // After it crashed: when it starts again under its name, if it does.
+  std::optional<work::duration> restarts_at;
   // Speed of the worker's clock relative to simulated time.
   double clock_rate = 1.0;
 
@@ -55,6 +57,9 @@
   std::function<bool(const work::task_id&, std::uint64_t attempt)>
       is_gang_present;
   std::function<void(const work::task_id&)> on_started;
+  // True for a task that crashes the worker when it starts.
+  std::function<bool(const work::task_id&)> is_deadly =
+      [](const work::task_id&) { return false; };
   std::function<void(const work::task_id&, work::run_end_kind)> on_ended;
   // Called when a task's successful end is acknowledged before the lease under
   // which it ended has expired.
