Let an odd entry among the workers cost only itself

Reported by other operators: an entry of another writer (deeply nested, with numbers too large, a port out of range) ended the machines that read the list, or made them stop following it. Here: - a value in a page of the newest items that is not base64 threw, and nothing caught it: the process ended, and again after each restart; - one item of that page with a member of another type made the whole page unreadable, which was then read again without end; - an address that is no IP address and port named a worker, which no leader can reach, so that each new leader waited 8.6 s for its leases before it placed older units; it went into a URL as it was; - numbers in a worker's listing and in the configuration were cast to integers that do not hold them, which is undefined. Deep nesting did no harm (100,000 levels in the tests).

An unreadable item is left out and reported; the page is unread only if none of its items can be read and more follow. Addresses are checked like those of the settings, with the same function. One function decodes numbers. An answer whose decoding throws all the same counts as none.

--- a/source/platform/json_fields.cc
+++ b/source/platform/json_fields.cc
@@ -24,6 +24,16 @@
   return nlohmann::json::parse(text, nullptr, false);
 }
 
+std::optional<std::uint64_t> NumberOf(const nlohmann::json& value) {
+  const bool valid = value.is_number() && value.get<double>() >= 0 &&
+                     value.get<double>() <= kMaxExactInteger;
+  if (!valid)
+    return {};
+  return value.is_number_float()
+             ? static_cast<std::uint64_t>(value.get<double>())
+             : value.get<std::uint64_t>();
+}
+
 json_fields::json_fields(const nlohmann::json& object,
                          std::string place,
                          model::findings& findings)
@@ -70,12 +80,9 @@
   const nlohmann::json* found = Find(name);
   if (found == nullptr)
     return default_value;
-  const bool valid = found->is_number() && found->get<double>() >= 0 &&
-                     found->get<double>() <= kMaxExactInteger;
-  if (valid)
-    return found->is_number_float()
-               ? static_cast<std::uint64_t>(found->get<double>())
-               : found->get<std::uint64_t>();
+  const std::optional<std::uint64_t> number = NumberOf(*found);
+  if (number)
+    return *number;
   AddFinding(name, "must be a number of at least 0");
   return default_value;
 }
@@ -85,7 +92,9 @@
   const nlohmann::json* found = Find(name);
   if (found == nullptr)
     return default_value;
-  if (found->is_number() && found->get<double>() >= 0)
+  const bool valid = found->is_number() && found->get<double>() >= 0 &&
+                     found->get<double>() <= kMaxExactInteger / kPermille;
+  if (valid)
     return static_cast<std::uint64_t>(
         std::lround(found->get<double>() * kPermille));
   AddFinding(name, "must be a number of at least 0");
--- a/source/platform/json_fields.h
+++ b/source/platform/json_fields.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,6 +19,10 @@
 // valid JSON.
 nlohmann::json ParseJson(std::string_view text);
 
+// The value as a non-negative integer of at most 2^53, truncated; empty for any
+// other.
+std::optional<std::uint64_t> NumberOf(const nlohmann::json& value);
+
 // A view of one JSON object, which must outlive it. A member that is absent or
 // null yields the default; a member of the wrong type yields the default and
 // adds a finding.
--- a/source/platform/store_calls.cc
+++ b/source/platform/store_calls.cc
@@ -230,7 +230,7 @@
   return wire::Handle(
       [&] { return DecodeNewestPage(response.body); },
       [&](const newest_page& page) -> decoded_event {
-        model::findings findings;
+        model::findings findings = page.unreadable;
         const bool more = page.has_more && !page.records.empty();
         std::string next_page_after =
             more ? page.records.back().key : std::string();
--- a/source/platform/store_codec.cc
+++ b/source/platform/store_codec.cc
@@ -3,9 +3,12 @@
 
 #include "platform/store_codec.h"
 
+#include <algorithm>
 #include <boost/archive/iterators/binary_from_base64.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
 #include <boost/endian/conversion.hpp>
+#include <cctype>
+#include <optional>
 #include <utility>
 
 #include "platform/json_fields.h"
@@ -26,13 +29,19 @@
   return boost::endian::load_big_u64(AsBytes(bytes));
 }
 
-std::string DecodeBase64(std::string text) {
+// Empty if the text is not base64.
+std::optional<std::string> DecodeBase64(std::string text) {
   using boost::archive::iterators::binary_from_base64;
   using boost::archive::iterators::transform_width;
   using decoder =
       transform_width<binary_from_base64<std::string::const_iterator>, 8, 6>;
   while (!text.empty() && text.back() == '=')
     text.pop_back();
+  const bool valid = std::ranges::all_of(text, [](unsigned char letter) {
+    return std::isalnum(letter) != 0 || letter == '+' || letter == '/';
+  });
+  if (!valid)
+    return {};
   const std::size_t byte_count = text.size() * 6 / 8;
   std::string bytes;
   bytes.reserve(byte_count);
@@ -94,21 +103,37 @@
   if (source.is_discarded())
     return wire::Malformed("is not valid JSON");
   model::findings findings;
+  model::findings unreadable;
   const json_fields root(source, "", findings);
   std::vector<keyed_record> records;
   root.ForEach(
       "items", [&](const nlohmann::json& element, const std::string& place) {
-        const json_fields item(element, place, findings);
-        records.push_back({.offset = item.Number("offset"),
-                           .key = item.String("key"),
-                           .value = DecodeBase64(item.String("value"))});
+        model::findings of_item;
+        const json_fields item(element, place, of_item);
+        std::string key = item.String("key");
+        const std::uint64_t offset = item.Number("offset");
+        std::optional<std::string> value = DecodeBase64(item.String("value"));
+        if (!value)
+          item.AddFinding("value", "must be base64");
+        if (of_item.empty()) {
+          records.push_back({.offset = offset,
+                             .key = std::move(key),
+                             .value = std::move(*value)});
+        }
+        for (const model::finding& each : of_item)
+          unreadable.push_back(each);
       });
   const std::uint64_t end = root.Number("end");
   const bool has_more = root.Boolean("hasMore");
   if (!findings.empty())
     return boost::leaf::new_error(std::move(findings));
-  return newest_page{
-      .end = end, .has_more = has_more, .records = std::move(records)};
+  // The next page starts after a key of this one.
+  if (has_more && records.empty() && !unreadable.empty())
+    return boost::leaf::new_error(std::move(unreadable));
+  return newest_page{.end = end,
+                     .has_more = has_more,
+                     .records = std::move(records),
+                     .unreadable = std::move(unreadable)};
 }
 
 wire::result<std::uint64_t> DecodeEndOffset(std::string_view body) {
--- a/source/platform/store_codec.h
+++ b/source/platform/store_codec.h
@@ -38,6 +38,8 @@
   const std::uint64_t end = 0;
   const bool has_more = false;
   const std::vector<keyed_record> records{};
+  // Of items that are left out.
+  const model::findings unreadable{};
   bool operator==(const newest_page&) const = default;
 };
 
--- a/source/platform/worker_codec.cc
+++ b/source/platform/worker_codec.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "platform/json_fields.h"
+#include "wire/address.h"
 
 namespace parsleyhitch::platform {
 
@@ -50,9 +51,7 @@
 }
 
 std::uint64_t NumberAt(const nlohmann::json& row, std::size_t column) {
-  const bool present = row.size() > column && row[column].is_number() &&
-                       row[column].get<double>() >= 0;
-  return present ? static_cast<std::uint64_t>(row[column].get<double>()) : 0;
+  return row.size() > column ? NumberOf(row[column]).value_or(0) : 0;
 }
 
 std::string StringAt(const nlohmann::json& row, std::size_t column) {
@@ -124,6 +123,8 @@
     entry.AddFinding("state", "must be ready or draining");
   std::string service = entry.RequiredString("service");
   std::string address = entry.RequiredString("address");
+  if (!address.empty() && !wire::IsIpAndPort(address))
+    entry.AddFinding("address", "must be an IP address and a port");
   const work::resources capacity = DecodeCapacity(entry.Object("capacity"));
   // The worker's start time distinguishes its incarnations.
   const std::uint64_t life = entry.Number("born");
--- a/source/runtime/dispatch_process.cc
+++ b/source/runtime/dispatch_process.cc
@@ -195,14 +195,27 @@
   template <typename Effect>
   void SendRequest(const wire::http_request& request, const Effect& effect) {
     client_.Send(request, [this, effect](const wire::http_outcome& outcome) {
-      platform::decoded_event decoded = Timed("decode", [&] {
-        return platform::DecodeOutcome(effect, outcome, clock_.Now());
-      });
+      platform::decoded_event decoded =
+          Timed("decode", [&] { return Decode(effect, outcome); });
       LogFindings(decoded.findings);
       loop_.Post(decoded.event);
     });
   }
 
+  // An answer that can't be decoded counts as none.
+  template <typename Effect>
+  platform::decoded_event Decode(const Effect& effect,
+                                 const wire::http_outcome& outcome) {
+    try {
+      return platform::DecodeOutcome(effect, outcome, clock_.Now());
+    } catch (const std::exception& error) {
+      LogFindings(model::OneFinding("answer", error.what()));
+      return platform::DecodeOutcome(
+          effect, wire::http_outcome(wire::http_failure{.sent = true}),
+          clock_.Now());
+    }
+  }
+
   void Execute(const work::append_records& effect) {
     SendRequest(platform::RequestFor(settings_->store_address, effect), effect);
   }
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -188,6 +188,28 @@
   fixture.ExpectNoBreach();
 }
 
+// Guards against an odd entry among those of the workers that ends the entries
+// which read the list, or that keeps them from following it.
+Test(platform_entries, reading_an_odd_worker_go_on_and_follow_later_ones) {
+  site_fixture fixture;
+  const std::string nested(100000, '[');
+  std::string job = kJob;
+  for (const std::string& odd :
+       {nested, R"({"service":)" + nested,
+        std::string(R"({"service":"pool","state":"ready","born":1e300,
+"address":"127.0.0.1:99999","capacity":{"cpu":1e300,"memMb":1,"gpu":8}})")}) {
+    fixture.site.Register(odd);
+    job.back() += 1;
+    fixture.site.Submit(0, job, kGang);
+    fixture.site.AwaitState(1, job, "completed");
+  }
+  // A leader that reads the list from its start.
+  fixture.site.Signal(0, SIGKILL);
+  fixture.site.Submit(1, kOtherJob, kGang);
+  fixture.site.AwaitState(2, kOtherJob, "completed");
+  fixture.ExpectNoBreach();
+}
+
 Test(platform_configuration, published_again_is_in_force_at_every_entry) {
   site_fixture fixture;
   fixture.site.Publish(2, "later");
--- a/tests/stand_ins/site_stand_in.cc
+++ b/tests/stand_ins/site_stand_in.cc
@@ -211,6 +211,8 @@
       store_.Put("keyed.op", "config", call.body);
     if (call.path == "/control")
       Control(call.body);
+    if (call.path == "/register")
+      store_.Put("keyed.servers", "of-another-writer", call.body);
     respond(JsonReply(200, call.path == "/journal" ? Journal() : "{}"));
   }
 
--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -118,6 +118,10 @@
   });
 }
 
+void platform_site::Register(const std::string& entry) const {
+  Call("POST", Address(kControlIndex), "/register", entry);
+}
+
 void platform_site::Publish(std::uint32_t version,
                             const std::string& queue) const {
   const json tenant{
--- a/tests/support/platform_site.h
+++ b/tests/support/platform_site.h
@@ -79,6 +79,8 @@
   std::uint32_t links() const { return options_.entries + options_.workers; }
   std::uint32_t entries() const { return options_.entries; }
   std::uint32_t workers() const { return options_.workers; }
+  // Writes an entry to the registry of workers, as another program does.
+  void Register(const std::string& entry) const;
   // Publishes a configuration whose queue of normal priority has this name.
   void Publish(std::uint32_t version, const std::string& queue) const;
   stand_ins::site_journal Journal() const;
