--- a/source/work/order.h
+++ b/source/work/order.h
@@ -21,7 +21,7 @@
 // The worker that an order is sent to, and the fencing token that authorises
 // it.
 struct order_target {
-  const worker_id worker;
+  const worker_id worker{};
   const std::string address;
   const std::uint64_t token = 0;
   // When the sender's authority expires unless it is renewed. A process that
@@ -33,7 +33,7 @@
 struct start_run {
   const call_number call = 0;
   const order_target target{};
-  const task_id task;
+  const task_id task{};
   const std::uint64_t attempt = 0;
   const std::string spec;
   const std::string checkpoint;
@@ -47,7 +47,7 @@
 struct stop_run {
   const call_number call = 0;
   const order_target target{};
-  const task_id task;
+  const task_id task{};
   const std::uint64_t attempt = 0;
   const duration timeout{0};
   bool operator==(const stop_run&) const = default;
@@ -80,26 +80,26 @@
 };
 
 struct start_answered {
-  const timestamp at;
+  const timestamp at{};
   const call_number call = 0;
-  const worker_id worker;
+  const worker_id worker{};
   const order_outcome outcome = order_outcome::kUnknown;
   const std::optional<duration> worker_clock{};
   bool operator==(const start_answered&) const = default;
 };
 
 struct stop_answered {
-  const timestamp at;
+  const timestamp at{};
   const call_number call = 0;
-  const worker_id worker;
+  const worker_id worker{};
   const order_outcome outcome = order_outcome::kUnknown;
   bool operator==(const stop_answered&) const = default;
 };
 
 struct hold_answered {
-  const timestamp at;
+  const timestamp at{};
   const call_number call = 0;
-  const worker_id worker;
+  const worker_id worker{};
   const order_outcome outcome = order_outcome::kUnknown;
   const std::optional<duration> worker_clock{};
   const std::optional<worker_listing> listing{};
--- a/source/work/worker.h
+++ b/source/work/worker.h
@@ -42,7 +42,7 @@
 };
 
 struct running_task {
-  const task_id task;
+  const task_id task{};
   const std::uint64_t attempt = 0;
   const std::string checkpoint;
   // Completed share of the work.
@@ -54,7 +54,7 @@
 struct ended_task {
   // Increases by one with each task that ends during one `life`.
   const std::uint64_t number = 0;
-  const task_id task;
+  const task_id task{};
   const std::uint64_t attempt = 0;
   const run_end_kind how = run_end_kind::kDone;
   const std::string checkpoint;
