Use a restarted worker only once its registry entry was read

A worker that restarts under its name may be of another kind, with less room or another label. Found by looking at where a changed room is taken in; it is taken in with each registry entry otherwise, and what runs above a room that has shrunk runs on.

The worker gets nothing until an entry of its new process was read. worker::restarted_with_less_room_* failed before; worker::whose_room_shrinks_* passed.

--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -136,6 +136,7 @@
   MarkTasksUnverified(ctx, worker);
   const work::registered_worker& before = row.listed();
   worker_state next;
+  next.entry_outdated = life > before.life;
   next.entry.Put({.worker = before.worker,
                   .service = before.service,
                   .address = before.address,
@@ -366,9 +367,12 @@
   const bool restarted = life != 0 && entry.life > life;
   if (restarted)
     row = RestartedWorker(ctx, entry.worker, row, entry.life);
-  const bool changed = restarted || known == nullptr || !known->is_listed ||
+  const bool changed = restarted ||
+                       (known != nullptr && known->entry_outdated) ||
+                       known == nullptr || !known->is_listed ||
                        known->listed().draining != entry.draining;
   row.entry.Put(entry);
+  row.entry_outdated = false;
   row.is_listed = true;
   NoteDeparture(ctx, row);
   workers.Put(entry.worker, std::move(row));
@@ -478,8 +482,9 @@
 }
 
 bool IsSchedulable(const worker_state& row) {
-  return row.is_listed && !row.listed().draining && row.fenced && row.clock &&
-         row.unanswered_orders == 0 && !row.withheld_end;
+  return row.is_listed && !row.entry_outdated && !row.listed().draining &&
+         row.fenced && row.clock && row.unanswered_orders == 0 &&
+         !row.withheld_end;
 }
 
 void RecordWorkerFailure(const context& ctx,
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -209,6 +209,9 @@
   model::value_cell<work::registered_worker> entry;
   bool is_listed = true;
   timestamp unlisted_since;
+  // The entry is that of a process before the worker's latest restart, whose
+  // kind and capacity may differ.
+  bool entry_outdated = false;
   // The earliest time at which a draining worker leaves, if it announced one.
   std::optional<timestamp> leaves_at;
   // The worker has answered an order of this epoch, and so refuses those of
