Collect a proxy's orders in place

Each forwarded order copied the batch that it was added to, with the texts of all its starts: the cost of a batch grew with the square of its size. Found by reading; the batches are kept beside the proxies' rows now. Behaviour as it was (dispatch tests).

--- a/source/dispatch/proxies.cc
+++ b/source/dispatch/proxies.cc
@@ -28,9 +28,11 @@
 constexpr std::uint32_t kMaxProxyFailures = 3;
 constexpr duration kProxyAvoidance{10000};
 
-const work::order_target& TargetOf(const work::order& order) {
+const work::worker_id& WorkerOf(const work::order& order) {
   return std::visit(
-      [](const auto& each) -> const work::order_target& { return each.target; },
+      [](const auto& each) -> const work::worker_id& {
+        return each.target.worker;
+      },
       order);
 }
 
@@ -183,6 +185,7 @@
   leader_state& leader = ctx.state.leader;
   const std::size_t workers = leader.proxies.Find(entry)->workers;
   leader.proxies.Erase(entry);
+  leader.forwarding.erase(entry);
   std::erase_if(leader.proxy_of,
                 [&](const auto& each) { return each.second == entry; });
   const std::size_t unanswered = EndUnanswered(
@@ -350,22 +353,19 @@
 
 void FlushOrders(const context& ctx) {
   leader_state& leader = ctx.state.leader;
-  std::vector<work::entry_id> due;
-  for (const auto& [entry, proxy] : leader.proxies) {
-    if (!proxy.waiting.empty() && proxy.flush_at <= ctx.now())
-      due.push_back(entry);
-  }
-  for (const work::entry_id& entry : due) {
-    proxy_state proxy = *leader.proxies.Find(entry);
-    ctx.Count("orders_forwarded", proxy.waiting.size());
+  std::erase_if(leader.forwarding, [&](auto& each) {
+    auto& [entry, batch] = each;
+    if (batch.flush_at > ctx.now())
+      return false;
+    const proxy_state& proxy = *leader.proxies.Find(entry);
+    ctx.Count("orders_forwarded", batch.orders.size());
     SendToPeer(ctx, proxy.address,
                work::orders_forwarded{.epoch = leader.epoch,
                                       .address = ctx.env.peer_address,
                                       .incarnation = proxy.incarnation,
-                                      .orders = std::move(proxy.waiting)});
-    proxy.waiting.clear();
-    leader.proxies.Put(entry, std::move(proxy));
-  }
+                                      .orders = std::move(batch.orders)});
+    return true;
+  });
 }
 
 void FlushAnswers(const context& ctx) {
@@ -384,7 +384,7 @@
 
 void SendOrder(const context& ctx, work::order order) {
   leader_state& leader = ctx.state.leader;
-  const work::worker_id worker = TargetOf(order).worker;
+  const work::worker_id worker = WorkerOf(order);
   const std::optional<work::entry_id> entry = ProxyOf(ctx, worker);
   if (!entry) {
     std::visit([&](auto& each) { ctx.Emit(std::move(each)); }, order);
@@ -396,11 +396,10 @@
                                .kind = order.index(),
                                .expires_at = ctx.now() + TimeoutOf(order) +
                                              ctx.limits().forward_margin});
-  proxy_state proxy = *leader.proxies.Find(*entry);
-  if (proxy.waiting.empty())
-    proxy.flush_at = ctx.now() + ctx.limits().forward_pause;
-  proxy.waiting.push_back(std::move(order));
-  leader.proxies.Put(*entry, std::move(proxy));
+  forwarding_batch& batch = leader.forwarding[*entry];
+  if (batch.orders.empty())
+    batch.flush_at = ctx.now() + ctx.limits().forward_pause;
+  batch.orders.push_back(std::move(order));
 }
 
 duration ClockAheadFor(const context& ctx, const work::worker_id& worker) {
@@ -452,10 +451,8 @@
 
 std::optional<timestamp> NextForwardAt(const context& ctx) {
   std::optional<timestamp> next;
-  for (const auto& [entry, proxy] : ctx.state.leader.proxies) {
-    if (!proxy.waiting.empty())
-      next = std::min(next.value_or(proxy.flush_at), proxy.flush_at);
-  }
+  for (const auto& [entry, batch] : ctx.state.leader.forwarding)
+    next = std::min(next.value_or(batch.flush_at), batch.flush_at);
   const proxying_state& proxying = ctx.state.proxying;
   if (!proxying.returning.empty())
     next = std::min(next.value_or(proxying.flush_at), proxying.flush_at);
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -410,13 +410,18 @@
   std::size_t workers = 0;
   // How many workers that did not answer it answered this leader.
   std::uint32_t failures = 0;
-  // Orders that are to be forwarded at `flush_at`.
-  std::vector<work::order> waiting;
-  timestamp flush_at;
 
   bool operator==(const proxy_state&) const = default;
 };
 
+// Orders that are collected for a proxy until `flush_at`.
+struct forwarding_batch {
+  timestamp flush_at;
+  std::vector<work::order> orders;
+
+  bool operator==(const forwarding_batch&) const = default;
+};
+
 // A worker that did not answer its proxy, and is called by the leader since.
 struct unanswered_proxy {
   work::entry_id proxy;
@@ -497,6 +502,7 @@
   // The proxy of each worker that has one; the leader calls the others itself.
   std::map<work::worker_id, work::entry_id> proxy_of;
   std::map<work::worker_id, unanswered_proxy> unanswered_proxies;
+  std::map<work::entry_id, forwarding_batch> forwarding;
   model::value_table<call_number, forwarded_order> forwarded_orders;
   // The tick before the latest.
   timestamp previous_tick_at;
