--- a/soak/main.cc
+++ b/soak/main.cc
@@ -13,6 +13,7 @@
 #include "soak/schedule.h"
 #include "soak/soak.h"
 
+DEFINE_bool(forwarding, false, "the leader forwards its orders to proxies");
 DEFINE_string(seeds, "1", "comma-separated list of seeds");
 DEFINE_uint32(seconds, 10, "seconds during which faults are injected");
 DEFINE_uint32(entries, 3, "number of entries");
@@ -25,9 +26,13 @@
 
 bool RunSeed(std::uint64_t seed) {
   const std::chrono::seconds length(FLAGS_seconds);
-  const soak_result result = RunSoak(
-      seed, length,
-      {.entries = FLAGS_entries, .workers = FLAGS_workers, .proxied = true});
+  const soak_result result =
+      RunSoak(seed, length,
+              {.entries = FLAGS_entries,
+               .workers = FLAGS_workers,
+               .proxied = true,
+               .workers_per_core =
+                   FLAGS_forwarding ? FLAGS_workers / FLAGS_entries + 1 : 0});
   std::cout << "seed " << seed << ": " << result.faults << " faults, "
             << result.jobs << " jobs, " << result.accepted << " accepted, "
             << result.refused << " refused, " << result.starts << " starts, "
--- a/tests/process/platform_test.cc
+++ b/tests/process/platform_test.cc
@@ -9,6 +9,7 @@
 #include "support/platform_site.h"
 
 using parsleyhitch::test::platform_site;
+using parsleyhitch::test::site_options;
 using parsleyhitch::test::site_reply;
 using parsleyhitch::test::site_step;
 
@@ -24,9 +25,14 @@
                                       .accelerators = 4,
                                       .task_ms = 800};
 
+// With this many workers for each core, a leader has proxies.
+constexpr std::uint32_t kWorkersPerCore = 3;
+
 struct site_fixture {
   platform_site site;
 
+  explicit site_fixture(const site_options& options = {}) : site(options) {}
+
   void AwaitRunning() {
     site.Await("a task to run", [&] { return site.Journal().running > 0; });
   }
@@ -74,6 +80,28 @@
   fixture.ExpectNoBreach();
 }
 
+// Guards against work that is lost, or started twice, as the process between
+// the leader and a worker is lost.
+Test(platform_job,
+     on_a_site_with_proxies_killed_in_turn_ends_without_a_breach) {
+  site_fixture fixture({.entries = 4, .workers_per_core = kWorkersPerCore});
+  fixture.site.Submit(1, kJob, kGang);
+  fixture.site.Submit(2, kOtherJob, kIndependentTasks);
+  fixture.AwaitRunning();
+  fixture.site.Await("a proxy to be added", [&] {
+    return fixture.site.Logs().find("proxy_added") != std::string::npos;
+  });
+  for (std::uint32_t entry = 0; entry < 4; ++entry) {
+    fixture.site.Signal(entry, SIGKILL);
+    fixture.site.Start(entry);
+    fixture.site.Await("restarted entry to become ready",
+                       [&] { return fixture.site.IsReady(entry); });
+  }
+  fixture.site.AwaitState(0, kJob, "completed");
+  fixture.site.AwaitState(0, kOtherJob, "completed");
+  fixture.ExpectNoBreach();
+}
+
 Test(platform_job, accepted_before_all_entries_were_killed_ends) {
   site_fixture fixture;
   cr_assert_eq(fixture.site.Submit(0, kJob, kGang).status, 200);
--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -285,7 +285,11 @@
          EntryAddress(entry, port::kProbes) + "\"\npeers_listen: \"" +
          EntryAddress(entry, port::kPeers) + "\"\nmetrics_listen: \"" +
          EntryAddress(entry, port::kMetrics) + "\"\nstore_address: \"" +
-         (options_.proxied ? LinkAddress(entry) : Address(0)) + "\"\n";
+         (options_.proxied ? LinkAddress(entry) : Address(0)) + "\"\n" +
+         (options_.workers_per_core == 0
+              ? std::string()
+              : "limits:\n  workers_per_core: " +
+                    std::to_string(options_.workers_per_core) + "\n");
 }
 
 wire::http_request platform_site::Request(const std::string& method,
--- a/tests/support/platform_site.h
+++ b/tests/support/platform_site.h
@@ -24,6 +24,9 @@
   // proxy that injects faults. Link i connects entry i to the store; the links
   // to the workers follow, one for each worker.
   bool proxied = false;
+  // `workers_per_core` of the entries' limits; 0 for the default. Entries have
+  // one core.
+  std::uint32_t workers_per_core = 0;
 };
 
 // A reply to a caller; status 0 if no complete answer arrived.
