--- a/source/dispatch/proxies.cc
+++ b/source/dispatch/proxies.cc
@@ -133,8 +133,8 @@
   OnHoldAnswered(ctx, answer);
 }
 
-// Applies the answer to a forwarded order. An answer may end the leadership,
-// and with it all forwarded orders.
+// Applies the answer to a forwarded order. That a worker has seen a later epoch
+// ends the leadership, and with it all forwarded orders.
 void ApplyAnswer(const context& ctx, const work::order_answer& answer) {
   auto& forwarded = ctx.state.leader.forwarded_orders;
   const call_number call = CallOf(answer);
@@ -202,11 +202,8 @@
     if (report == nullptr || report->incarnation != proxy.incarnation)
       unusable.push_back(entry);
   }
-  for (const work::entry_id& entry : unusable) {
-    // An answer that was already known may have ended the leadership.
-    if (ctx.state.leader.proxies.Contains(entry))
-      DropProxy(ctx, entry);
-  }
+  for (const work::entry_id& entry : unusable)
+    DropProxy(ctx, entry);
 }
 
 // The entries that may become proxies, those with the most CPU first.
@@ -433,8 +430,6 @@
   EndUnanswered(ctx, [&](const forwarded_order& each) {
     return each.expires_at <= leader.previous_tick_at;
   });
-  if (ctx.state.leadership.current_role != role::kLeader)
-    return;
   leader.previous_tick_at = ctx.now();
   ForgetDeletedWorkers(ctx);
   TakeOverSilentWorkers(ctx);
