Look the unit up again once its attempt was raised

The change that sends no stops for units that are done compared the attempt through a pointer to the row that RaiseAttempt may have replaced, a use after free on the way of an unrecorded start's end. The sanitizers' build of the dispatch tests found it in three tests, which end::of_a_unit_* and successor::of_a_leader_that_opened_* are among.

--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -302,6 +302,7 @@
     return;
   const bool endless = StepOf(*job, id).endless;
   RaiseAttempt(ctx, id, end.attempt);
+  each = leader.units.Find(id);
   if (end.how == work::run_end_kind::kDone && !endless) {
     ResetWorkerFailures(ctx, worker);
     // Another attempt runs on.
