Review: idle workers are refused after two crashes (LOST)

Each task that lost its worker twice gets a worker of its own for as long as it runs, so that eight tasks block eight workers for all other jobs.

--- a/review/stand_in/cases.cc
+++ b/review/stand_in/cases.cc
@@ -117,6 +117,129 @@
   return state == "failed";
 }
 
+// The worker that runs the tasks of a long job crashes, and so does the one
+// that they run on next. Then another job arrives.
+bool IdleWorkersRefused(site& here) {
+  const std::string lasting = "00000000000000d1";
+  const std::string later = "00000000000000d2";
+  const std::string urgent = "00000000000000d3";
+  constexpr int kTasks = 8;
+  if (here.Submit(0, lasting, kTasks, 1, 100000).status != 200)
+    throw cannot_run("the job was not accepted");
+  const auto running = [&] {
+    std::map<int, int> by_worker;
+    for (const run& each : here.Runs()) {
+      if (each.until == 0 && each.task.starts_with(lasting))
+        by_worker[each.worker] += 1;
+    }
+    return by_worker;
+  };
+  const auto all_run = [&] {
+    int count = 0;
+    for (const auto& [at, tasks] : running())
+      count += tasks;
+    return count == kTasks;
+  };
+  here.Await("all tasks run", 10000, all_run);
+  for (int i = 0; HasTrouble() && i < 2; ++i) {
+    const std::map<int, int> now = running();
+    const auto most =
+        std::max_element(now.begin(), now.end(), [](auto& a, auto& b) {
+          return a.second < b.second;
+        });
+    worker& at = *here.workers().at(static_cast<std::size_t>(most->first));
+    Sleep(1500);
+    at.Crash();
+    Sleep(4000);
+    at.Restart();
+    here.WaitFor(15000, all_run);
+  }
+  // All is calm from here on.
+  Sleep(8000);
+  const std::int64_t sent = SinceStart();
+  if (here.Submit(1, later, 1, 1, 1000).status != 200)
+    throw cannot_run("the later job was not accepted");
+  // Within the guarantee of the tenant, 8 accelerators.
+  if (here.Submit(1, urgent, 1, 1, 1000, "/urgent/").status != 200)
+    throw cannot_run("the urgent job was not accepted");
+  here.WaitFor(25000, [&] {
+    Sleep(1000);
+    return here.StateOf(2, later) == "completed" &&
+           here.StateOf(2, urgent) == "completed";
+  });
+  int used = 0;
+  std::int64_t first = 0;
+  std::int64_t first_urgent = 0;
+  for (const run& each : here.Runs()) {
+    used += each.until == 0 ? 1 : 0;
+    if (each.task.starts_with(later) && first == 0)
+      first = each.from;
+    if (each.task.starts_with(urgent) && first_urgent == 0)
+      first_urgent = each.from;
+  }
+  for (const auto& [at, tasks] : running()) {
+    Record().Write("worker " + std::to_string(at) + " runs " +
+                   std::to_string(tasks) + " tasks of the first job");
+  }
+  Record().Write("accelerators in use: " + std::to_string(used) + " of " +
+                 std::to_string(8 * here.workers().size()));
+  const auto write = [&](const std::string& what, std::int64_t from) {
+    const std::string ms =
+        std::to_string((from == 0 ? SinceStart() : from) - sent) + " ms";
+    Record().Write(from == 0 ? what + " has not run for " + ms
+                             : what + " ran after " + ms);
+  };
+  write("the later job", first);
+  write("the urgent job", first_urgent);
+  // LOST: for 3 s a job has nothing running, there is capacity for it twice
+  // over, and under half of the service's capacity is in use.
+  return first == 0 || first - sent > 3000;
+}
+
+// Fills the rack where a job's data is; all other racks are idle.
+bool FullRack(site& here) {
+  const std::string large = "00000000000000e1";
+  const std::string later = "00000000000000e2";
+  const auto submit = [&](const std::string& job, int tasks,
+                          std::int64_t estimate_ms, std::int64_t work_ms) {
+    here.SetWork(job, work_ms);
+    const json body{{"spec", "spec of " + job},
+                    {"phases",
+                     {{{"count", tasks},
+                       {"cpu", 4000},
+                       {"memMb", 1000},
+                       {"gpu", 1},
+                       {"estimateMs", estimate_ms},
+                       {"affinity", "r-0"}}}}};
+    if (here.Ask(0, "POST", job, body.dump()).status != 200)
+      throw cannot_run("a job was not accepted");
+  };
+  constexpr std::int64_t kHourMs = 3600000;
+  if (HasTrouble())
+    submit(large, 16, kHourMs, kHourMs);
+  Sleep(5000);
+  const std::int64_t sent = SinceStart();
+  submit(later, 1, kHourMs, 2000);
+  here.WaitFor(40000, [&] {
+    Sleep(1000);
+    return here.StateOf(2, later) == "completed";
+  });
+  std::int64_t first = 0;
+  int used = 0;
+  for (const run& each : here.Runs()) {
+    used += each.until == 0 ? 1 : 0;
+    if (each.task.starts_with(later) && first == 0)
+      first = each.from;
+  }
+  Record().Write("accelerators in use: " + std::to_string(used) + " of 64");
+  Record().Write("the later job " +
+                 (first == 0 ? "has not run for " +
+                                   std::to_string(SinceStart() - sent) + " ms"
+                             : "ran after " + std::to_string(first - sent) +
+                                   " ms"));
+  return first == 0 || first - sent > 3000;
+}
+
 // A varint of protobuf's.
 std::string Varint(std::uint64_t value) {
   std::string out;
@@ -251,7 +374,7 @@
   memory_guard guard(here);
   const std::int64_t back = SinceStart();
   constexpr std::int64_t kFinishMs = 14000;
-  constexpr std::int64_t kTrafficMs = 85000;
+  constexpr std::int64_t kTrafficMs = 70000;
   int asked = 0;
   std::map<std::string, std::int64_t> accepted;
   std::int64_t next = back;
@@ -267,29 +390,31 @@
       accepted[id] = SinceStart();
     asked += 1;
   }
-  // LOST: nothing of a job has run, long after it was accepted, on idle
-  // workers.
+  const std::int64_t traffic_ended = SinceStart();
+  while (SinceStart() - traffic_ended < kFinishMs) {
+    guard.Look();
+    Sleep(50);
+  }
+  // LOST: 14 s after the end of the traffic, nothing of a job has run, though
+  // the workers are idle.
   std::set<std::string> started;
   for (const run& each : here.Runs())
     started.insert(each.task.substr(0, each.task.find('.')));
-  int waited = 0;
-  int never_run = 0;
-  for (const auto& [id, time] : accepted) {
-    if (SinceStart() - time < kFinishMs)
-      continue;
-    waited += 1;
+  std::size_t never_run = 0;
+  for (const auto& [id, time] : accepted)
     never_run += started.contains(id) ? 0 : 1;
-  }
   Record().Write("the most memory of an entry: " +
                  std::to_string(guard.most_mb()) +
                  " MB; machines on which processes were killed three times or "
                  "more: " +
                  std::to_string(guard.MachinesKilledThrice()) + " of 3");
-  Record().Write("of " + std::to_string(waited) +
-                 " jobs accepted more than 14 s ago, " +
+  Record().Write("of " + std::to_string(accepted.size()) +
+                 " jobs accepted since the fault, " +
                  std::to_string(never_run) + " have never run, on " +
                  std::to_string(here.workers().size()) + " idle workers");
-  if (waited == 0)
+  for (int i = 0; i < 3 && !accepted.empty(); ++i)
+    here.StateOf(i, accepted.begin()->first);
+  if (accepted.empty())
     throw cannot_run("no job was accepted");
   return never_run > 0;
 }
@@ -308,6 +433,10 @@
     broken = LateStart(here);
   else if (name == "lost-thrice")
     broken = LostThrice(here);
+  else if (name == "idle-workers")
+    broken = IdleWorkersRefused(here);
+  else if (name == "full-rack")
+    broken = FullRack(here);
   else if (name == "a-day-of-jobs")
     broken = ADayOfJobs(here);
   else
