Stop an attempt whose unanswered start may still be carried out

Cause: a start that a worker left unanswered was repeated; the worker answered the repeat with 503, and the leader took that answer for the fate of the whole attempt. It placed the task elsewhere without ordering a stop. A rejection tells only that its own call did nothing: the first call was carried out seconds later.

Change: a rejected start ends its member only if no earlier call of the attempt is unanswered, or if another process answers at the address. Otherwise the unit is stopped: a worker that has taken a stop refuses late starts of the attempt. The member ends with the next listing.

Related paths that were read for the same cause: answers 'no room' and 'too late' went the same way and are covered; holds end a member only after an acknowledged order; an answer lost between proxy and leader counts as none; a gang is stopped whole; a cancelled job stops what is pending.

--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -155,18 +155,28 @@
   return answered_order{.about = about, .current = *current};
 }
 
-// The start was rejected, so that the member never ran.
-void OnNotStarted(const context& ctx,
-                  const order_reference& about,
-                  const work::worker_id& worker,
-                  work::order_outcome outcome) {
+// The call was rejected, which says nothing about earlier calls for the same
+// attempt: the worker may still carry out one that it left unanswered, unless
+// it is another process than the one that was called.
+void OnStartRejected(const context& ctx,
+                     const order_reference& about,
+                     const work::worker_id& worker,
+                     work::order_outcome outcome) {
+  const unit& placed = *ctx.state.leader.units.Find(about.unit);
+  const member& one = placed.members[about.member];
+  const bool may_start_late =
+      one.start_pending && outcome != work::order_outcome::kRestarted;
   const bool unhealthy = outcome == work::order_outcome::kRefused;
   if (unhealthy)
     RecordWorkerFailure(ctx, worker, about.unit.job, "start refused");
   ctx.Log("start_rejected", NameOf(about.unit),
           {Field("worker", worker.value()), Field("outcome", NameOf(outcome)),
-           Field("attempt", about.attempt)});
-  EndMember(ctx, about.unit, about.member, gang_effect::kKeepsOthers);
+           Field("attempt", about.attempt),
+           Field("pending", std::string(may_start_late ? "yes" : "no"))});
+  if (may_start_late)
+    StopUnit(ctx, about.unit, "start rejected");
+  else
+    EndMember(ctx, about.unit, about.member, gang_effect::kKeepsOthers);
 }
 
 // True when an order to the member, if it needs one, may be sent.
@@ -338,7 +348,7 @@
       return;
     default:
       PutMember(ctx, about.unit, about.member, std::move(next));
-      OnNotStarted(ctx, about, event.worker, event.outcome);
+      OnStartRejected(ctx, about, event.worker, event.outcome);
       return;
   }
 }
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -425,6 +425,12 @@
   return index < workers_.size() ? &workers_[index] : nullptr;
 }
 
+void platform_simulation::StartLate(simulated_worker& worker,
+                                    const work::start_run& order) {
+  if (worker.alive)
+    worker.Start(order, now_);
+}
+
 void platform_simulation::Apply(std::uint32_t index,
                                 const work::start_run& effect) {
   const std::uint64_t life = entries_[index].life;
@@ -433,9 +439,18 @@
                    Timestamp() > effect.target.valid_until;
   Schedule(now_ + RandomDelay(), [this, index, life, effect, cut] {
     simulated_worker* worker = FindWorker(effect.target.worker);
-    const bool reached = !cut && worker->alive && !worker->cut;
-    const auto outcome =
-        reached ? worker->Start(effect, now_) : work::order_outcome::kUnknown;
+    const bool received = !cut && worker->alive && !worker->cut;
+    const bool late = received && worker->late_starts > 0;
+    if (late) {
+      worker->late_starts -= 1;
+      Schedule(now_ + worker->late_by,
+               [this, worker, effect] { StartLate(*worker, effect); });
+    }
+    const bool reached = received && !late;
+    const bool refused = reached && worker->refuses_starts_with;
+    const auto outcome = refused   ? *worker->refuses_starts_with
+                         : reached ? worker->Start(effect, now_)
+                                   : work::order_outcome::kUnknown;
     const bool crashed = reached && !worker->alive;
     if (crashed && restarts_after_ > work::duration(0))
       worker->restarts_at = now_ + restarts_after_;
--- a/tests/support/platform_simulation.h
+++ b/tests/support/platform_simulation.h
@@ -195,6 +195,8 @@
   void Apply(std::uint32_t entry, const work::stop_process&);
 
   simulated_worker* FindWorker(const work::worker_id& id);
+  // Has the worker carry out an order that it left unanswered when it arrived.
+  void StartLate(simulated_worker& worker, const work::start_run& order);
   // Delivers `event(true)` after a random delay, or `event(false)` after the
   // timeout if the call did not reach its target or got no answer.
   void DeliverAnswer(std::uint32_t entry,
--- a/tests/support/simulated_worker.h
+++ b/tests/support/simulated_worker.h
@@ -44,6 +44,12 @@
   std::optional<work::duration> leaves_at;
   // Number of start orders that are carried out but not answered.
   std::uint32_t lose_order_answers = 0;
+  // Number of start orders that are not answered and carried out `late_by`
+  // after they arrived.
+  std::uint32_t late_starts = 0;
+  work::duration late_by{0};
+  // Start orders are answered with this outcome and not carried out.
+  std::optional<work::order_outcome> refuses_starts_with;
   bool fails_all_tasks = false;
   // After it crashed: when it starts again under its name, if it does.
   std::optional<work::duration> restarts_at;
