Record workers before they are given starts, so that a successor knows them

Cause: a start's record is stored beside its order and may be lost with the leader. The successor learns of such a start from the listing of its worker, but knew only workers that the registry or a unit's record named. Registry entries expire by themselves: a worker cut off from the store was in neither, and its task was started elsewhere at once.

Change: a leader stores a record of each worker, once, before it gives it the first start, and deletes it when the worker takes no starts and nothing runs there (admission.cc). A successor adds the workers of these records that are not listed, and holds older units until each was reached or its leases have expired, as it did for workers that a unit's record named.

Ruled out: a record that is awaited before each start, which costs an append a start and stops work while the store is away; a wait for all leases after each takeover. Starts still need no record, so that work goes on without the store; only a worker that was never used before waits for it.

The tests of admission_test.cc fail when workers count as admitted without a record, and entries::all_lost_* when a successor does not read the records.

--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -210,7 +210,7 @@
 placement::capacity_map FreeCapacity(const context& ctx) {
   std::vector<placement::worker_capacity> workers;
   for (const auto& [worker, row] : ctx.state.leader.workers) {
-    if (!IsSchedulable(row))
+    if (!IsSchedulable(row) || !IsAdmitted(ctx, worker))
       continue;
     const worker_load& carried = LoadOf(ctx, worker);
     if (CarriesSuspect(ctx, carried))
--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/feeds.cc
@@ -39,7 +39,10 @@
     OnJobRecord(ctx, *job);
 }
 
+// Keeps a record of an earlier leader's.
 void ApplyUnit(const context& ctx, const work::record& record) {
+  if (const auto* admitted = std::get_if<work::worker_admitted>(&record))
+    ctx.state.leader.stored_workers.insert(admitted->worker);
   const auto* stored = std::get_if<work::unit_progressed>(&record);
   if (stored == nullptr)
     return;
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -268,8 +268,10 @@
     ctx.state.leader.workers.Erase(worker);
     ctx.state.leader.loads.Erase(worker);
     DropProcessedEnds(ctx, worker);
+    UpdateAdmission(ctx, worker);
     return;
   }
+  UpdateAdmission(ctx, worker);
   HoldIfNeeded(ctx, worker);
 }
 
@@ -332,7 +334,7 @@
     return;
   leader.reconciled = true;
   // The earlier leader's latest starts may have no record yet, also those on
-  // workers that records name and the registry no longer lists.
+  // workers that it had admitted and the registry no longer lists.
   leader.earlier_tasks_unknown = leader.earlier_tasks_unknown ||
                                  (unreached + unlisted > 0 && leader.epoch > 1);
   leader.plan_due = true;
@@ -376,6 +378,7 @@
   row.is_listed = true;
   NoteDeparture(ctx, row);
   workers.Put(entry.worker, std::move(row));
+  UpdateAdmission(ctx, entry.worker);
   if (!changed)
     return;
   ctx.Log(entry.draining ? "worker_draining" : "worker_listed",
@@ -385,6 +388,12 @@
   HoldIfNeeded(ctx, entry.worker);
 }
 
+void AddUnlistedWorker(const context& ctx, const work::worker_id& worker) {
+  worker_state row{.is_listed = false, .unlisted_since = ctx.now()};
+  row.earlier_leases_end_at = EarlierLeasesEndAt(ctx);
+  ctx.state.leader.workers.Put(worker, std::move(row));
+}
+
 void ObserveWorkerClock(const context& ctx,
                         const work::worker_id& worker,
                         const std::optional<duration>& clock) {
--- a/source/dispatch/outbox.cc
+++ b/source/dispatch/outbox.cc
@@ -184,7 +184,9 @@
                              outbox& box,
                              const work::append_answered& event) {
   if (ApplyOutcome(ctx, box, event.outcome, ctx.limits().progress_pause)) {
-    box.batch.clear();
+    const std::vector<queued_record> stored = std::exchange(box.batch, {});
+    for (const queued_record& each : stored)
+      OnWorkerRecordStored(ctx, each.content);
     if (box.target == work::feed::kUnits)
       ctx.state.leader.earlier_leaders_fenced = true;
     SettleProcessedEnds(ctx);
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -151,6 +151,8 @@
 // fleet.cc: workers, their listings and their leases.
 void UpsertWorker(const context& ctx, const work::registered_worker& entry);
 void MarkWorkerUnlisted(const context& ctx, const work::worker_id& worker);
+// Adds a worker of which only records tell.
+void AddUnlistedWorker(const context& ctx, const work::worker_id& worker);
 // When the leases given by earlier leaders have expired on every worker.
 timestamp EarlierLeasesEndAt(const context& ctx);
 // Sends a hold, a long poll that renews the lease and fetches the listing, if
@@ -166,7 +168,7 @@
 void ObserveWorkerClock(const context& ctx,
                         const work::worker_id& worker,
                         const std::optional<duration>& clock);
-// True when units may be placed on the worker.
+// True when units may be placed on the worker once it is admitted.
 bool IsSchedulable(const worker_state& row);
 // Counts a failure against the worker: it failed a task of the job, or refused
 // or ignored a start.
@@ -175,6 +177,22 @@
                          const work::job_id& job,
                          std::string_view why);
 
+// admission.cc: records of the workers on which tasks may run.
+// True if the store has a record of the worker, so that it may be given starts.
+bool IsAdmitted(const context& ctx, const work::worker_id& worker);
+// Has the worker's record written or deleted, if that is due.
+void UpdateAdmission(const context& ctx, const work::worker_id& worker);
+// The worker's record or its deletion, whichever is due.
+std::optional<work::record> TakeWorkerRecord(const context& ctx,
+                                             const work::worker_id& worker);
+// Admits the worker if the record is a worker's.
+void OnWorkerRecordStored(const context& ctx, const work::record& record);
+// Has a worker's record that was not stored written again. False for any other
+// record.
+bool ReturnWorkerRecord(const context& ctx, const work::record& record);
+// Takes over the workers that earlier leaders admitted.
+void RestoreAdmissions(const context& ctx);
+
 // evacuation.cc: moving units off workers that are about to leave.
 // Updates when the worker leaves from its registry entry.
 void NoteDeparture(const context& ctx, worker_state& row);
--- a/source/dispatch/progress.cc
+++ b/source/dispatch/progress.cc
@@ -80,6 +80,20 @@
   }
 }
 
+// The changes of these records precede no end, so that they delay none.
+constexpr std::uint64_t kNoChange = std::numeric_limits<std::uint64_t>::max();
+
+void CollectWorkers(const context& ctx) {
+  leader_state& leader = ctx.state.leader;
+  const auto changed = std::exchange(leader.changed_workers, {});
+  for (const work::worker_id& worker : changed) {
+    std::optional<work::record> record = TakeWorkerRecord(ctx, worker);
+    if (record)
+      leader.unit_progress.batch.push_back(
+          {.content = std::move(*record), .change = kNoChange});
+  }
+}
+
 void CollectPhases(const context& ctx) {
   leader_state& leader = ctx.state.leader;
   while (!leader.changed_jobs.empty() &&
@@ -190,8 +204,11 @@
 void CollectProgress(const context& ctx) {
   if (MayFill(ctx, ctx.state.leader.job_phases))
     CollectPhases(ctx);
-  if (MayFill(ctx, ctx.state.leader.unit_progress))
+  if (MayFill(ctx, ctx.state.leader.unit_progress)) {
     CollectUnits(ctx);
+    // Behind the units, whose oldest change is the first.
+    CollectWorkers(ctx);
+  }
 }
 
 void ReturnChanges(const context& ctx, outbox& box) {
@@ -208,7 +225,7 @@
                    std::get_if<work::unit_deleted>(&each.content)) {
       leader.recorded_units.insert(deleted->unit);
       leader.changed_units.Add(deleted->unit, each.change);
-    } else {
+    } else if (!ReturnWorkerRecord(ctx, each.content)) {
       kept.push_back(std::move(each));
     }
   }
--- a/source/dispatch/reduce.cc
+++ b/source/dispatch/reduce.cc
@@ -128,7 +128,8 @@
   };
   wake_for(s.submissions, false);
   wake_for(s.leader.job_phases, !s.leader.changed_jobs.empty());
-  wake_for(s.leader.unit_progress, !s.leader.changed_units.empty());
+  wake_for(s.leader.unit_progress, !s.leader.changed_units.empty() ||
+                                       !s.leader.changed_workers.empty());
   for (const feed_state* each : {&s.records, &s.catalogs}) {
     if (!each->in_flight)
       next = std::min(next, each->next_at);
--- a/source/dispatch/restore.cc
+++ b/source/dispatch/restore.cc
@@ -28,12 +28,9 @@
   for (std::uint32_t i = 0; i < restored.members.size(); ++i) {
     const work::worker_id& worker = restored.members[i].worker;
     AddToLoad(ctx, worker, id, i, NeedOf(step));
-    if (ctx.state.leader.workers.Contains(worker))
-      continue;
     // The worker's registry entry has not been read yet.
-    worker_state row{.is_listed = false, .unlisted_since = ctx.now()};
-    row.earlier_leases_end_at = EarlierLeasesEndAt(ctx);
-    ctx.state.leader.workers.Put(worker, std::move(row));
+    if (!ctx.state.leader.workers.Contains(worker))
+      AddUnlistedWorker(ctx, worker);
   }
 }
 
@@ -126,6 +123,7 @@
     if (entry.content.Get() != nullptr && !work::IsClosed(entry.phase))
       open.push_back(id);
   }
+  RestoreAdmissions(ctx);
   RecordStoredUnits(ctx);
   for (const work::job_id& id : open)
     RestoreJob(ctx, id, *ctx.state.ledger.jobs.Find(id));
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -487,12 +487,19 @@
   // far; empty again once the jobs are restored.
   feed_state stored_units_feed;
   model::value_table<work::unit_id, work::unit_progress> stored_units;
+  // The same for the workers that earlier leaders admitted.
+  std::set<work::worker_id> stored_workers;
   // Units that have a record in the store, or in the append in flight.
   std::set<work::unit_id> recorded_units;
   // Changes of jobs and units are numbered in the order in which they are made.
   std::uint64_t last_change = 0;
   change_queue<work::job_id> changed_jobs;
   change_queue<work::unit_id> changed_units;
+  // Workers of which the store has a record, from which the next leader knows
+  // that tasks may run there; no other worker is given starts.
+  std::set<work::worker_id> admitted_workers;
+  // Workers whose record may have to be written or deleted.
+  std::set<work::worker_id> changed_workers;
   // Since when there has been a change in one of the two.
   std::optional<timestamp> unsaved_since;
   // In the order of their changes.
--- a/source/records/ledger.cc
+++ b/source/records/ledger.cc
@@ -72,9 +72,11 @@
   folded.elected = offset;
 }
 
-// Units are in a stream of their own.
+// Units and workers are in a stream of their own.
 void FoldInto(ledger&, std::uint64_t, const work::unit_progressed&) {}
 void FoldInto(ledger&, std::uint64_t, const work::unit_deleted&) {}
+void FoldInto(ledger&, std::uint64_t, const work::worker_admitted&) {}
+void FoldInto(ledger&, std::uint64_t, const work::worker_released&) {}
 
 }  // namespace
 
--- a/source/records/record_key.cc
+++ b/source/records/record_key.cc
@@ -31,6 +31,18 @@
   return UnitKey(record.unit);
 }
 
+std::string WorkerKey(const work::worker_id& worker) {
+  return "worker/" + worker.value();
+}
+
+std::string Key(const work::worker_admitted& record) {
+  return WorkerKey(record.worker);
+}
+
+std::string Key(const work::worker_released& record) {
+  return WorkerKey(record.worker);
+}
+
 std::string Key(const work::member_joined& record) {
   return "member/" + record.entry.value();
 }
@@ -46,7 +58,8 @@
 }
 
 bool IsDeletion(const work::record& record) {
-  return std::holds_alternative<work::unit_deleted>(record);
+  return std::holds_alternative<work::unit_deleted>(record) ||
+         std::holds_alternative<work::worker_released>(record);
 }
 
 }  // namespace parsleyhitch::records
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -96,6 +96,8 @@
 PARSLEYHITCH_DESCRIBE(unit_id, job, occurrence, step, index)
 PARSLEYHITCH_DESCRIBE(unit_progressed, job, progress)
 PARSLEYHITCH_DESCRIBE(unit_deleted, unit)
+PARSLEYHITCH_DESCRIBE(worker_admitted, worker)
+PARSLEYHITCH_DESCRIBE(worker_released, worker)
 
 PARSLEYHITCH_DESCRIBE(client_call,
                       verb,
--- a/source/work/record.h
+++ b/source/work/record.h
@@ -49,6 +49,19 @@
   bool operator==(const unit_deleted&) const = default;
 };
 
+// Written by the leader only, fenced by its epoch, before it has the worker
+// start anything.
+struct worker_admitted {
+  const worker_id worker;
+  bool operator==(const worker_admitted&) const = default;
+};
+
+// Deletes the record of a worker on which nothing runs.
+struct worker_released {
+  const worker_id worker;
+  bool operator==(const worker_released&) const = default;
+};
+
 // An entry and the address at which its peers reach it.
 struct member_joined {
   const entry_id entry;
@@ -74,7 +87,9 @@
                             member_joined,
                             leader_elected,
                             unit_progressed,
-                            unit_deleted>;
+                            unit_deleted,
+                            worker_admitted,
+                            worker_released>;
 
 }  // namespace parsleyhitch::work
 
--- a/tests/wire/work_codec_test.cc
+++ b/tests/wire/work_codec_test.cc
@@ -47,6 +47,9 @@
                                          .attempt_failed = true,
                                          .checkpoint = "00ff",
                                          .workers = {work::worker_id("w")}}};
+  const work::record worker =
+      work::worker_admitted{.worker = work::worker_id("w")};
+  cr_assert(codec_fixture::RoundTrip(worker) == worker);
   cr_assert(codec_fixture::RoundTrip(submitted) == submitted);
   cr_assert(codec_fixture::RoundTrip(progressed) == progressed);
   cr_assert(codec_fixture::RoundTrip(unit) == unit);
