Keep few workers for tasks lost twice, and only until they outlive their start

Cause: a unit lost with two workers is suspected of crashing them, and its worker is kept from all others. That had no bound in number, and none in time: the count was set back only by another loss.

Change: a suspect that is known to have run for 0.5 s is cleared, its losses no longer count. The holds of its worker wait 0.2 s at most until then, so that this is known soon.

Evidence: tasks::lost_twice_leave_their_workers_to_others_* and, with the bound in number taken out, tasks::lost_twice_just_after_* fail before (8 of 8 workers in use); both pass. The tests of tasks that crash their workers hold on.

--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -72,13 +72,6 @@
   return ctx.now() - each.since < pause;
 }
 
-bool CarriesSuspect(const context& ctx, const worker_load& carried) {
-  return std::ranges::any_of(carried.tasks, [&](const auto& task) {
-    const unit* each = ctx.state.leader.units.Find(task.first);
-    return each != nullptr && IsSuspect(*each);
-  });
-}
-
 }  // namespace
 
 job_ranks RankJobs(const context& ctx) {
@@ -207,14 +200,15 @@
   return victims;
 }
 
-placement::capacity_map FreeCapacity(const context& ctx) {
+placement::capacity_map FreeCapacity(const context& ctx,
+                                     const quarantine& kept) {
   std::vector<placement::worker_capacity> workers;
   for (const auto& [worker, row] : ctx.state.leader.workers) {
     if (!IsSchedulable(row) || !IsAdmitted(ctx, worker))
       continue;
-    const worker_load& carried = LoadOf(ctx, worker);
-    if (CarriesSuspect(ctx, carried))
+    if (kept.workers.contains(worker))
       continue;
+    const worker_load& carried = LoadOf(ctx, worker);
     workers.push_back({.worker = worker,
                        .service = row.listed().service,
                        .rack = row.listed().rack,
--- a/source/dispatch/demands.h
+++ b/source/dispatch/demands.h
@@ -8,6 +8,7 @@
 
 #include "dispatch/context.h"
 #include "dispatch/hooks.h"
+#include "dispatch/losses.h"
 #include "placement/capacity_map.h"
 #include "placement/preempt.h"
 
@@ -29,8 +30,9 @@
                                           const job_ranks& ranked,
                                           rank importance);
 
-// The free capacity of every schedulable worker.
-placement::capacity_map FreeCapacity(const context& ctx);
+// The free capacity of every schedulable worker that is not in quarantine.
+placement::capacity_map FreeCapacity(const context& ctx,
+                                     const quarantine& kept);
 
 }  // namespace parsleyhitch::dispatch
 
--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -88,6 +88,7 @@
   adopted.since = ctx.now();
   adopted.members.push_back({.worker = worker,
                              .state = member_state::kRunning,
+                             .started_at = ctx.now(),
                              .acknowledged_at = ctx.now()});
   ctx.state.leader.units.Put(id, std::move(adopted));
   NoteUnitChanged(ctx, id);
@@ -110,6 +111,8 @@
   if (unchanged)
     return;
   one.state = member_state::kRunning;
+  if (!one.started_at)
+    one.started_at = ctx.now();
   if (!one.acknowledged_at)
     one.acknowledged_at = ctx.now();
   if (!task.checkpoint.empty())
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -25,6 +25,9 @@
 // How often a silent worker without tasks is asked whether it is back.
 constexpr duration kIdleProbeInterval{1000};
 
+// How long a hold waits at most at a worker that is watched.
+constexpr duration kWatchedHoldWait{200};
+
 // A worker answers a hold at once while it lists an end that the hold does not
 // acknowledge. Until its ends are stored it is held no more often than this.
 constexpr duration kUnstoredEndPause{500};
@@ -223,6 +226,7 @@
   row.next_hold_at = ctx.now();
   ctx.state.leader.workers.Put(worker, std::move(row));
   ApplyListing(ctx, worker, *event.listing, requested_at);
+  ClearSurvivors(ctx);
   SettleProcessedEnds(ctx);
   DelayHoldUntilEndsAreStored(ctx, worker);
   if (!was_schedulable)
@@ -432,7 +436,11 @@
     return;
   worker_state row = *known;
   const bool may_wait = row.fenced && busy && !silent;
-  const duration wait = may_wait ? ctx.limits().hold_wait : duration(0);
+  const duration longest_wait =
+      IsWatched(ctx, worker)
+          ? std::min(kWatchedHoldWait, ctx.limits().hold_wait)
+          : ctx.limits().hold_wait;
+  const duration wait = may_wait ? longest_wait : duration(0);
   std::optional<duration> lease_until;
   // No lease for a worker that does not answer: its tasks are replaced only
   // after its lease has expired.
--- a/source/dispatch/losses.cc
+++ b/source/dispatch/losses.cc
@@ -4,8 +4,9 @@
 // crashed worker can't be told from a silent one; the latter comes back under
 // its name and life, and its losses no longer count.
 
+#include "dispatch/losses.h"
+
 #include <algorithm>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -30,6 +31,11 @@
 // outlives workers that fail for causes of their own.
 constexpr duration kLossWindow = std::chrono::minutes(5);
 
+// A task that crashes the workers that start it does so within this time.
+constexpr duration kCrashesWithin{500};
+// One in so many workers of a service may be kept for suspects alone.
+constexpr std::size_t kWorkersPerQuarantine = 8;
+
 bool MayHaveStarted(const member& one) {
   return one.state != member_state::kEnded &&
          (one.state != member_state::kOrdered || one.start_orders_sent > 0);
@@ -63,10 +69,51 @@
   lost.losses += 1;
   lost.last_loss_at = ctx.now();
   ctx.state.leader.units.Put(id, std::move(lost));
+  ctx.state.leader.suspects.insert(id);
   NoteUnitChanged(ctx, id);
   return true;
 }
 
+// True when all tasks of the placed unit are known to have run past the time in
+// which they would have crashed their workers.
+bool HasOutlivedStart(const context& ctx, const unit& each) {
+  return each.phase == unit_phase::kPlaced &&
+         std::ranges::all_of(each.members, [&](const member& one) {
+           const worker_state* row = ctx.state.leader.workers.Find(one.worker);
+           return one.started_at && row != nullptr &&
+                  row->answered_at >= *one.started_at + kCrashesWithin;
+         });
+}
+
+void ClearLosses(const context& ctx, const work::unit_id& id) {
+  unit cleared = *ctx.state.leader.units.Find(id);
+  cleared.losses = 0;
+  cleared.lost_attempts.clear();
+  ctx.state.leader.units.Put(id, std::move(cleared));
+  NoteUnitChanged(ctx, id);
+}
+
+bool IsPlacedOn(const unit& each, const work::worker_id& worker) {
+  return std::ranges::any_of(each.members, [&](const member& one) {
+    return one.worker == worker && one.state != member_state::kEnded;
+  });
+}
+
+// Adds the unit's workers to the quarantine, as far as there is room.
+void AddWorkersOf(const context& ctx, const unit& each, quarantine& found) {
+  for (const member& one : each.members) {
+    const worker_state* row = ctx.state.leader.workers.Find(one.worker);
+    if (row == nullptr || one.state == member_state::kEnded ||
+        found.workers.contains(one.worker))
+      continue;
+    std::size_t& left = found.left[row->listed().service];
+    if (left == 0)
+      return;
+    left -= 1;
+    found.workers.insert(one.worker);
+  }
+}
+
 // The count does not include the attempt any more.
 void TakeBackLoss(const context& ctx,
                   const work::unit_id& id,
@@ -145,4 +192,42 @@
   return each.losses >= kLossesUntilAlone;
 }
 
+void ClearSurvivors(const context& ctx) {
+  std::erase_if(ctx.state.leader.suspects, [&](const work::unit_id& id) {
+    const unit* each = ctx.state.leader.units.Find(id);
+    if (each == nullptr || each->losses == 0)
+      return true;
+    if (!HasOutlivedStart(ctx, *each))
+      return false;
+    ctx.Log("unit_cleared", NameOf(id),
+            {Field("losses", each->losses), Field("attempt", each->attempt)});
+    ClearLosses(ctx, id);
+    return true;
+  });
+}
+
+bool IsWatched(const context& ctx, const work::worker_id& worker) {
+  return std::ranges::any_of(
+      ctx.state.leader.suspects, [&](const work::unit_id& id) {
+        const unit* each = ctx.state.leader.units.Find(id);
+        return each != nullptr && IsPlacedOn(*each, worker);
+      });
+}
+
+quarantine QuarantineOf(const context& ctx) {
+  quarantine found;
+  for (const auto& [worker, row] : ctx.state.leader.workers) {
+    if (IsSchedulable(row))
+      found.left[row.listed().service] += 1;
+  }
+  for (auto& [service, left] : found.left)
+    left = std::max<std::size_t>(left / kWorkersPerQuarantine, 1);
+  for (const work::unit_id& id : ctx.state.leader.suspects) {
+    const unit* each = ctx.state.leader.units.Find(id);
+    if (each != nullptr && IsSuspect(*each))
+      AddWorkersOf(ctx, *each, found);
+  }
+  return found;
+}
+
 }  // namespace parsleyhitch::dispatch
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -337,6 +337,8 @@
     // listing or was listed before.
     case work::order_outcome::kOutdated:
       next.state = member_state::kRunning;
+      if (!next.started_at)
+        next.started_at = ctx.now();
       next.acknowledged_at = ctx.now();
       PutMember(ctx, about.unit, about.member, std::move(next));
       if (event.outcome == work::order_outcome::kOutdated)
--- a/source/dispatch/planning.cc
+++ b/source/dispatch/planning.cc
@@ -20,19 +20,24 @@
 class planning_pass {
  public:
   planning_pass(const context& ctx, const job_ranks& ranked)
-      : ctx_(ctx), ranked_(ranked), capacity_(FreeCapacity(ctx)) {}
+      : ctx_(ctx),
+        ranked_(ranked),
+        quarantine_(QuarantineOf(ctx)),
+        capacity_(FreeCapacity(ctx, quarantine_)) {}
 
   // The number of tasks that the pass has started.
   std::size_t started() const { return started_; }
 
   void Consider(const waiting_unit& waiting) {
     const placement::demand demand = DemandOf(ctx_, waiting);
+    if (demand.alone && quarantine_.left[demand.service] < demand.members)
+      return;
     if (!unplaceable_demands_.contains(demand)) {
       const auto workers = placement::FindPlacement(capacity_, demand);
       if (workers) {
         ReserveCapacity(*workers, demand.need);
         if (demand.alone)
-          ReserveWorkers(*workers);
+          Quarantine(*workers, demand.service);
         PlaceUnit(ctx_, waiting.unit, *workers);
         started_ += workers->size();
         return;
@@ -52,9 +57,15 @@
       capacity_.Take(worker, need);
   }
 
-  void ReserveWorkers(const std::vector<work::worker_id>& workers) {
-    for (const work::worker_id& worker : workers)
+  // Keeps the workers for the unit that is placed there.
+  void Quarantine(const std::vector<work::worker_id>& workers,
+                  const work::service_id& service) {
+    for (const work::worker_id& worker : workers) {
+      if (!quarantine_.workers.insert(worker).second)
+        continue;
+      quarantine_.left[service] -= 1;
       capacity_.TakeAll(worker);
+    }
   }
 
   placement::victim_set& VictimsOf(rank importance) {
@@ -105,6 +116,7 @@
 
   const context& ctx_;
   const job_ranks& ranked_;
+  quarantine quarantine_;
   placement::capacity_map capacity_;
   std::size_t started_ = 0;
   // Victims for the rank `victims_for_`. One set suffices, as units are
--- a/source/dispatch/restore.cc
+++ b/source/dispatch/restore.cc
@@ -55,6 +55,8 @@
                 .since = ctx.now()};
   if (saved.attempt_failed)
     restored.failed_attempts.insert(saved.attempt);
+  if (restored.losses > 0)
+    ctx.state.leader.suspects.insert(unit_id);
   AddRestoredLoad(ctx, unit_id, restored, step);
   ctx.state.leader.units.Put(unit_id, std::move(restored));
 }
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -284,6 +284,8 @@
   std::uint32_t start_orders_sent = 0;
   // A start was not answered, so that the worker may still carry it out.
   bool start_pending = false;
+  // When the worker first confirmed that the task has been started.
+  std::optional<timestamp> started_at;
   // When the worker confirmed an order for the task, or first listed it as
   // running. In listings requested later, the absence of the task means that it
   // no longer runs.
@@ -471,6 +473,8 @@
   model::value_table<work::worker_id, worker_state> workers;
   model::value_table<work::worker_id, worker_load> loads;
   model::value_table<orphan_key, orphan_task> orphan_tasks;
+  // Units with losses that have not outlived the start of a later attempt.
+  std::set<work::unit_id> suspects;
   // What was lost with workers that have not shown since whether they crashed.
   std::map<work::worker_id, worker_losses> losses;
   model::value_table<call_number, order_reference> orders;
--- a/tests/dispatch/losses_test.cc
+++ b/tests/dispatch/losses_test.cc
@@ -136,3 +136,77 @@
   cr_assert_eq(fixture.LinesOf("unit_lost " + std::string(kOtherJob)).size(),
                0U);
 }
+
+// Workers that crash for causes of their own, twice in a row below the same
+// tasks, and a job that arrives later.
+struct crashing_workers_fixture : simulation_fixture {
+  static constexpr std::uint32_t kFewWorkers = 8;
+  static constexpr std::uint32_t kTasks = 8;
+
+  // The workers crash after their tasks have run for `runs_for`.
+  explicit crashing_workers_fixture(work::duration runs_for)
+      : simulation_fixture(
+            {.workers = kFewWorkers, .task_duration = work::duration(100000)}) {
+    simulation.Submit(Follower(), kJob, {Step(kTasks, 1)});
+    CrashWorkerOfAll(runs_for);
+    CrashWorkerOfAll(runs_for);
+  }
+
+  std::size_t TasksOn(std::uint32_t worker) {
+    return simulation.worker(worker).running().size();
+  }
+
+  std::uint32_t WorkersInUse() {
+    std::uint32_t used = 0;
+    for (std::uint32_t i = 0; i < kFewWorkers; ++i)
+      used += TasksOn(i) > 0 ? 1 : 0;
+    return used;
+  }
+
+  // Has the worker with most tasks crash once all of them have run for so long.
+  void CrashWorkerOfAll(work::duration runs_for) {
+    const auto all_run = [&] {
+      std::size_t running = 0;
+      for (std::uint32_t i = 0; i < kFewWorkers; ++i)
+        running += TasksOn(i);
+      return running == kTasks;
+    };
+    cr_assert(simulation.RunUntil(all_run, work::duration(15000)));
+    simulation.RunFor(runs_for);
+    std::uint32_t crashed = 0;
+    for (std::uint32_t i = 0; i < kFewWorkers; ++i)
+      crashed = TasksOn(i) > TasksOn(crashed) ? i : crashed;
+    simulation.worker(crashed).Crash();
+    simulation.worker(crashed).restarts_at =
+        simulation.now() + work::duration(4000);
+    cr_assert(simulation.RunUntil(all_run, work::duration(15000)));
+  }
+};
+
+// Guards against tasks that keep a worker each for themselves after two crashes
+// of workers, so that the others stay idle and later jobs wait.
+Test(tasks, lost_twice_leave_their_workers_to_others_once_they_run) {
+  crashing_workers_fixture fixture(work::duration(1500));
+  fixture.simulation.RunFor(work::duration(3000));
+  fixture.simulation.Submit(fixture.Follower(), kOtherJob, {Step(8, 7)});
+  cr_assert(fixture.Runs(kOtherJob, work::duration(1000)));
+}
+
+// Guards against suspects that take a worker each, without a bound in number.
+Test(tasks, lost_twice_just_after_their_start_leave_most_workers_idle) {
+  crashing_workers_fixture fixture(work::duration(100));
+  cr_assert_leq(fixture.WorkersInUse(), fixture.kFewWorkers / 2,
+                "%u workers in use", fixture.WorkersInUse());
+}
+
+// Guards against a job with many suspects that takes all workers out of use.
+Test(tasks, that_crash_their_workers_leave_most_workers_to_others) {
+  deadly_fixture fixture(work::duration(3000));
+  fixture.simulation.Submit(fixture.Follower(), kJob, {Step(8, 4)});
+  for (int i = 0; i < 30; ++i) {
+    const std::string other = "00000000000000" + std::to_string(10 + i);
+    fixture.simulation.Submit(fixture.Follower(), other, {Step(1, 1)});
+    cr_assert(fixture.Runs(other, work::duration(3000)), "job %d", i);
+  }
+  cr_assert(fixture.Ends(kJob, work::job_phase::kFailed, kWithin));
+}
