Fail jobs for lost workers only if their start may have crashed them

Cause: the guard against tasks that crash their workers counted each loss of a worker against all that ran there, whatever its cause.

Change: orders tell a connection that the worker refused or closed from one on which nothing was heard, and the leader keeps when it first was so. A loss counts towards giving the unit up only if that was within 1 s of its start; a worker that is out of reach shows nothing. Other losses are counted apart and end the job after 16 within five minutes, so that a task that crashes its workers later is not started without end. Endless steps, which have no limit of attempts, are not given up.

--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -159,6 +159,7 @@
                   worker_state& row,
                   const std::optional<duration>& clock) {
   row.unanswered_orders = 0;
+  row.disconnected_at.reset();
   row.answered_at = ctx.now();
   if (!clock)
     return;
@@ -237,9 +238,9 @@
                   const work::worker_id& worker,
                   worker_state row,
                   work::order_outcome outcome) {
-  if (outcome == work::order_outcome::kUnknown)
+  if (work::IsUnknown(outcome))
     row.unanswered_orders += 1;
-  if (outcome == work::order_outcome::kUnknown &&
+  if (work::IsUnknown(outcome) &&
       row.unanswered_orders == kUnansweredOrdersUntilSilent) {
     ctx.Warn("worker_silent", worker.value(),
              {Field("answered_ago", ctx.now() - row.answered_at)});
@@ -461,7 +462,20 @@
   ctx.state.leader.workers.Put(worker, std::move(row));
 }
 
+void NoteDisconnection(const context& ctx,
+                       const work::worker_id& worker,
+                       work::order_outcome outcome) {
+  const worker_state* known = ctx.state.leader.workers.Find(worker);
+  if (outcome != work::order_outcome::kDisconnected || known == nullptr ||
+      known->disconnected_at)
+    return;
+  worker_state row = *known;
+  row.disconnected_at = ctx.now();
+  ctx.state.leader.workers.Put(worker, std::move(row));
+}
+
 void OnHoldAnswered(const context& ctx, const work::hold_answered& event) {
+  NoteDisconnection(ctx, event.worker, event.outcome);
   const worker_state* known = ctx.state.leader.workers.Find(event.worker);
   if (known == nullptr || known->hold != event.call)
     return;
--- a/source/dispatch/losses.cc
+++ b/source/dispatch/losses.cc
@@ -1,12 +1,16 @@
 // Tasks that are lost with their workers. A task may crash each worker that
-// starts it, and takes all that runs beside it along, so that a lost task is
-// suspected, tried again alone, and given up at last. At the time of its loss a
-// crashed worker can't be told from a silent one; the latter comes back under
-// its name and life, and its losses no longer count.
+// starts it, and takes all that runs beside it along, so that a task that was
+// lost just after its start is suspected, tried again alone, and given up at
+// last. One that runs longer, or whose worker was only out of reach, is not the
+// cause. At the time of its loss a crashed worker can't be told from a silent
+// one; the latter comes back under its name and life, and its losses no longer
+// count.
 
 #include "dispatch/losses.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -32,7 +36,10 @@
 constexpr duration kLossWindow = std::chrono::minutes(5);
 
 // A task that crashes the workers that start it does so within this time.
-constexpr duration kCrashesWithin{500};
+constexpr duration kCrashesWithin{1000};
+// A unit is given up after this many losses whose cause it need not be. Without
+// it a task that crashes its workers later would be started without end.
+constexpr std::uint32_t kMaxLaterLosses = 16;
 // One in so many workers of a service may be kept for suspects alone.
 constexpr std::size_t kWorkersPerQuarantine = 8;
 
@@ -41,35 +48,56 @@
          (one.state != member_state::kOrdered || one.start_orders_sent > 0);
 }
 
-// The units with tasks that may have run on the worker.
-std::set<work::unit_id> UnitsOn(const context& ctx,
-                                const work::worker_id& worker) {
-  std::set<work::unit_id> found;
+// True if the worker's process ended so soon after the member's start that the
+// task may have crashed it. A worker that is only out of reach shows nothing.
+bool MayHaveCrashed(const worker_state& row,
+                    const unit& placed,
+                    const member& one) {
+  return row.disconnected_at &&
+         *row.disconnected_at <=
+             one.started_at.value_or(placed.since) + kCrashesWithin;
+}
+
+// The units with tasks that may have run on the worker, and whether their start
+// may have crashed it.
+std::map<work::unit_id, loss_kind> UnitsOn(const context& ctx,
+                                           const work::worker_id& worker,
+                                           const worker_state& row) {
+  std::map<work::unit_id, loss_kind> found;
   for (const auto& [id, index] : LoadOf(ctx, worker).tasks) {
     const unit* each = ctx.state.leader.units.Find(id);
     const bool placed = each != nullptr && each->phase == unit_phase::kPlaced &&
                         index < each->members.size();
-    if (placed && MayHaveStarted(each->members[index]))
-      found.insert(id);
+    if (!placed || !MayHaveStarted(each->members[index]))
+      continue;
+    loss_kind& kind = found.emplace(id, loss_kind::kLater).first->second;
+    if (MayHaveCrashed(row, *each, each->members[index]))
+      kind = loss_kind::kAtStart;
   }
   return found;
 }
 
+std::uint32_t& CountOf(unit& lost, loss_kind kind) {
+  return kind == loss_kind::kAtStart ? lost.losses : lost.later_losses;
+}
+
 // Counts the loss of an attempt once, with whichever of its workers is lost
 // first.
-bool CountLoss(const context& ctx, const work::unit_id& id) {
+bool CountLoss(const context& ctx, const work::unit_id& id, loss_kind kind) {
   unit lost = *ctx.state.leader.units.Find(id);
   if (lost.lost_attempts.contains(lost.attempt))
     return false;
   if (ctx.now() - lost.last_loss_at > kLossWindow) {
     lost.losses = 0;
+    lost.later_losses = 0;
     lost.lost_attempts.clear();
   }
-  lost.lost_attempts.insert(lost.attempt);
-  lost.losses += 1;
+  lost.lost_attempts.emplace(lost.attempt, kind);
+  CountOf(lost, kind) += 1;
   lost.last_loss_at = ctx.now();
+  if (kind == loss_kind::kAtStart)
+    ctx.state.leader.suspects.insert(id);
   ctx.state.leader.units.Put(id, std::move(lost));
-  ctx.state.leader.suspects.insert(id);
   NoteUnitChanged(ctx, id);
   return true;
 }
@@ -85,10 +113,14 @@
          });
 }
 
+// What was lost before with workers that it may have crashed does not count any
+// more.
 void ClearLosses(const context& ctx, const work::unit_id& id) {
   unit cleared = *ctx.state.leader.units.Find(id);
   cleared.losses = 0;
-  cleared.lost_attempts.clear();
+  std::erase_if(cleared.lost_attempts, [](const auto& each) {
+    return each.second == loss_kind::kAtStart;
+  });
   ctx.state.leader.units.Put(id, std::move(cleared));
   NoteUnitChanged(ctx, id);
 }
@@ -119,11 +151,14 @@
                   const work::unit_id& id,
                   std::uint64_t attempt) {
   const unit* known = ctx.state.leader.units.Find(id);
-  if (known == nullptr || !known->lost_attempts.contains(attempt))
+  if (known == nullptr)
+    return;
+  const auto counted = known->lost_attempts.find(attempt);
+  if (counted == known->lost_attempts.end())
     return;
   unit kept = *known;
+  CountOf(kept, counted->second) -= 1;
   kept.lost_attempts.erase(attempt);
-  kept.losses -= std::min<std::uint32_t>(kept.losses, 1);
   ctx.state.leader.units.Put(id, std::move(kept));
   NoteUnitChanged(ctx, id);
 }
@@ -137,14 +172,20 @@
 void GiveUpIfLostTooOften(const context& ctx,
                           const work::unit_id& id,
                           const work::worker_id& worker,
+                          loss_kind kind,
                           bool alone) {
-  const std::uint32_t losses = ctx.state.leader.units.Find(id)->losses;
+  const unit& lost = *ctx.state.leader.units.Find(id);
   const std::uint32_t most = alone ? kMaxLossesAlone : kMaxLosses;
   ctx.Warn(
       "unit_lost", NameOf(id),
-      {Field("worker", worker.value()), Field("losses", losses),
+      {Field("worker", worker.value()), Field("losses", lost.losses),
+       Field("later_losses", lost.later_losses),
        Field("alone", std::string(alone ? "yes" : "no")), Field("most", most)});
-  if (losses < most)
+  const bool endless = StepOf(*ctx.state.leader.jobs.Find(id.job), id).endless;
+  const bool too_often = kind == loss_kind::kAtStart
+                             ? lost.losses >= most
+                             : lost.later_losses >= kMaxLaterLosses;
+  if (endless || !too_often)
     return;
   ctx.Count("units_given_up");
   CloseJob(ctx, id.job, work::job_phase::kFailed);
@@ -158,15 +199,19 @@
   if (row == nullptr || row->listed().draining)
     return;
   ForgetOldLosses(ctx);
-  const std::set<work::unit_id> units = UnitsOn(ctx, worker);
+  const std::map<work::unit_id, loss_kind> units = UnitsOn(ctx, worker, *row);
+  const auto at_start = std::ranges::count_if(units, [](const auto& each) {
+    return each.second == loss_kind::kAtStart;
+  });
   worker_losses lost{.life = row->listed().life, .at = ctx.now()};
-  for (const work::unit_id& id : units) {
+  for (const auto& [id, kind] : units) {
     // Giving up one unit closes its job, and with it the job's other units.
     const active_job* job = ctx.state.leader.jobs.Find(id.job);
-    if (job == nullptr || work::IsClosed(job->phase) || !CountLoss(ctx, id))
+    if (job == nullptr || work::IsClosed(job->phase) ||
+        !CountLoss(ctx, id, kind))
       continue;
     lost.attempts.insert({id, ctx.state.leader.units.Find(id)->attempt});
-    GiveUpIfLostTooOften(ctx, id, worker, units.size() == 1);
+    GiveUpIfLostTooOften(ctx, id, worker, kind, at_start <= 1);
   }
   if (!lost.attempts.empty())
     ctx.state.leader.losses[worker] = std::move(lost);
--- a/source/dispatch/names.cc
+++ b/source/dispatch/names.cc
@@ -72,6 +72,8 @@
       return "refused";
     case work::order_outcome::kRestarted:
       return "reborn";
+    case work::order_outcome::kDisconnected:
+      return "disconnected";
     case work::order_outcome::kUnknown:
       break;
   }
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -345,6 +345,7 @@
         HoldIfNeeded(ctx, event.worker);
       return;
     case work::order_outcome::kUnknown:
+    case work::order_outcome::kDisconnected:
       next.start_pending = true;
       PutMember(ctx, about.unit, about.member, std::move(next));
       return;
@@ -377,12 +378,14 @@
 
 void OnStartAnswered(const context& ctx, const work::start_answered& event) {
   ctx.state.leader.starting.erase(event.worker);
+  NoteDisconnection(ctx, event.worker, event.outcome);
   ApplyStartAnswer(ctx, event);
   SendNextStart(ctx, event.worker);
   ObserveWorkerClock(ctx, event.worker, event.worker_clock);
 }
 
 void OnStopAnswered(const context& ctx, const work::stop_answered& event) {
+  NoteDisconnection(ctx, event.worker, event.outcome);
   const auto answered = CompleteOrder(ctx, event.call, event.outcome);
   if (!answered)
     return;
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -162,6 +162,11 @@
 void AdvanceWorkers(const context& ctx);
 // Estimates the worker's clock now. The worker's clock must be known.
 duration ClockNow(const context& ctx, const worker_state& row);
+// Notes when the worker first refused or closed a connection since it was last
+// heard, if it did so now.
+void NoteDisconnection(const context& ctx,
+                       const work::worker_id& worker,
+                       work::order_outcome outcome);
 // Detects a restart of the worker by its clock, which starts anew. Until the
 // restart is known, acknowledgements meant for the old process could make the
 // new one forget ends that nobody has read.
--- a/source/dispatch/progress.cc
+++ b/source/dispatch/progress.cc
@@ -36,7 +36,8 @@
           .attempt_failed = each.failed_attempts.contains(each.attempt),
           .checkpoint = each.checkpoint,
           .workers = WorkersOf(each),
-          .losses = each.losses};
+          .losses = each.losses,
+          .later_losses = each.later_losses};
 }
 
 // The record of the unit as it is now. None for a unit of a closed job: the
--- a/source/dispatch/restore.cc
+++ b/source/dispatch/restore.cc
@@ -51,6 +51,7 @@
                 .members = RestoredMembers(saved),
                 .restored_attempt = saved.attempt,
                 .losses = saved.losses,
+                .later_losses = saved.later_losses,
                 .last_loss_at = ctx.now(),
                 .since = ctx.now()};
   if (saved.attempt_failed)
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -232,6 +232,9 @@
   std::uint64_t hold_acknowledged_end = 0;
   timestamp next_hold_at;
   timestamp answered_at;
+  // When it first refused or closed a connection since then, which shows when
+  // its process ended, if it did.
+  std::optional<timestamp> disconnected_at;
   // Consecutive orders without an answer.
   std::uint32_t unanswered_orders = 0;
 
@@ -294,6 +297,9 @@
   bool operator==(const member&) const = default;
 };
 
+// Whether the worker may have been lost by the start of the attempt.
+enum class loss_kind : std::uint8_t { kAtStart, kLater };
+
 enum class unit_phase { kWaiting, kPlaced, kDone };
 
 // What is placed as a whole: one task, or all tasks of a gang.
@@ -314,10 +320,12 @@
   // Workers on which an attempt failed.
   std::set<work::worker_id> failed_on;
   // Attempts that were lost with a worker: it crashed, or was out of reach
-  // until its leases had expired. `lost_attempts` has those that this leader
-  // counted.
+  // until its leases had expired. `losses` counts those whose start may have
+  // crashed the worker, `later_losses` the others; `lost_attempts` has those of
+  // both that this leader counted.
   std::uint32_t losses = 0;
-  std::set<std::uint64_t> lost_attempts;
+  std::uint32_t later_losses = 0;
+  std::map<std::uint64_t, loss_kind> lost_attempts;
   timestamp last_loss_at;
   // When it was last placed, last began to wait, or was done.
   timestamp since;
--- a/source/platform/worker_calls.cc
+++ b/source/platform/worker_calls.cc
@@ -49,7 +49,9 @@
 work::order_outcome DecodeOrderOutcome(const wire::http_outcome& outcome) {
   const auto* response = std::get_if<wire::http_response>(&outcome);
   if (response == nullptr)
-    return work::order_outcome::kUnknown;
+    return std::get<wire::http_failure>(outcome).disconnected
+               ? work::order_outcome::kDisconnected
+               : work::order_outcome::kUnknown;
   switch (response->status) {
     case kOk:
       return work::order_outcome::kDone;
--- a/source/runtime/http_client.cc
+++ b/source/runtime/http_client.cc
@@ -133,6 +133,13 @@
          each.response_headers.contains("transfer-encoding");
 }
 
+// True when the peer refused or closed the connection.
+bool IsDisconnection(CURLcode code) {
+  return code == CURLE_COULDNT_CONNECT || code == CURLE_GOT_NOTHING ||
+         code == CURLE_SEND_ERROR || code == CURLE_RECV_ERROR ||
+         code == CURLE_PARTIAL_FILE;
+}
+
 http_outcome TakeOutcome(CURL* easy, CURLcode code, transfer& each) {
   long sent = 0;
   curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
@@ -144,6 +151,7 @@
   const auto bytes_written = static_cast<std::uint64_t>(uploaded);
   if (code != CURLE_OK || !HasKnownLength(each, status_code)) {
     return http_failure{.sent = sent > 0,
+                        .disconnected = IsDisconnection(code),
                         .bytes_written = bytes_written,
                         .bytes_read = each.response_body.size()};
   }
--- a/source/wire/http_exchange.h
+++ b/source/wire/http_exchange.h
@@ -49,6 +49,9 @@
 struct http_failure {
   // False only when no byte of the request was sent.
   const bool sent = true;
+  // The peer refused or closed the connection, as it does when its process has
+  // ended. False when nothing was heard of it.
+  const bool disconnected = false;
   // Bytes of the request's body that were sent, and of the response's body that
   // were received.
   const std::uint64_t bytes_written = 0;
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -45,7 +45,8 @@
                     kNoRoom,
                     kRefused,
                     kRestarted,
-                    kUnknown)
+                    kUnknown,
+                    kDisconnected)
 
 PARSLEYHITCH_DESCRIBE(resources, cpu_millis, memory_mb, accelerators)
 PARSLEYHITCH_DESCRIBE(step_spec,
@@ -86,7 +87,8 @@
                       attempt_failed,
                       checkpoint,
                       workers,
-                      losses)
+                      losses,
+                      later_losses)
 
 PARSLEYHITCH_DESCRIBE(job_submitted, content)
 PARSLEYHITCH_DESCRIBE(job_cancelled, job)
--- a/source/work/job.h
+++ b/source/work/job.h
@@ -137,8 +137,10 @@
   const std::string checkpoint;
   // Workers of the running attempt, one per task; empty when none is running.
   const std::vector<worker_id> workers{};
-  // Attempts that were lost with a worker, as far as they still count.
+  // Attempts that were lost with a worker, as far as they still count: those
+  // whose start may have crashed the worker, and the others.
   const std::uint32_t losses = 0;
+  const std::uint32_t later_losses = 0;
 
   bool operator==(const unit_progress&) const = default;
 };
--- a/source/work/order.h
+++ b/source/work/order.h
@@ -77,8 +77,15 @@
   kRefused,    // the worker is unhealthy or can't read the order; nothing done
   kRestarted,  // the worker restarted since it was listed
   kUnknown,
+  kDisconnected,  // unknown too; the worker refused or closed the connection
 };
 
+// True when it is not known whether the order was carried out.
+inline bool IsUnknown(order_outcome outcome) {
+  return outcome == order_outcome::kUnknown ||
+         outcome == order_outcome::kDisconnected;
+}
+
 struct start_answered {
   const timestamp at{};
   const call_number call = 0;
--- a/tests/platform/worker_calls_test.cc
+++ b/tests/platform/worker_calls_test.cc
@@ -94,6 +94,17 @@
   cr_assert_not(decoded.findings.empty());
 }
 
+Test(order, without_response_has_an_unknown_outcome) {
+  const auto outcome_of = [](bool disconnected) {
+    const auto decoded = platform::DecodeOutcome(
+        work::stop_run{.target = kTarget},
+        wire::http_failure{.disconnected = disconnected}, kNow);
+    return std::get<work::stop_answered>(decoded.event).outcome;
+  };
+  cr_assert(outcome_of(false) == work::order_outcome::kUnknown);
+  cr_assert(outcome_of(true) == work::order_outcome::kDisconnected);
+}
+
 Test(task_name, encoded_and_parsed_is_equal) {
   const auto parsed = platform::ParseTaskName(platform::TaskName(kTask));
   cr_assert(parsed.has_value() && *parsed == kTask);
