HTTP client: do not let libcurl repeat requests that change something

Cause: when a reused connection is closed without a response, libcurl sends the request once more by itself, over a new connection. The first one may have been carried out. An append that the store had taken and whose repeat it refused with 503 counted as one that did nothing: its callers were told that the job does not run. An order to start, likewise, counted as refused while the first was carried out late.

Change: only GET is repeated; any other request fails as sent, with an unknown outcome, which the reducer has always known how to treat.

Evidence: request::whose_connection_is_closed_after_it_was_sent_is_not_repeated failed before (the client reported the 503 of the repeat) and passes.

--- a/source/runtime/http_client.cc
+++ b/source/runtime/http_client.cc
@@ -43,6 +43,8 @@
   const time_point start = std::chrono::steady_clock::now();
   // When a byte of the response was last read.
   time_point last_activity = start;
+  // A connection was ready, and the request was written to it.
+  bool sent = false;
   // The socket that libcurl has watched for it, if any.
   curl_socket_t socket = CURL_SOCKET_BAD;
   curl_slist* headers = nullptr;
@@ -133,16 +135,16 @@
          each.response_headers.contains("transfer-encoding");
 }
 
-// True when the peer refused or closed the connection.
-bool IsDisconnection(CURLcode code) {
-  return code == CURLE_COULDNT_CONNECT || code == CURLE_GOT_NOTHING ||
-         code == CURLE_SEND_ERROR || code == CURLE_RECV_ERROR ||
-         code == CURLE_PARTIAL_FILE;
+// True when the peer refused or closed the connection. A request that was sent
+// is aborted only instead of its repetition.
+bool IsDisconnection(CURLcode code, const transfer& each) {
+  const bool repeats = code == CURLE_ABORTED_BY_CALLBACK && each.sent;
+  return repeats || code == CURLE_COULDNT_CONNECT ||
+         code == CURLE_GOT_NOTHING || code == CURLE_SEND_ERROR ||
+         code == CURLE_RECV_ERROR || code == CURLE_PARTIAL_FILE;
 }
 
 http_outcome TakeOutcome(CURL* easy, CURLcode code, transfer& each) {
-  long sent = 0;
-  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
   long status = 0;
   curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
   curl_off_t uploaded = 0;
@@ -150,8 +152,8 @@
   const auto status_code = static_cast<std::uint32_t>(status);
   const auto bytes_written = static_cast<std::uint64_t>(uploaded);
   if (code != CURLE_OK || !HasKnownLength(each, status_code)) {
-    return http_failure{.sent = sent > 0,
-                        .disconnected = IsDisconnection(code),
+    return http_failure{.sent = each.sent,
+                        .disconnected = IsDisconnection(code, each),
                         .bytes_written = bytes_written,
                         .bytes_read = each.response_body.size()};
   }
@@ -332,10 +334,16 @@
 }
 
 // Called once there is a connection: what is late by then isn't sent at all.
+// When a reused connection is closed without a response, libcurl sends the
+// request once more. The answer to the second one would hide that the first may
+// have been carried out, so only what changes nothing is repeated.
 int OnReadyToSend(void* user, char*, char*, int, int) {
-  return static_cast<const transfer*>(user)->HasExpired()
-             ? CURL_PREREQFUNC_ABORT
-             : CURL_PREREQFUNC_OK;
+  transfer& each = *static_cast<transfer*>(user);
+  const bool repeats = each.sent && each.request.method != "GET";
+  if (each.HasExpired() || repeats)
+    return CURL_PREREQFUNC_ABORT;
+  each.sent = true;
+  return CURL_PREREQFUNC_OK;
 }
 
 void SetOptions(CURL* easy, transfer& each) {
--- a/tests/runtime/http_client_test.cc
+++ b/tests/runtime/http_client_test.cc
@@ -246,6 +246,72 @@
   std::optional<wire::http_outcome> result_;
 };
 
+// Answers the first request on a connection, closes the connection on the
+// second one without an answer, and refuses what comes on the next connection.
+class closing_server_fixture {
+ public:
+  closing_server_fixture() {
+    AcceptAndAnswer(first_, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                    [this] { AwaitRequestAndClose(); });
+  }
+
+  wire::http_outcome Fetch(const std::string& method) {
+    client_.Send({.method = method, .url = url_, .timeout = kShortTimeout},
+                 [this](const wire::http_outcome& outcome) {
+                   result_.emplace(outcome);
+                   io_.stop();
+                 });
+    io_.restart();
+    io_.run();
+    return *result_;
+  }
+
+  // The requests that the server has read.
+  int requests() const { return requests_; }
+
+ private:
+  void AcceptAndAnswer(asio::ip::tcp::socket& socket,
+                       const std::string& response,
+                       const std::function<void()>& answered) {
+    acceptor_.async_accept(socket, [this, &socket, response,
+                                    answered](const asio::error_code& error) {
+      if (error)
+        return;
+      AnswerRequest(socket, request_, response, [this, answered] {
+        requests_ += 1;
+        answered();
+      });
+    });
+  }
+
+  void AwaitRequestAndClose() {
+    request_.clear();
+    asio::async_read_until(first_, asio::dynamic_buffer(request_), "\r\n\r\n",
+                           [this](const asio::error_code& error, std::size_t) {
+                             if (error)
+                               return;
+                             requests_ += 1;
+                             request_.clear();
+                             AcceptAndAnswer(
+                                 second_,
+                                 "HTTP/1.1 503 Service Unavailable\r\n"
+                                 "Content-Length: 0\r\n\r\n",
+                                 [] {});
+                             first_.close();
+                           });
+  }
+
+  asio::io_context io_{1};
+  asio::ip::tcp::acceptor acceptor_{io_, {asio::ip::address_v4::loopback(), 0}};
+  asio::ip::tcp::socket first_{io_};
+  asio::ip::tcp::socket second_{io_};
+  const std::string url_ = UrlOf(acceptor_);
+  std::string request_;
+  int requests_ = 0;
+  runtime::http_client client_{io_};
+  std::optional<wire::http_outcome> result_;
+};
+
 }  // namespace
 
 Test(response, that_arrives_slowly_but_steadily_is_not_broken_off) {
@@ -313,3 +379,16 @@
   cr_assert_not_null(failure);
   cr_assert(failure->disconnected);
 }
+
+// Guards against a request that is sent twice, so that the refusal of the
+// second hides that the first may have been carried out.
+Test(request, whose_connection_is_closed_after_it_was_sent_is_not_repeated) {
+  closing_server_fixture server;
+  cr_assert(std::holds_alternative<wire::http_response>(server.Fetch("POST")));
+  const wire::http_outcome outcome = server.Fetch("POST");
+  const auto* failure = std::get_if<wire::http_failure>(&outcome);
+  cr_assert_not_null(failure);
+  cr_assert(failure->sent);
+  cr_assert(failure->disconnected);
+  cr_assert_eq(server.requests(), 2);
+}
