Do not wait for a rack while most of the service is idle

What callers saw: an accepted job had nothing running though it could run (LOST; 'has nothing running, task could run' in the users' record, one unit waiting beside 105 placed ones).

Cause: a unit waits for room near its data, or on one rack, for half of the slack of its objective, which follows from the caller's estimate.

Change: while less than half of each resource of the service is in use, a unit accepts any rack after 1.5 s, the patience for shunned workers. On a busier service it waits as before.

Evidence: unit::whose_rack_is_full_starts_elsewhere_while_most_workers_are_idle failed before and passes; unit::whose_rack_is_full_waits_for_it_* passes before and after. That this is what the users saw is likely, not proved: their record does not tell why the unit waited.

--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -133,12 +133,35 @@
   return waiting;
 }
 
-placement::demand DemandOf(const context& ctx, const waiting_unit& waiting) {
+std::set<work::service_id> HalfIdleServices(const context& ctx) {
+  std::map<work::service_id, work::resources> capacity;
+  std::map<work::service_id, work::resources> used;
+  for (const auto& [worker, row] : ctx.state.leader.workers) {
+    if (!IsSchedulable(row))
+      continue;
+    const work::service_id& service = row.listed().service;
+    capacity[service] = capacity[service] + row.listed().capacity;
+    used[service] = used[service] + LoadOf(ctx, worker).used;
+  }
+  std::set<work::service_id> half_idle;
+  for (const auto& [service, all] : capacity) {
+    if (work::Fits(used[service] + used[service], all))
+      half_idle.insert(service);
+  }
+  return half_idle;
+}
+
+placement::demand DemandOf(const context& ctx,
+                           const waiting_unit& waiting,
+                           const std::set<work::service_id>& half_idle) {
   const active_job& job = *ctx.state.leader.jobs.Find(waiting.unit.job);
   const work::step_spec& step = StepOf(job, waiting.unit);
   const dispatch::unit& unit = *ctx.state.leader.units.Find(waiting.unit);
   const duration patience = SlackOf(*job.content.Get(), step) *
                             ctx.limits().near_patience_permille / 1000;
+  // No objective lets work wait for a rack while most of the service is idle.
+  const bool waits_idly = half_idle.contains(job.content.Get()->service) &&
+                          waiting.idle >= ctx.limits().shun_patience;
   placement::demand demand{
       .service = job.content.Get()->service,
       .members = waiting.members,
@@ -146,7 +169,7 @@
       .required_label = step.required_label,
       .same_rack = step.same_rack,
       .data_rack = step.data_rack,
-      .accepts_remote = waiting.waited >= patience,
+      .accepts_remote = waiting.waited >= patience || waits_idly,
       .accepts_shunned = waiting.idle >= ctx.limits().shun_patience,
       .alone = IsSuspect(unit) && waiting.idle < ctx.limits().shun_patience,
       .avoided = unit.failed_on,
--- a/source/dispatch/demands.h
+++ b/source/dispatch/demands.h
@@ -23,7 +23,12 @@
 std::vector<waiting_unit> WaitingUnits(const context& ctx,
                                        const job_ranks& ranked);
 
-placement::demand DemandOf(const context& ctx, const waiting_unit& waiting);
+// The services of which less than half of each resource is in use.
+std::set<work::service_id> HalfIdleServices(const context& ctx);
+
+placement::demand DemandOf(const context& ctx,
+                           const waiting_unit& waiting,
+                           const std::set<work::service_id>& half_idle);
 
 // The placed units that may be preempted for a unit of the given rank.
 std::vector<placement::victim> VictimsFor(const context& ctx,
--- a/source/dispatch/planning.cc
+++ b/source/dispatch/planning.cc
@@ -22,6 +22,7 @@
   planning_pass(const context& ctx, const job_ranks& ranked)
       : ctx_(ctx),
         ranked_(ranked),
+        half_idle_(HalfIdleServices(ctx)),
         quarantine_(QuarantineOf(ctx)),
         capacity_(FreeCapacity(ctx, quarantine_)) {}
 
@@ -29,7 +30,7 @@
   std::size_t started() const { return started_; }
 
   void Consider(const waiting_unit& waiting) {
-    const placement::demand demand = DemandOf(ctx_, waiting);
+    const placement::demand demand = DemandOf(ctx_, waiting, half_idle_);
     if (demand.alone && quarantine_.left[demand.service] < demand.members)
       return;
     if (!unplaceable_demands_.contains(demand)) {
@@ -116,6 +117,7 @@
 
   const context& ctx_;
   const job_ranks& ranked_;
+  const std::set<work::service_id> half_idle_;
   quarantine quarantine_;
   placement::capacity_map capacity_;
   std::size_t started_ = 0;
--- a/source/work/limits.h
+++ b/source/work/limits.h
@@ -73,8 +73,9 @@
   // up to the maximum.
   const duration shun_base{2000};
   const duration shun_max{20000};
-  // After waiting this long a unit accepts shunned workers. Well below 3 s,
-  // within which the users expect a unit to start when there is capacity.
+  // After waiting this long a unit accepts shunned workers, and any rack while
+  // less than half of its service is in use. Well below 3 s, within which the
+  // users expect a unit to start when there is capacity.
   const duration shun_patience{1500};
 
   // Jobs. Shortest time between two planning passes.
