Test ports: refuse what does not fit into a block, in place of a search without end

A soak of 7 entries and 24 workers needs more ports than a block has. It now fails at once with the number of ports.

--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -70,6 +70,11 @@
   constexpr std::uint32_t kFirstPort = 10000;
   constexpr std::uint32_t kBlocks = 400;
   constexpr std::uint32_t kBlockPorts = 50;
+  // The last port of a block reserves it.
+  if (count >= kBlockPorts) {
+    throw std::runtime_error("a test may use at most " +
+                             std::to_string(kBlockPorts - 1) + " ports");
+  }
   auto block = static_cast<std::uint32_t>(getpid()) % kBlocks;
   auto first = static_cast<std::uint16_t>(kFirstPort + block * kBlockPorts);
   while (!ReserveBlock(static_cast<std::uint16_t>(first + kBlockPorts - 1)) ||
