Look through suspects once a tick, not at each hold

Cause: the units suspected of crashing workers were looked through at each hold and each answer to one. When many workers of the large site crash together there are hundreds, and the leader is held by each of a thousand workers.

Change: suspects are cleared and their workers noted once a tick; a hold looks only whether its worker is among these.

--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -227,7 +227,6 @@
   row.next_hold_at = ctx.now();
   ctx.state.leader.workers.Put(worker, std::move(row));
   ApplyListing(ctx, worker, *event.listing, requested_at);
-  ClearSurvivors(ctx);
   SettleProcessedEnds(ctx);
   DelayHoldUntilEndsAreStored(ctx, worker);
   if (!was_schedulable)
@@ -438,7 +437,7 @@
   worker_state row = *known;
   const bool may_wait = row.fenced && busy && !silent;
   const duration longest_wait =
-      IsWatched(ctx, worker)
+      ctx.state.leader.watched_workers.contains(worker)
           ? std::min(kWatchedHoldWait, ctx.limits().hold_wait)
           : ctx.limits().hold_wait;
   const duration wait = may_wait ? longest_wait : duration(0);
@@ -501,6 +500,7 @@
   if (!ctx.state.leader.restored)
     return;
   SettleProcessedEnds(ctx);
+  AdvanceSuspects(ctx);
   std::vector<work::worker_id> all;
   all.reserve(ctx.state.leader.workers.size());
   for (const auto& [worker, row] : ctx.state.leader.workers)
--- a/source/dispatch/losses.cc
+++ b/source/dispatch/losses.cc
@@ -125,12 +125,6 @@
   NoteUnitChanged(ctx, id);
 }
 
-bool IsPlacedOn(const unit& each, const work::worker_id& worker) {
-  return std::ranges::any_of(each.members, [&](const member& one) {
-    return one.worker == worker && one.state != member_state::kEnded;
-  });
-}
-
 // Adds the unit's workers to the quarantine, as far as there is room.
 void AddWorkersOf(const context& ctx, const unit& each, quarantine& found) {
   for (const member& one : each.members) {
@@ -237,28 +231,25 @@
   return each.losses >= kLossesUntilAlone;
 }
 
-void ClearSurvivors(const context& ctx) {
-  std::erase_if(ctx.state.leader.suspects, [&](const work::unit_id& id) {
-    const unit* each = ctx.state.leader.units.Find(id);
+void AdvanceSuspects(const context& ctx) {
+  leader_state& leader = ctx.state.leader;
+  leader.watched_workers.clear();
+  std::erase_if(leader.suspects, [&](const work::unit_id& id) {
+    const unit* each = leader.units.Find(id);
     if (each == nullptr || each->losses == 0)
       return true;
-    if (!HasOutlivedStart(ctx, *each))
-      return false;
-    ctx.Log("unit_cleared", NameOf(id),
-            {Field("losses", each->losses), Field("attempt", each->attempt)});
-    ClearLosses(ctx, id);
-    return true;
+    if (HasOutlivedStart(ctx, *each)) {
+      ctx.Log("unit_cleared", NameOf(id),
+              {Field("losses", each->losses), Field("attempt", each->attempt)});
+      ClearLosses(ctx, id);
+      return true;
+    }
+    for (const member& one : each->members)
+      leader.watched_workers.insert(one.worker);
+    return false;
   });
 }
 
-bool IsWatched(const context& ctx, const work::worker_id& worker) {
-  return std::ranges::any_of(
-      ctx.state.leader.suspects, [&](const work::unit_id& id) {
-        const unit* each = ctx.state.leader.units.Find(id);
-        return each != nullptr && IsPlacedOn(*each, worker);
-      });
-}
-
 quarantine QuarantineOf(const context& ctx) {
   quarantine found;
   for (const auto& [worker, row] : ctx.state.leader.workers) {
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -284,11 +284,9 @@
 void OnWorkerSeen(const context& ctx,
                   const work::worker_id& worker,
                   std::uint64_t life);
-// Clears the suspects that are known to have outlived their start.
-void ClearSurvivors(const context& ctx);
-// True when a unit that has not been cleared is placed on the worker, so that
-// it is asked often whether it is still there.
-bool IsWatched(const context& ctx, const work::worker_id& worker);
+// Clears the suspects that are known to have outlived their start, and notes on
+// which workers the others are placed. Called at each tick.
+void AdvanceSuspects(const context& ctx);
 
 // planning.cc: placing waiting units.
 void PlanIfDue(const context& ctx);
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -483,6 +483,9 @@
   model::value_table<orphan_key, orphan_task> orphan_tasks;
   // Units with losses that have not outlived the start of a later attempt.
   std::set<work::unit_id> suspects;
+  // Workers on which these are placed, as of the latest tick; they are asked
+  // often whether they are still there.
+  std::set<work::worker_id> watched_workers;
   // What was lost with workers that have not shown since whether they crashed.
   std::map<work::worker_id, worker_losses> losses;
   model::value_table<call_number, order_reference> orders;
