End the tasks of a worker when another process answers at its address

Cause: such a worker comes back under another ID at the same address, where the new process answers every order meant for the old one with 421. The leader took that as a rejection of the one order. An answer was there, so the worker did not count as silent and its tasks were not given up with its leases; a hold that was refused so was repeated without end, and so was a stop. A gang with a member there waited for ever. An idle worker stayed schedulable: while its registry entry stayed, or came back for seconds as a late write, starts were placed on it and refused 50 times a second.

Ruled out: a registry that names the worker under a later life (the log shows the same life, and the worker_restarted event not once); an unanswered start.

Change: the answer ends the process that was called, for starts, stops and holds. Its tasks end at once, it takes no starts, and its row goes once it is unlisted. Orders note the life that they are for, so that a late answer for an earlier one does not end the next. The clock in such an answer is the other process's and is not taken for the worker's.

--- a/source/dispatch/admission.cc
+++ b/source/dispatch/admission.cc
@@ -22,7 +22,7 @@
 
 // True for a worker that may be given starts, as far as its entry tells.
 bool TakesStarts(const worker_state& row) {
-  return row.is_listed && !row.listed().draining;
+  return row.is_listed && !row.replaced && !row.listed().draining;
 }
 
 // True if tasks run on the worker, or may be started there. A worker that is
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -95,13 +95,14 @@
   ctx.state.leader.plan_due = true;
 }
 
-void EndLostTasks(const context& ctx, const work::worker_id& worker) {
+void EndLostTasks(const context& ctx,
+                  const work::worker_id& worker,
+                  std::string_view why) {
   const auto tasks = LoadOf(ctx, worker).tasks;
   if (!tasks.empty()) {
     ctx.Warn("tasks_lost", worker.value(),
-             {Field("count", tasks.size()), Field("why", "lease lapsed")});
+             {Field("count", tasks.size()), Field("why", std::string(why))});
   }
-  NoteAbandonedTasks(ctx, worker);
   CountLosses(ctx, worker);
   for (const auto& [unit, index] : tasks)
     EndMember(ctx, unit, index, gang_effect::kKeepsOthers);
@@ -258,15 +259,18 @@
 
 void AdvanceWorker(const context& ctx, const work::worker_id& worker) {
   const worker_state* row = ctx.state.leader.workers.Find(worker);
-  const bool unreachable =
-      row->unanswered_orders > 0 || row->listed().address.empty();
+  const bool unreachable = row->replaced || row->unanswered_orders > 0 ||
+                           row->listed().address.empty();
   // A missing registry entry does not show that the worker has left: the entry
   // of a worker that is cut off expires too, before the leases of its tasks.
-  if (unreachable && IsBusy(ctx, worker) && HaveLeasesExpired(ctx, *row))
-    EndLostTasks(ctx, worker);
+  if (unreachable && IsBusy(ctx, worker) && HaveLeasesExpired(ctx, *row)) {
+    NoteAbandonedTasks(ctx, worker);
+    EndLostTasks(ctx, worker, "lease lapsed");
+  }
   ReleaseWithheldEndIfDue(ctx, worker);
   row = ctx.state.leader.workers.Find(worker);
-  const bool idle = !IsBusy(ctx, worker) && HaveLeasesExpired(ctx, *row);
+  const bool idle =
+      !IsBusy(ctx, worker) && (row->replaced || HaveLeasesExpired(ctx, *row));
   if (IsRemovalDue(ctx, *row) && unreachable && idle) {
     ctx.Log("worker_deleted", worker.value());
     ctx.state.leader.workers.Erase(worker);
@@ -423,9 +427,9 @@
 
 void HoldIfNeeded(const context& ctx, const work::worker_id& worker) {
   const worker_state* known = ctx.state.leader.workers.Find(worker);
-  if (known == nullptr || known->hold || known->listed().address.empty() ||
-      ctx.now() < known->next_hold_at || !ctx.state.leader.restored ||
-      !HasAuthority(ctx))
+  if (known == nullptr || known->hold || known->replaced ||
+      known->listed().address.empty() || ctx.now() < known->next_hold_at ||
+      !ctx.state.leader.restored || !HasAuthority(ctx))
     return;
   const bool busy = IsBusy(ctx, worker);
   const std::uint64_t acknowledged = AcknowledgeableEnd(*known);
@@ -488,6 +492,9 @@
     case work::order_outcome::kFenced:
       ObserveEpoch(ctx, ctx.state.leader.epoch + 1, "worker_fenced");
       return;
+    case work::order_outcome::kRestarted:
+      OnWorkerReplaced(ctx, event.worker);
+      return;
     default:
       OnHoldFailed(ctx, event.worker, std::move(row), event.outcome);
       break;
@@ -496,6 +503,25 @@
     HoldIfNeeded(ctx, event.worker);
 }
 
+void OnWorkerReplaced(const context& ctx, const work::worker_id& worker) {
+  const worker_state* known = ctx.state.leader.workers.Find(worker);
+  if (known == nullptr || known->replaced)
+    return;
+  ctx.Warn("worker_replaced", worker.value(),
+           {Field("life", known->listed().life),
+            Field("answered_ago", ctx.now() - known->answered_at)});
+  worker_state row = *known;
+  row.replaced = true;
+  // It carries out no order of an earlier leader.
+  row.fenced = true;
+  row.hold.reset();
+  row.withheld_end.reset();
+  ctx.state.leader.workers.Put(worker, std::move(row));
+  DropProcessedEnds(ctx, worker);
+  EndLostTasks(ctx, worker, "worker replaced");
+  ctx.state.leader.plan_due = true;
+}
+
 void AdvanceWorkers(const context& ctx) {
   if (!ctx.state.leader.restored)
     return;
@@ -514,8 +540,8 @@
 
 bool IsSchedulable(const worker_state& row) {
   return row.is_listed && !row.entry_outdated && !row.listed().draining &&
-         row.fenced && row.clock && row.unanswered_orders == 0 &&
-         !row.withheld_end;
+         row.fenced && !row.replaced && row.clock &&
+         row.unanswered_orders == 0 && !row.withheld_end;
 }
 
 void RecordWorkerFailure(const context& ctx,
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -40,10 +40,13 @@
 call_number NewOrder(const context& ctx,
                      const work::unit_id& id,
                      std::uint32_t index,
-                     std::uint64_t attempt) {
+                     std::uint64_t attempt,
+                     const worker_state& called) {
   const call_number call = ctx.NewCall();
-  ctx.state.leader.orders.Put(
-      call, {.unit = id, .member = index, .attempt = attempt});
+  ctx.state.leader.orders.Put(call, {.unit = id,
+                                     .member = index,
+                                     .attempt = attempt,
+                                     .life = called.listed().life});
   return call;
 }
 
@@ -64,7 +67,7 @@
   const duration lease_until = ClockNow(ctx, row) + ctx.limits().lease;
   row.lease_until = std::max(row.lease_until, lease_until);
   const active_job& job = *ctx.state.leader.jobs.Find(id.job);
-  next.order = NewOrder(ctx, id, index, placed.attempt);
+  next.order = NewOrder(ctx, id, index, placed.attempt, row);
   next.start_orders_sent += 1;
   next.next_order_at = ctx.now() + ctx.limits().order_retry;
   SendOrder(ctx, work::start_run{.call = *next.order,
@@ -88,7 +91,7 @@
   const worker_state* row = ctx.state.leader.workers.Find(next.worker);
   if (row == nullptr || row->listed().address.empty() || !HasAuthority(ctx))
     return;
-  next.order = NewOrder(ctx, id, index, placed.attempt);
+  next.order = NewOrder(ctx, id, index, placed.attempt, *row);
   next.next_order_at = ctx.now() + ctx.limits().order_retry;
   SendOrder(ctx, work::stop_run{.call = *next.order,
                                 .target = TargetOf(ctx, next.worker, *row),
@@ -155,6 +158,20 @@
   return answered_order{.about = about, .current = *current};
 }
 
+// True if the answer shows that the process of the worker that was called, and
+// that is still the latest known, has ended.
+bool IsReplaced(const context& ctx,
+                call_number call,
+                const work::worker_id& worker,
+                work::order_outcome outcome) {
+  if (outcome != work::order_outcome::kRestarted)
+    return false;
+  const order_reference* about = ctx.state.leader.orders.Find(call);
+  const worker_state* row = ctx.state.leader.workers.Find(worker);
+  return about != nullptr && row != nullptr &&
+         about->life == row->listed().life;
+}
+
 // The call was rejected, which says nothing about earlier calls for the same
 // attempt: the worker may still carry out one that it left unanswered, unless
 // it is another process than the one that was called.
@@ -379,15 +396,26 @@
 void OnStartAnswered(const context& ctx, const work::start_answered& event) {
   ctx.state.leader.starting.erase(event.worker);
   NoteDisconnection(ctx, event.worker, event.outcome);
+  const bool replaced =
+      IsReplaced(ctx, event.call, event.worker, event.outcome);
+  // Before the others on the worker: this one was not started by the call.
   ApplyStartAnswer(ctx, event);
+  if (replaced)
+    OnWorkerReplaced(ctx, event.worker);
   SendNextStart(ctx, event.worker);
-  ObserveWorkerClock(ctx, event.worker, event.worker_clock);
+  // The clock of another process starts anew as well.
+  if (event.outcome != work::order_outcome::kRestarted)
+    ObserveWorkerClock(ctx, event.worker, event.worker_clock);
 }
 
 void OnStopAnswered(const context& ctx, const work::stop_answered& event) {
   NoteDisconnection(ctx, event.worker, event.outcome);
+  const bool replaced =
+      IsReplaced(ctx, event.call, event.worker, event.outcome);
   const auto answered = CompleteOrder(ctx, event.call, event.outcome);
-  if (!answered)
+  if (replaced)
+    OnWorkerReplaced(ctx, event.worker);
+  if (replaced || !answered)
     return;
   const order_reference& about = answered->about;
   member next = answered->current;
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -159,6 +159,9 @@
 // the worker needs one.
 void HoldIfNeeded(const context& ctx, const work::worker_id& worker);
 void OnHoldAnswered(const context& ctx, const work::hold_answered& event);
+// Called when another process has answered at the address of the worker, whose
+// own process, and with it all that ran there, has ended.
+void OnWorkerReplaced(const context& ctx, const work::worker_id& worker);
 void AdvanceWorkers(const context& ctx);
 // Estimates the worker's clock now. The worker's clock must be known.
 duration ClockNow(const context& ctx, const worker_state& row);
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -217,6 +217,10 @@
   // The worker has answered an order of this epoch, and so refuses those of
   // earlier leaders.
   bool fenced = false;
+  // Another process answers at the worker's address: this one has ended, and
+  // nothing runs on it any more. Its registry entry may stay for a while, or
+  // come back for a while.
+  bool replaced = false;
   // The worker's clock in its latest answer, and when that answer was received.
   std::optional<duration> clock;
   timestamp clock_read_at;
@@ -370,6 +374,8 @@
   work::unit_id unit;
   std::uint32_t member = 0;
   std::uint64_t attempt = 0;
+  // The process of the worker that was called.
+  std::uint64_t life = 0;
 
   bool operator==(const order_reference&) const = default;
 };
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -541,7 +541,8 @@
         clock = worker->Clock(now_);
         listing.emplace(worker->Listing());
       }
-      const bool answered = !held || (worker->alive && !worker->cut);
+      const bool answered =
+          !held || (worker->alive && !worker->cut && !worker->replaced);
       const work::order_outcome unanswered =
           OutcomeOfUnanswered(RefusesConnections(*worker));
       Deliver(
--- a/tests/support/simulated_worker.cc
+++ b/tests/support/simulated_worker.cc
@@ -37,6 +37,8 @@
 
 work::order_outcome simulated_worker::Start(const work::start_run& order,
                                             work::duration now) {
+  if (replaced)
+    return work::order_outcome::kRestarted;
   Advance(now);
   if (!AcceptToken(order.target.token))
     return work::order_outcome::kFenced;
@@ -65,6 +67,8 @@
 
 work::order_outcome simulated_worker::Stop(const work::stop_run& order,
                                            work::duration now) {
+  if (replaced)
+    return work::order_outcome::kRestarted;
   Advance(now);
   if (!AcceptToken(order.target.token))
     return work::order_outcome::kFenced;
@@ -82,6 +86,8 @@
 
 work::order_outcome simulated_worker::Hold(const work::hold_worker& order,
                                            work::duration now) {
+  if (replaced)
+    return work::order_outcome::kRestarted;
   Advance(now);
   if (!AcceptToken(order.target.token))
     return work::order_outcome::kFenced;
@@ -177,6 +183,12 @@
     on_ended(task, work::run_end_kind::kLeaseExpired);
 }
 
+void simulated_worker::Replace() {
+  Crash();
+  alive = true;
+  replaced = true;
+}
+
 void simulated_worker::Restart(work::duration now) {
   Crash();
   alive = true;
--- a/tests/support/simulated_worker.h
+++ b/tests/support/simulated_worker.h
@@ -48,6 +48,9 @@
   // after they arrived.
   std::uint32_t late_starts = 0;
   work::duration late_by{0};
+  // It has crashed, and another process answers at its address. Its registry
+  // entry goes on being written, as by calls that arrive late.
+  bool replaced = false;
   // Start orders are answered with this outcome and not carried out.
   std::optional<work::order_outcome> refuses_starts_with;
   bool fails_all_tasks = false;
@@ -86,6 +89,8 @@
   void Advance(work::duration now);
   // Ends all tasks without listing them, as a crash or a power failure does.
   void Crash();
+  // Crashes, and another process is started at its address.
+  void Replace();
   // Crashes and starts again under the same ID.
   void Restart(work::duration now);
   const std::map<work::task_id, simulated_run>& running() const {
