Do not take tasks for lost whose ends do not fit into a listing

What callers see: tasks that have ended run again and again while the store is away. In the model, 900 tasks of 0.5 s on one worker, with the store away for 25 s, were started 2,158 times.

Cause: a worker lists 500 ends at a time (PROTOCOL.md), the oldest first, and an end is acknowledged only once its effect is stored. With more ends than that a task that has just ended is listed neither as running nor as ended, which counted as lost. No task ran twice at a time in the model, as the later end is withheld, but the worker then gets no work until its leases have expired.

Change: absence from a full listing shows nothing. While an end is withheld it counts as before: nothing is acknowledged then, so that the rest would never be listed. The model's workers list 500 ends at a time.

Evidence: worker::with_more_ends_than_it_lists_runs_no_task_again fails before (2,158 starts) and passes (900). dispatch_test passes (146 tests).

--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -15,6 +15,9 @@
 
 namespace {
 
+// A worker lists this many ends at a time, the oldest first.
+constexpr std::size_t kListedEnds = 500;
+
 // Makes the unit wait again after all members of an attempt have ended without
 // completing it.
 void EndAttempt(const context& ctx, const work::unit_id& id) {
@@ -239,6 +242,16 @@
             Field("number", end.number)});
 }
 
+// True if every task that is not listed as running has its end in the listing,
+// unless that was acknowledged. A full listing may leave out the latest ends.
+// While the worker's ends are withheld no more room comes for them.
+bool ListsAllEnds(const context& ctx,
+                  const work::worker_id& worker,
+                  const work::worker_listing& listing) {
+  return listing.ended.size() < kListedEnds ||
+         ctx.state.leader.workers.Find(worker)->withheld_end;
+}
+
 }  // namespace
 
 void OnTaskRunning(const context& ctx,
@@ -372,6 +385,8 @@
                      const work::worker_id& worker,
                      const work::worker_listing& listing,
                      timestamp listed_after) {
+  if (!ListsAllEnds(ctx, worker, listing))
+    return;
   std::set<std::pair<work::task_id, std::uint64_t>> running;
   for (const work::running_task& task : listing.running)
     running.insert({task.task, task.attempt});
--- a/tests/support/simulated_worker.cc
+++ b/tests/support/simulated_worker.cc
@@ -13,6 +13,8 @@
 constexpr work::duration kMaxLease{10000};
 constexpr work::duration kGangTimeout{3000};
 constexpr work::duration kStopDuration{200};
+// A worker lists so many ends at a time, the oldest first.
+constexpr std::size_t kListedEnds = 500;
 
 }  // namespace
 
@@ -113,7 +115,11 @@
   std::vector<work::running_task> running;
   for (const auto& [task, run] : running_)
     running.push_back({.task = task, .attempt = run.attempt});
-  return {.life = life, .running = std::move(running), .ended = ended_};
+  const std::size_t listed = std::min(ended_.size(), kListedEnds);
+  std::vector<work::ended_task> ended(
+      ended_.begin(), ended_.begin() + static_cast<std::ptrdiff_t>(listed));
+  return {
+      .life = life, .running = std::move(running), .ended = std::move(ended)};
 }
 
 bool simulated_worker::HasEndAfter(std::uint64_t after) const {
