Pause the starts of a worker that rejects them

A worker is shunned only after failures of two different jobs, so that one job alone went on without end.

Change: a worker that rejected a start gets no other for 250 ms, doubled with each further one up to 2 s, below the 3 s within which work must start when there is capacity. A start that it accepts ends that.

Evidence: worker::rejecting_every_start_is_asked_less_and_less_often fails before and passes; worker::accepting_starts_again_gets_one_within_three_seconds passes before and after.

--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -229,7 +229,7 @@
   for (const auto& [worker, row] : ctx.state.leader.workers) {
     if (!IsSchedulable(row) || !IsAdmitted(ctx, worker))
       continue;
-    if (kept.workers.contains(worker))
+    if (kept.workers.contains(worker) || ctx.now() < row.next_start_at)
       continue;
     const worker_load& carried = LoadOf(ctx, worker);
     workers.push_back({.worker = worker,
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <utility>
 
+#include "dispatch/backoff.h"
 #include "dispatch/loads.h"
 #include "dispatch/names.h"
 #include "dispatch/parts.h"
@@ -24,6 +25,10 @@
 // one waits at most this long for the answer.
 constexpr duration kMaxStartWait{100};
 
+// The longest pause between the starts of a worker that rejects them. Below 3
+// s, within which work must start when there is capacity.
+constexpr duration kMaxRejectedPause{2000};
+
 unit WithMember(unit changed, std::uint32_t index, member with) {
   changed.members[index] = std::move(with);
   return changed;
@@ -172,6 +177,29 @@
          about->life == row->listed().life;
 }
 
+// Has the worker get no start for a while: the next one would be rejected as
+// well, and placed there again at once.
+void PauseStarts(const context& ctx, const work::worker_id& worker) {
+  const worker_state* known = ctx.state.leader.workers.Find(worker);
+  if (known == nullptr)
+    return;
+  worker_state row = *known;
+  row.next_start_at =
+      ctx.now() + ExponentialBackoff(ctx.limits().order_retry,
+                                     kMaxRejectedPause, row.rejected_starts);
+  row.rejected_starts += 1;
+  ctx.state.leader.workers.Put(worker, std::move(row));
+}
+
+void NoteStartAccepted(const context& ctx, const work::worker_id& worker) {
+  const worker_state* known = ctx.state.leader.workers.Find(worker);
+  if (known == nullptr || known->rejected_starts == 0)
+    return;
+  worker_state row = *known;
+  row.rejected_starts = 0;
+  ctx.state.leader.workers.Put(worker, std::move(row));
+}
+
 // The call was rejected, which says nothing about earlier calls for the same
 // attempt: the worker may still carry out one that it left unanswered, unless
 // it is another process than the one that was called.
@@ -184,6 +212,7 @@
   const bool may_start_late =
       one.start_pending && outcome != work::order_outcome::kRestarted;
   const bool unhealthy = outcome == work::order_outcome::kRefused;
+  PauseStarts(ctx, worker);
   if (unhealthy)
     RecordWorkerFailure(ctx, worker, about.unit.job, "start refused");
   ctx.Log("start_rejected", NameOf(about.unit),
@@ -358,6 +387,7 @@
         next.started_at = ctx.now();
       next.acknowledged_at = ctx.now();
       PutMember(ctx, about.unit, about.member, std::move(next));
+      NoteStartAccepted(ctx, event.worker);
       if (event.outcome == work::order_outcome::kOutdated)
         HoldIfNeeded(ctx, event.worker);
       return;
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -264,6 +264,10 @@
   std::uint32_t failures = 0;
   work::job_id last_failed;
   timestamp shunned_until;
+  // Starts that it rejected since it last accepted one. It gets no further one
+  // until `next_start_at`.
+  std::uint32_t rejected_starts = 0;
+  timestamp next_start_at;
 
   // The registry entry, or an empty one while there is none.
   const work::registered_worker& listed() const {
--- a/tests/dispatch/start_rate_test.cc
+++ b/tests/dispatch/start_rate_test.cc
@@ -65,3 +65,28 @@
   cr_assert(fixture.Runs(kOtherJob, work::duration(400)));
   cr_assert_lt(fixture.simulation.starts(), kTasks);
 }
+
+// Guards against a worker that is ordered a start 50 times a second while it
+// rejects all of them.
+Test(worker, rejecting_every_start_is_asked_less_and_less_often) {
+  simulation_fixture fixture({.workers = 1});
+  fixture.simulation.worker(0).refuses_starts_with =
+      work::order_outcome::kRefused;
+  fixture.simulation.Submit(fixture.Follower(), kJob, {Step(1, 1)});
+  fixture.simulation.RunFor(work::duration(10000));
+  cr_assert_leq(fixture.LinesOf("start_rejected").size(), 10U);
+  fixture.simulation.worker(0).refuses_starts_with.reset();
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
+}
+
+// Guards against work that waits for a worker long after it accepts starts
+// again.
+Test(worker, accepting_starts_again_gets_one_within_three_seconds) {
+  simulation_fixture fixture({.workers = 1});
+  fixture.simulation.worker(0).refuses_starts_with =
+      work::order_outcome::kNoRoom;
+  fixture.simulation.Submit(fixture.Follower(), kJob, {Step(1, 1)});
+  fixture.simulation.RunFor(work::duration(10000));
+  fixture.simulation.worker(0).refuses_starts_with.reset();
+  cr_assert(fixture.Runs(kJob, work::duration(3000)));
+}
