Forget idle workers that have left

Cause: a worker's row went only once a call to it had failed, and an idle worker is not called. The rows of workers that left while idle stayed for a leader's whole term, took room at its proxies and stretched its planning.

Change: an idle worker that the registry no longer lists is forgotten once its leases have expired and all ends that were read are acknowledged.

--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -271,7 +271,9 @@
   row = ctx.state.leader.workers.Find(worker);
   const bool idle =
       !IsBusy(ctx, worker) && (row->replaced || HaveLeasesExpired(ctx, *row));
-  if (IsRemovalDue(ctx, *row) && unreachable && idle) {
+  const bool has_unread_end =
+      !unreachable && row->last_acknowledged_end < row->last_processed_end;
+  if (IsRemovalDue(ctx, *row) && idle && !has_unread_end) {
     ctx.Log("worker_deleted", worker.value());
     ctx.state.leader.workers.Erase(worker);
     ctx.state.leader.loads.Erase(worker);
--- a/tests/dispatch/evacuation_test.cc
+++ b/tests/dispatch/evacuation_test.cc
@@ -55,3 +55,16 @@
   cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted, kNotice));
   cr_assert_eq(fixture.simulation.starts(), 2U);
 }
+
+// Guards against rows of workers that left while idle and that are kept as long
+// as the leader leads.
+Test(worker_leaving, while_idle_is_forgotten) {
+  constexpr std::uint32_t kWorkers = 4;
+  simulation_fixture fixture({.workers = kWorkers});
+  fixture.simulation.Drain(0, work::duration(500));
+  const auto forgotten = [&] {
+    return fixture.simulation.entry(fixture.Leader())
+               .state.leader.workers.size() == kWorkers - 1;
+  };
+  cr_assert(fixture.simulation.RunUntil(forgotten, work::duration(12000)));
+}
