Bound what waits for a worker that refuses holds or stops

What callers would see: LOST, a task that waits for ever.

Cause: a refused hold renews no lease and lists nothing, but counted as an answer, so that the tasks' leases never counted as lapsed. Each repeat moved the leader's reckoning of the lease on. A refused stop of a start that had not been answered was repeated without end, and listings without the task were not held against it.

Change: after a refused hold the worker gets no lease and no work until a hold succeeds, and its tasks end with their leases. A member that is being stopped ends once a listing shows that the leases of all its start orders have expired without it running; a stop that is refused as outdated counts as carried out.

--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -18,6 +18,15 @@
 // A worker lists this many ends at a time, the oldest first.
 constexpr std::size_t kListedEnds = 500;
 
+// True for a member that is stopped and that its worker can't start any more,
+// as the leases of all orders to start it have expired.
+bool IsStartTooLate(const context& ctx, const member& one) {
+  const worker_state* row = ctx.state.leader.workers.Find(one.worker);
+  return one.state == member_state::kOrdered && one.stopping &&
+         row != nullptr && row->clock &&
+         *row->clock >= one.start_lease + ctx.limits().lapse_margin;
+}
+
 // Makes the unit wait again after all members of an attempt have ended without
 // completing it.
 void EndAttempt(const context& ctx, const work::unit_id& id) {
@@ -399,7 +408,8 @@
     const work::task_id task = TaskOf(id, index);
     const bool listing_is_newer =
         one.state == member_state::kUnverified ||
-        (one.acknowledged_at && *one.acknowledged_at < listed_after);
+        (one.acknowledged_at && *one.acknowledged_at < listed_after) ||
+        IsStartTooLate(ctx, one);
     if (!listing_is_newer || running.contains({task, each->attempt}))
       continue;
     ctx.Warn("task_missing", NameOf(task), {Field("worker", worker.value())});
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -8,6 +8,7 @@
 
 #include "dispatch/backoff.h"
 #include "dispatch/loads.h"
+#include "dispatch/names.h"
 #include "dispatch/parts.h"
 #include "dispatch/steps.h"
 
@@ -15,8 +16,8 @@
 
 namespace {
 
-// Consecutive unanswered orders after which a worker counts as unreachable.
-constexpr std::uint32_t kUnansweredOrdersUntilSilent = 2;
+// Consecutive unanswered holds after which a worker is reported as silent.
+constexpr std::uint32_t kUnansweredHoldsUntilSilent = 2;
 
 // How long ago the clock in a worker's answer was read at most: the answer may
 // have waited to be sent, and to be processed here.
@@ -37,6 +38,11 @@
          !OrphanTasksOn(ctx, worker).empty();
 }
 
+// True unless the latest hold failed. Its tasks end with their leases then.
+bool IsHeld(const worker_state& row) {
+  return row.unanswered_holds == 0 && !row.refused_hold;
+}
+
 // A lower bound of the worker's clock now, allowing for clock drift.
 duration ClockLowerBound(const context& ctx, const worker_state& row) {
   const duration since = ctx.now() - row.clock_read_at;
@@ -159,7 +165,8 @@
 void RecordAnswer(const context& ctx,
                   worker_state& row,
                   const std::optional<duration>& clock) {
-  row.unanswered_orders = 0;
+  row.unanswered_holds = 0;
+  row.refused_hold = false;
   row.disconnected_at.reset();
   row.answered_at = ctx.now();
   if (!clock)
@@ -239,12 +246,18 @@
                   worker_state row,
                   work::order_outcome outcome) {
   if (work::IsUnknown(outcome))
-    row.unanswered_orders += 1;
+    row.unanswered_holds += 1;
   if (work::IsUnknown(outcome) &&
-      row.unanswered_orders == kUnansweredOrdersUntilSilent) {
+      row.unanswered_holds == kUnansweredHoldsUntilSilent) {
     ctx.Warn("worker_silent", worker.value(),
              {Field("answered_ago", ctx.now() - row.answered_at)});
   }
+  if (!work::IsUnknown(outcome) && !row.refused_hold) {
+    row.refused_hold = true;
+    ctx.Warn("hold_refused", worker.value(),
+             {Field("outcome", NameOf(outcome)),
+              Field("answered_ago", ctx.now() - row.answered_at)});
+  }
   const bool idle = row.fenced && !IsBusy(ctx, worker);
   row.next_hold_at =
       ctx.now() + (idle ? kIdleProbeInterval : ctx.limits().order_retry);
@@ -259,8 +272,8 @@
 
 void AdvanceWorker(const context& ctx, const work::worker_id& worker) {
   const worker_state* row = ctx.state.leader.workers.Find(worker);
-  const bool unreachable = row->replaced || row->unanswered_orders > 0 ||
-                           row->listed().address.empty();
+  const bool unreachable =
+      row->replaced || !IsHeld(*row) || row->listed().address.empty();
   // A missing registry entry does not show that the worker has left: the entry
   // of a worker that is cut off expires too, before the leases of its tasks.
   if (unreachable && IsBusy(ctx, worker) && HaveLeasesExpired(ctx, *row)) {
@@ -437,7 +450,7 @@
   const std::uint64_t acknowledged = AcknowledgeableEnd(*known);
   const bool has_unacknowledged_end =
       acknowledged > known->last_acknowledged_end;
-  const bool silent = known->unanswered_orders > 0;
+  const bool silent = !IsHeld(*known);
   if (known->fenced && !busy && !has_unacknowledged_end && !silent)
     return;
   worker_state row = *known;
@@ -490,6 +503,8 @@
     case work::order_outcome::kDone:
       if (event.listing)
         OnHoldSucceeded(ctx, event.worker, std::move(row), event);
+      else
+        OnHoldFailed(ctx, event.worker, std::move(row), event.outcome);
       break;
     case work::order_outcome::kFenced:
       ObserveEpoch(ctx, ctx.state.leader.epoch + 1, "worker_fenced");
@@ -542,8 +557,8 @@
 
 bool IsSchedulable(const worker_state& row) {
   return row.is_listed && !row.entry_outdated && !row.listed().draining &&
-         row.fenced && !row.replaced && row.clock &&
-         row.unanswered_orders == 0 && !row.withheld_end;
+         row.fenced && !row.replaced && row.clock && IsHeld(row) &&
+         !row.withheld_end;
 }
 
 void RecordWorkerFailure(const context& ctx,
--- a/source/dispatch/load_report.cc
+++ b/source/dispatch/load_report.cc
@@ -45,7 +45,7 @@
   std::uint64_t workers_silent = 0;
   for (const auto& [worker, row] : leader.workers) {
     workers_listed += row.is_listed ? 1 : 0;
-    workers_silent += row.unanswered_orders > 0 ? 1 : 0;
+    workers_silent += row.unanswered_holds > 0 ? 1 : 0;
   }
   std::uint64_t units_waiting = 0;
   std::uint64_t units_placed = 0;
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -74,6 +74,7 @@
   const active_job& job = *ctx.state.leader.jobs.Find(id.job);
   next.order = NewOrder(ctx, id, index, placed.attempt, row);
   next.start_orders_sent += 1;
+  next.start_lease = lease_until;
   next.next_order_at = ctx.now() + ctx.limits().order_retry;
   SendOrder(ctx, work::start_run{.call = *next.order,
                                  .target = TargetOf(ctx, next.worker, row),
@@ -450,7 +451,10 @@
   const order_reference& about = answered->about;
   member next = answered->current;
   next.order.reset();
-  if (event.outcome == work::order_outcome::kDone) {
+  // A worker that has seen a later state of the attempt does not start it.
+  const bool acknowledged = event.outcome == work::order_outcome::kDone ||
+                            event.outcome == work::order_outcome::kOutdated;
+  if (acknowledged) {
     next.acknowledged_at = ctx.now();
     // Leaves the worker time to stop the task and list its end before the stop
     // is ordered again.
--- a/source/dispatch/proxies.cc
+++ b/source/dispatch/proxies.cc
@@ -292,7 +292,7 @@
   std::vector<std::pair<work::worker_id, work::entry_id>> silent;
   for (const auto& [worker, entry] : leader.proxy_of) {
     const worker_state* row = leader.workers.Find(worker);
-    if (row != nullptr && row->unanswered_orders >= kUnansweredOrders)
+    if (row != nullptr && row->unanswered_holds >= kUnansweredOrders)
       silent.emplace_back(worker, entry);
   }
   for (const auto& [worker, entry] : silent) {
@@ -321,7 +321,7 @@
     const worker_state* row = leader.workers.Find(worker);
     if (row == nullptr)
       return true;
-    if (row->unanswered_orders > 0)
+    if (row->unanswered_holds > 0)
       return false;
     if (row->answered_at - silence.since < kAnswersAtOnce)
       NoteProxyFailure(ctx, silence.proxy);
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -239,8 +239,10 @@
   // When it first refused or closed a connection since then, which shows when
   // its process ended, if it did.
   std::optional<timestamp> disconnected_at;
-  // Consecutive orders without an answer.
-  std::uint32_t unanswered_orders = 0;
+  // Consecutive holds without an answer.
+  std::uint32_t unanswered_holds = 0;
+  // It refused the latest hold, which so renewed no lease and listed nothing.
+  bool refused_hold = false;
 
   // A worker numbers the ends of its tasks. These are the last end that was
   // processed, the last whose effect on job progress is stored, and the last
@@ -293,6 +295,9 @@
   std::optional<call_number> order;
   timestamp next_order_at;
   std::uint32_t start_orders_sent = 0;
+  // The lease in the latest of these, on the worker's clock, after which the
+  // worker carries out none of them.
+  duration start_lease{0};
   // A start was not answered, so that the worker may still carry it out.
   bool start_pending = false;
   // When the worker first confirmed that the task has been started.
--- a/source/work/order.h
+++ b/source/work/order.h
@@ -75,7 +75,7 @@
   kTooLate,    // the order's deadline had passed on the worker's clock
   kNoRoom,     // the worker lacks the capacity
   kRefused,    // the worker is unhealthy or can't read the order; nothing done
-  kRestarted,  // the worker restarted since it was listed
+  kRestarted,  // another process answers at the worker's address
   kUnknown,
   kDisconnected,  // unknown too; the worker refused or closed the connection
 };
--- a/tests/dispatch/fault_fixture.h
+++ b/tests/dispatch/fault_fixture.h
@@ -135,11 +135,11 @@
         worker.refuses_starts_with = work::order_outcome::kNoRoom;
         break;
       case fault_kind::kReplaceWorker:
-        worker.Replace();
+        worker.Replace(simulation.now());
         break;
       case fault_kind::kCutAndReplaceWorker:
         worker.cut = true;
-        worker.Replace();
+        worker.Replace(simulation.now());
         break;
       case fault_kind::kCutAndRestartWorker:
         worker.cut = true;
--- a/tests/dispatch/replaced_worker_test.cc
+++ b/tests/dispatch/replaced_worker_test.cc
@@ -41,14 +41,14 @@
 // worker has been replaced by another process.
 Test(gang, with_a_worker_replaced_at_its_address_runs_elsewhere_at_once) {
   gang_fixture fixture;
-  fixture.WorkerOf(kJob).Replace();
+  fixture.WorkerOf(kJob).Replace(fixture.simulation.now());
   fixture.ExpectCompletedInTwoRuns();
 }
 
 // Guards against the same when a proxy makes the calls.
 Test(gang, with_a_worker_of_a_proxy_replaced_runs_elsewhere_at_once) {
   gang_fixture fixture(kWorkers / 2);
-  fixture.WorkerOf(kJob).Replace();
+  fixture.WorkerOf(kJob).Replace(fixture.simulation.now());
   fixture.ExpectCompletedInTwoRuns();
 }
 
@@ -56,7 +56,7 @@
 // registry names although another process has its address.
 Test(worker, replaced_at_its_address_while_idle_refuses_one_start) {
   simulation_fixture fixture({.workers = kWorkers});
-  fixture.simulation.worker(0).Replace();
+  fixture.simulation.worker(0).Replace(fixture.simulation.now());
   fixture.simulation.Submit(fixture.Follower(), kJob, {Step(kWorkers, 8)});
   cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted));
   cr_assert_eq(fixture.LinesOf("start_rejected").size(), 1U);
@@ -67,7 +67,7 @@
 Test(job, cancelled_when_its_workers_were_replaced_is_forgotten) {
   gang_fixture fixture;
   for (std::uint32_t i = 0; i < kWorkers; ++i)
-    fixture.simulation.worker(i).Replace();
+    fixture.simulation.worker(i).Replace(fixture.simulation.now());
   fixture.simulation.Cancel(fixture.Follower(), kJob);
   cr_assert(fixture.Ends(kJob, work::job_phase::kCancelled, kAtOnce));
   const auto forgotten = [&] {
@@ -80,7 +80,7 @@
 // process has its address.
 Test(successor, of_a_leader_with_a_replaced_worker_runs_its_gang_at_once) {
   gang_fixture fixture;
-  fixture.WorkerOf(kJob).Replace();
+  fixture.WorkerOf(kJob).Replace(fixture.simulation.now());
   fixture.simulation.Kill(fixture.Leader());
   fixture.simulation.RunFor(tests::kElectionTime);
   fixture.ExpectCompletedInTwoRuns();
--- a/tests/support/simulated_worker.cc
+++ b/tests/support/simulated_worker.cc
@@ -71,6 +71,8 @@
                                            work::duration now) {
   if (replaced)
     return work::order_outcome::kRestarted;
+  if (refuses_stops_with)
+    return *refuses_stops_with;
   Advance(now);
   if (!AcceptToken(order.target.token))
     return work::order_outcome::kFenced;
@@ -90,6 +92,8 @@
                                            work::duration now) {
   if (replaced)
     return work::order_outcome::kRestarted;
+  if (refuses_holds_with)
+    return *refuses_holds_with;
   Advance(now);
   if (!AcceptToken(order.target.token))
     return work::order_outcome::kFenced;
@@ -189,15 +193,17 @@
     on_ended(task, work::run_end_kind::kLeaseExpired);
 }
 
-void simulated_worker::Replace() {
+void simulated_worker::Replace(work::duration now) {
   Crash();
   alive = true;
   replaced = true;
+  started_at_ = now;
 }
 
 void simulated_worker::Restart(work::duration now) {
   Crash();
   alive = true;
+  replaced = false;
   life += 1;
   started_at_ = now;
   closed_attempts_.clear();
--- a/tests/support/simulated_worker.h
+++ b/tests/support/simulated_worker.h
@@ -55,6 +55,9 @@
   bool replaced = false;
   // Start orders are answered with this outcome and not carried out.
   std::optional<work::order_outcome> refuses_starts_with;
+  // The same for stops and holds.
+  std::optional<work::order_outcome> refuses_stops_with;
+  std::optional<work::order_outcome> refuses_holds_with;
   bool fails_all_tasks = false;
   // After it crashed: when it starts again under its name, if it does.
   std::optional<work::duration> restarts_at;
@@ -92,7 +95,7 @@
   // Ends all tasks without listing them, as a crash or a power failure does.
   void Crash();
   // Crashes, and another process is started at its address.
-  void Replace();
+  void Replace(work::duration now);
   // Crashes and starts again under the same ID.
   void Restart(work::duration now);
   const std::map<work::task_id, simulated_run>& running() const {
