Take the listing of a worker for true whose start lies before the one known

What callers see: an accepted job that never goes on (LOST), and a worker that gets no work, until the leader changes or the worker restarts again. In the model the unit counts as placed, no order is in flight, and holds are answered.

Cause: a worker's lives are told apart by `born`, the Unix time of its start. After a restart on a machine whose clock was set back the new process names an earlier one. Its listing was dropped as one of an earlier process, and so was its registry entry. The worker answered, so it did not count as silent, and its tasks were not given up with its leases: no listing, end or lapse could ever end the unit.

Ruled out: that such a listing may come from an earlier process. The answer belongs to the only hold in flight, and that is dropped when a restart is noted.

Change: a listing that names another start than the one known is that of a restarted process, earlier or later. A listing without one still is not.

--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -135,12 +135,12 @@
   ctx.Log("worker_restarted", worker.value(),
           {Field("life", life), Field("previous", row.listed().life)});
   DropProcessedEnds(ctx, worker);
-  if (life > row.listed().life)
+  if (life != row.listed().life)
     CountLosses(ctx, worker);
   MarkTasksUnverified(ctx, worker);
   const work::registered_worker& before = row.listed();
   worker_state next;
-  next.entry_outdated = life > before.life;
+  next.entry_outdated = life != before.life;
   next.entry.Put({.worker = before.worker,
                   .service = before.service,
                   .address = before.address,
@@ -210,11 +210,10 @@
                      worker_state row,
                      const work::hold_answered& event) {
   const std::uint64_t life = event.listing->life;
-  if (life < row.listed().life) {
-    ctx.state.leader.workers.Put(worker, std::move(row));
-    return;
-  }
-  if (life > row.listed().life && row.listed().life != 0)
+  // The answer to a hold that was sent to the process known here, so another
+  // one has followed it, also if it names an earlier start: the machine's clock
+  // may have been set back.
+  if (life != row.listed().life && life != 0 && row.listed().life != 0)
     row = RestartedWorker(ctx, worker, row, life);
   const timestamp requested_at = row.hold_sent_at;
   const bool was_schedulable = IsSchedulable(row);
--- a/tests/dispatch/fault_fixture.h
+++ b/tests/dispatch/fault_fixture.h
@@ -37,6 +37,7 @@
   kCutAndReplaceWorker,
   kCutAndRestartWorker,
   kDrainWorker,
+  kRestartWithEarlierLife,
   kCount,
 };
 
@@ -149,6 +150,9 @@
         simulation.Drain(each.target % TargetWorkers(),
                          work::duration(each.duration));
         break;
+      case fault_kind::kRestartWithEarlierLife:
+        worker.RestartWithEarlierLife(simulation.now());
+        break;
       case fault_kind::kCount:
         break;
     }
--- a/tests/dispatch/newer_failures_test.cc
+++ b/tests/dispatch/newer_failures_test.cc
@@ -45,7 +45,10 @@
 constexpr work::duration kMissingAtMost{9000};
 constexpr work::duration kAcknowledgedWithin{2000};
 constexpr std::uint32_t kWorkers = 6;
-constexpr std::uint32_t kSpareWorkers = 3;
+// One for each that may be replaced.
+constexpr std::uint32_t kSpareWorkers = kWorkers;
+// Leaves room for earlier ones.
+constexpr std::uint64_t kFirstLife = 1000;
 // With every third seed tasks outlast a lease.
 constexpr work::duration kLongTask{7000};
 constexpr std::int64_t kCancelAfterMs = 1500;
@@ -57,6 +60,7 @@
       : fault_fixture(tests::simulation_options{
             .workers = kWorkers + kSpareWorkers,
             .spare_workers = kSpareWorkers,
+            .first_life = kFirstLife,
             .seed = seed,
             .task_duration = seed % 3 == 0 ? kLongTask : work::duration(0),
             .task_duration_spread = work::duration(1500)}) {}
@@ -178,9 +182,10 @@
 // True if the fault ends runs as failed, or crashes workers.
 bool MayFailJobs(const newer_fault& each) {
   constexpr fault_kind kKinds[] = {
-      fault_kind::kFailingWorker,       fault_kind::kRestartWorker,
-      fault_kind::kReplaceWorker,       fault_kind::kCutAndReplaceWorker,
-      fault_kind::kCutAndRestartWorker, fault_kind::kDrainWorker};
+      fault_kind::kFailingWorker,         fault_kind::kRestartWorker,
+      fault_kind::kReplaceWorker,         fault_kind::kCutAndReplaceWorker,
+      fault_kind::kCutAndRestartWorker,   fault_kind::kDrainWorker,
+      fault_kind::kRestartWithEarlierLife};
   return std::ranges::find(kKinds, each.content.kind) != std::end(kKinds);
 }
 
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -96,6 +96,7 @@
     each.is_deadly = [deadly = options.deadly_jobs](const work::task_id& task) {
       return deadly.contains(task.job.value());
     };
+    each.life = options.first_life;
     each.alive = i + options.spare_workers < options.workers;
     monitor_.Watch(each);
     SendHeartbeat(i);
--- a/tests/support/platform_simulation.h
+++ b/tests/support/platform_simulation.h
@@ -32,6 +32,8 @@
   std::uint32_t workers = 6;
   // The last of them so many are not there until they are restarted.
   std::uint32_t spare_workers = 0;
+  // The life of each worker before its first restart.
+  std::uint64_t first_life = 1;
   std::uint32_t workers_per_rack = 3;
   // A worker's ID is this and its index.
   std::string worker_prefix = "w-";
--- a/tests/support/simulated_worker.cc
+++ b/tests/support/simulated_worker.cc
@@ -208,4 +208,10 @@
   lease_until_ = work::duration(0);
 }
 
+void simulated_worker::RestartWithEarlierLife(work::duration now) {
+  Restart(now);
+  earliest_life_ = earliest_life_.value_or(life - 1) - 1;
+  life = *earliest_life_;
+}
+
 }  // namespace parsleyhitch::tests
--- a/tests/support/simulated_worker.h
+++ b/tests/support/simulated_worker.h
@@ -32,7 +32,7 @@
   work::worker_id id;
   work::rack_id rack;
   work::resources capacity;
-  // Incremented at each restart.
+  // Incremented at each restart, unless the machine's clock was set back.
   std::uint64_t life = 1;
   bool alive = true;
   // Can't be reached by entries, and sends no heartbeats.
@@ -95,6 +95,9 @@
   void Replace();
   // Crashes and starts again under the same ID.
   void Restart(work::duration now);
+  // The same, on a machine whose clock was set back: the life is an earlier one
+  // than any before.
+  void RestartWithEarlierLife(work::duration now);
   const std::map<work::task_id, simulated_run>& running() const {
     return running_;
   }
@@ -116,6 +119,8 @@
   // The time of each listed end, by its number. Cleared when the lease expires.
   std::map<std::uint64_t, work::duration> ended_at_;
   work::duration advanced_to_{0};
+  // The earliest life so far, once the clock was set back.
+  std::optional<std::uint64_t> earliest_life_;
   std::uint64_t last_end_number_ = 0;
   std::uint64_t newest_token_ = 0;
   work::duration lease_until_{0};
