leader_load: the age of the registry as the leader last read it

No line told how old the leader's knowledge of the registry was at that time, so that a registry read late could not be told from starts repeated after it was read.

leader_load has registry_age_ms now: the time since the latest read of the registry was sent that was answered; since the election while there is none.

All of dispatch_test was not run for this commit by itself.

--- a/source/dispatch/load_report.cc
+++ b/source/dispatch/load_report.cc
@@ -31,6 +31,15 @@
   return confirmed_at == timestamp() ? duration(0) : ctx.now() - confirmed_at;
 }
 
+// How long ago the leader had read the whole registry of workers; while it has
+// not, how long it leads.
+duration AgeOfRegistry(const context& ctx) {
+  if (ctx.state.leadership.current_role != role::kLeader)
+    return duration(0);
+  return ctx.now() -
+         std::max(ctx.state.workers.confirmed_at, ctx.state.leader.elected_at);
+}
+
 std::uint64_t RecordsLag(const context& ctx) {
   const feed_state& records = ctx.state.records;
   const bool behind =
@@ -74,6 +83,7 @@
       {.name = "submissions_waiting", .value = s.submissions.waiting.size()},
       {.name = "records_lag", .value = RecordsLag(ctx)},
       Figure("records_age", AgeOfRecords(ctx)),
+      Figure("registry_age", AgeOfRegistry(ctx)),
       {.name = "client_calls", .value = s.calls.size()},
       Figure("tick_delay", s.longest_tick_delay)};
 }
--- a/tests/dispatch/load_report_test.cc
+++ b/tests/dispatch/load_report_test.cc
@@ -18,6 +18,8 @@
 constexpr work::duration kReportWithin{6000};
 // Longer than two long polls, the age of the records while nothing is stored.
 constexpr std::uint64_t kStaleMs = 3000;
+// Longer than a read of the registry and the pause after it.
+constexpr std::uint64_t kStaleRegistryMs = 1000;
 
 struct load_report_fixture : simulation_fixture {
   load_report_fixture()
@@ -93,6 +95,14 @@
   cr_assert(fixture.Reports("records_age_ms", kStaleMs));
 }
 
+Test(leader_load, when_reads_fail_reports_the_age_of_the_registry) {
+  load_report_fixture fixture;
+  fixture.simulation.RunFor(work::duration(5000));
+  cr_assert_lt(fixture.Reported("registry_age_ms"), kStaleRegistryMs);
+  fixture.simulation.store().down = true;
+  cr_assert(fixture.Reports("registry_age_ms", kStaleMs));
+}
+
 Test(leader_load, with_pages_shorter_than_the_records_reports_the_lag) {
   load_report_fixture fixture;
   fixture.simulation.store().max_page_items = 1;
