Give up starts at workers that drain, in place of repeating them

Cause: a start without an answer is repeated up to four times, and starts for one worker wait for each other. Nothing asked again whether the worker still takes starts, so repeats went out after the leader had read that it leaves.

Ruled out as the only cause: a registry that is read late. Refused or lost reads: no store_lost names the registry.

Change: a start that is due at a draining worker is given up. If no order for it was sent, the unit is placed elsewhere at once (start_withheld); otherwise it is stopped, as the worker may carry out an order late, and refuses that only after a stop.

--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -202,6 +202,31 @@
          ctx.now() >= one.next_order_at;
 }
 
+// True when the worker has announced its departure: what starts there is lost
+// soon, and the platform allows it for a short time only.
+bool IsDraining(const context& ctx, const work::worker_id& worker) {
+  const worker_state* row = ctx.state.leader.workers.Find(worker);
+  return row != nullptr && row->listed().draining;
+}
+
+// Gives up a start that no worker has confirmed. Without an order for it the
+// unit can be placed elsewhere at once; otherwise the worker may still carry
+// one out, and refuses that only after a stop.
+void GiveUpStart(const context& ctx,
+                 const work::unit_id& id,
+                 std::uint32_t index,
+                 std::string_view why) {
+  const member& one = ctx.state.leader.units.Find(id)->members[index];
+  if (one.start_orders_sent > 0) {
+    StopUnit(ctx, id, why);
+    return;
+  }
+  ctx.Log(
+      "start_withheld", NameOf(id),
+      {Field("worker", one.worker.value()), Field("why", std::string(why))});
+  EndMember(ctx, id, index, gang_effect::kKeepsOthers);
+}
+
 void AdvanceMember(const context& ctx,
                    const work::unit_id& id,
                    std::uint32_t index) {
@@ -215,6 +240,10 @@
   }
   if (one.state != member_state::kOrdered)
     return;
+  if (IsDraining(ctx, one.worker)) {
+    GiveUpStart(ctx, id, index, "worker drains");
+    return;
+  }
   if (one.start_orders_sent < kMaxStartOrders) {
     SendStart(ctx, id, index);
     return;
