--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -8,6 +8,7 @@
 
 #include "dispatch/backoff.h"
 #include "dispatch/loads.h"
+#include "dispatch/names.h"
 #include "dispatch/parts.h"
 #include "dispatch/steps.h"
 
@@ -15,8 +16,8 @@
 
 namespace {
 
-// Consecutive unanswered orders after which a worker counts as unreachable.
-constexpr std::uint32_t kUnansweredOrdersUntilSilent = 2;
+// Consecutive unanswered holds after which a worker is reported as silent.
+constexpr std::uint32_t kUnansweredHoldsUntilSilent = 2;
 
 // How long ago the clock in a worker's answer was read at most: the answer may
 // have waited to be sent, and to be processed here.
@@ -37,6 +38,11 @@
          !OrphanTasksOn(ctx, worker).empty();
 }
 
+// True unless the latest hold failed. Its tasks end with their leases then.
+bool IsHeld(const worker_state& row) {
+  return row.unanswered_holds == 0 && !row.refused_hold;
+}
+
 // A lower bound of the worker's clock now, allowing for clock drift.
 duration ClockLowerBound(const context& ctx, const worker_state& row) {
   const duration since = ctx.now() - row.clock_read_at;
@@ -135,12 +141,12 @@
   ctx.Log("worker_restarted", worker.value(),
           {Field("life", life), Field("previous", row.listed().life)});
   DropProcessedEnds(ctx, worker);
-  if (life > row.listed().life)
+  if (life != row.listed().life)
     CountLosses(ctx, worker);
   MarkTasksUnverified(ctx, worker);
   const work::registered_worker& before = row.listed();
   worker_state next;
-  next.entry_outdated = life > before.life;
+  next.entry_outdated = life != before.life;
   next.entry.Put({.worker = before.worker,
                   .service = before.service,
                   .address = before.address,
@@ -159,7 +165,8 @@
 void RecordAnswer(const context& ctx,
                   worker_state& row,
                   const std::optional<duration>& clock) {
-  row.unanswered_orders = 0;
+  row.unanswered_holds = 0;
+  row.refused_hold = false;
   row.disconnected_at.reset();
   row.answered_at = ctx.now();
   if (!clock)
@@ -210,11 +217,10 @@
                      worker_state row,
                      const work::hold_answered& event) {
   const std::uint64_t life = event.listing->life;
-  if (life < row.listed().life) {
-    ctx.state.leader.workers.Put(worker, std::move(row));
-    return;
-  }
-  if (life > row.listed().life && row.listed().life != 0)
+  // The answer to a hold that was sent to the process known here, so another
+  // one has followed it, also if it names an earlier start: the machine's clock
+  // may have been set back.
+  if (life != row.listed().life && life != 0 && row.listed().life != 0)
     row = RestartedWorker(ctx, worker, row, life);
   const timestamp requested_at = row.hold_sent_at;
   const bool was_schedulable = IsSchedulable(row);
@@ -239,12 +245,18 @@
                   worker_state row,
                   work::order_outcome outcome) {
   if (work::IsUnknown(outcome))
-    row.unanswered_orders += 1;
+    row.unanswered_holds += 1;
   if (work::IsUnknown(outcome) &&
-      row.unanswered_orders == kUnansweredOrdersUntilSilent) {
+      row.unanswered_holds == kUnansweredHoldsUntilSilent) {
     ctx.Warn("worker_silent", worker.value(),
              {Field("answered_ago", ctx.now() - row.answered_at)});
   }
+  if (!work::IsUnknown(outcome) && !row.refused_hold) {
+    row.refused_hold = true;
+    ctx.Warn("hold_refused", worker.value(),
+             {Field("outcome", NameOf(outcome)),
+              Field("answered_ago", ctx.now() - row.answered_at)});
+  }
   const bool idle = row.fenced && !IsBusy(ctx, worker);
   row.next_hold_at =
       ctx.now() + (idle ? kIdleProbeInterval : ctx.limits().order_retry);
@@ -259,8 +271,8 @@
 
 void AdvanceWorker(const context& ctx, const work::worker_id& worker) {
   const worker_state* row = ctx.state.leader.workers.Find(worker);
-  const bool unreachable = row->replaced || row->unanswered_orders > 0 ||
-                           row->listed().address.empty();
+  const bool unreachable =
+      row->replaced || !IsHeld(*row) || row->listed().address.empty();
   // A missing registry entry does not show that the worker has left: the entry
   // of a worker that is cut off expires too, before the leases of its tasks.
   if (unreachable && IsBusy(ctx, worker) && HaveLeasesExpired(ctx, *row)) {
@@ -271,7 +283,9 @@
   row = ctx.state.leader.workers.Find(worker);
   const bool idle =
       !IsBusy(ctx, worker) && (row->replaced || HaveLeasesExpired(ctx, *row));
-  if (IsRemovalDue(ctx, *row) && unreachable && idle) {
+  const bool has_unread_end =
+      !unreachable && row->last_acknowledged_end < row->last_processed_end;
+  if (IsRemovalDue(ctx, *row) && idle && !has_unread_end) {
     ctx.Log("worker_deleted", worker.value());
     ctx.state.leader.workers.Erase(worker);
     ctx.state.leader.loads.Erase(worker);
@@ -435,7 +449,7 @@
   const std::uint64_t acknowledged = AcknowledgeableEnd(*known);
   const bool has_unacknowledged_end =
       acknowledged > known->last_acknowledged_end;
-  const bool silent = known->unanswered_orders > 0;
+  const bool silent = !IsHeld(*known);
   if (known->fenced && !busy && !has_unacknowledged_end && !silent)
     return;
   worker_state row = *known;
@@ -488,6 +502,8 @@
     case work::order_outcome::kDone:
       if (event.listing)
         OnHoldSucceeded(ctx, event.worker, std::move(row), event);
+      else
+        OnHoldFailed(ctx, event.worker, std::move(row), event.outcome);
       break;
     case work::order_outcome::kFenced:
       ObserveEpoch(ctx, ctx.state.leader.epoch + 1, "worker_fenced");
@@ -540,8 +556,8 @@
 
 bool IsSchedulable(const worker_state& row) {
   return row.is_listed && !row.entry_outdated && !row.listed().draining &&
-         row.fenced && !row.replaced && row.clock &&
-         row.unanswered_orders == 0 && !row.withheld_end;
+         row.fenced && !row.replaced && row.clock && IsHeld(row) &&
+         !row.withheld_end;
 }
 
 void RecordWorkerFailure(const context& ctx,
--- a/source/dispatch/load_report.cc
+++ b/source/dispatch/load_report.cc
@@ -31,6 +31,15 @@
   return confirmed_at == timestamp() ? duration(0) : ctx.now() - confirmed_at;
 }
 
+// How long ago the leader had read the whole registry of workers; while it has
+// not, how long it leads.
+duration AgeOfRegistry(const context& ctx) {
+  if (ctx.state.leadership.current_role != role::kLeader)
+    return duration(0);
+  return ctx.now() -
+         std::max(ctx.state.workers.confirmed_at, ctx.state.leader.elected_at);
+}
+
 std::uint64_t RecordsLag(const context& ctx) {
   const feed_state& records = ctx.state.records;
   const bool behind =
@@ -45,7 +54,7 @@
   std::uint64_t workers_silent = 0;
   for (const auto& [worker, row] : leader.workers) {
     workers_listed += row.is_listed ? 1 : 0;
-    workers_silent += row.unanswered_orders > 0 ? 1 : 0;
+    workers_silent += row.unanswered_holds > 0 ? 1 : 0;
   }
   std::uint64_t units_waiting = 0;
   std::uint64_t units_placed = 0;
@@ -74,6 +83,7 @@
       {.name = "submissions_waiting", .value = s.submissions.waiting.size()},
       {.name = "records_lag", .value = RecordsLag(ctx)},
       Figure("records_age", AgeOfRecords(ctx)),
+      Figure("registry_age", AgeOfRegistry(ctx)),
       {.name = "client_calls", .value = s.calls.size()},
       Figure("tick_delay", s.longest_tick_delay)};
 }
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <utility>
 
+#include "dispatch/backoff.h"
 #include "dispatch/loads.h"
 #include "dispatch/names.h"
 #include "dispatch/parts.h"
@@ -24,6 +25,10 @@
 // one waits at most this long for the answer.
 constexpr duration kMaxStartWait{100};
 
+// The longest pause between the starts of a worker that rejects them. Below 3
+// s, within which work must start when there is capacity.
+constexpr duration kMaxRejectedPause{2000};
+
 unit WithMember(unit changed, std::uint32_t index, member with) {
   changed.members[index] = std::move(with);
   return changed;
@@ -69,6 +74,7 @@
   const active_job& job = *ctx.state.leader.jobs.Find(id.job);
   next.order = NewOrder(ctx, id, index, placed.attempt, row);
   next.start_orders_sent += 1;
+  next.start_lease = lease_until;
   next.next_order_at = ctx.now() + ctx.limits().order_retry;
   SendOrder(ctx, work::start_run{.call = *next.order,
                                  .target = TargetOf(ctx, next.worker, row),
@@ -172,6 +178,29 @@
          about->life == row->listed().life;
 }
 
+// Has the worker get no start for a while: the next one would be rejected as
+// well, and placed there again at once.
+void PauseStarts(const context& ctx, const work::worker_id& worker) {
+  const worker_state* known = ctx.state.leader.workers.Find(worker);
+  if (known == nullptr)
+    return;
+  worker_state row = *known;
+  row.next_start_at =
+      ctx.now() + ExponentialBackoff(ctx.limits().order_retry,
+                                     kMaxRejectedPause, row.rejected_starts);
+  row.rejected_starts += 1;
+  ctx.state.leader.workers.Put(worker, std::move(row));
+}
+
+void NoteStartAccepted(const context& ctx, const work::worker_id& worker) {
+  const worker_state* known = ctx.state.leader.workers.Find(worker);
+  if (known == nullptr || known->rejected_starts == 0)
+    return;
+  worker_state row = *known;
+  row.rejected_starts = 0;
+  ctx.state.leader.workers.Put(worker, std::move(row));
+}
+
 // The call was rejected, which says nothing about earlier calls for the same
 // attempt: the worker may still carry out one that it left unanswered, unless
 // it is another process than the one that was called.
@@ -184,6 +213,7 @@
   const bool may_start_late =
       one.start_pending && outcome != work::order_outcome::kRestarted;
   const bool unhealthy = outcome == work::order_outcome::kRefused;
+  PauseStarts(ctx, worker);
   if (unhealthy)
     RecordWorkerFailure(ctx, worker, about.unit.job, "start refused");
   ctx.Log("start_rejected", NameOf(about.unit),
@@ -202,6 +232,31 @@
          ctx.now() >= one.next_order_at;
 }
 
+// True when the worker has announced its departure: what starts there is lost
+// soon, and the platform allows it for a short time only.
+bool IsDraining(const context& ctx, const work::worker_id& worker) {
+  const worker_state* row = ctx.state.leader.workers.Find(worker);
+  return row != nullptr && row->listed().draining;
+}
+
+// Gives up a start that no worker has confirmed. Without an order for it the
+// unit can be placed elsewhere at once; otherwise the worker may still carry
+// one out, and refuses that only after a stop.
+void GiveUpStart(const context& ctx,
+                 const work::unit_id& id,
+                 std::uint32_t index,
+                 std::string_view why) {
+  const member& one = ctx.state.leader.units.Find(id)->members[index];
+  if (one.start_orders_sent > 0) {
+    StopUnit(ctx, id, why);
+    return;
+  }
+  ctx.Log(
+      "start_withheld", NameOf(id),
+      {Field("worker", one.worker.value()), Field("why", std::string(why))});
+  EndMember(ctx, id, index, gang_effect::kKeepsOthers);
+}
+
 void AdvanceMember(const context& ctx,
                    const work::unit_id& id,
                    std::uint32_t index) {
@@ -215,6 +270,10 @@
   }
   if (one.state != member_state::kOrdered)
     return;
+  if (IsDraining(ctx, one.worker)) {
+    GiveUpStart(ctx, id, index, "worker drains");
+    return;
+  }
   if (one.start_orders_sent < kMaxStartOrders) {
     SendStart(ctx, id, index);
     return;
@@ -358,6 +417,7 @@
         next.started_at = ctx.now();
       next.acknowledged_at = ctx.now();
       PutMember(ctx, about.unit, about.member, std::move(next));
+      NoteStartAccepted(ctx, event.worker);
       if (event.outcome == work::order_outcome::kOutdated)
         HoldIfNeeded(ctx, event.worker);
       return;
@@ -420,7 +480,10 @@
   const order_reference& about = answered->about;
   member next = answered->current;
   next.order.reset();
-  if (event.outcome == work::order_outcome::kDone) {
+  // A worker that has seen a later state of the attempt does not start it.
+  const bool acknowledged = event.outcome == work::order_outcome::kDone ||
+                            event.outcome == work::order_outcome::kOutdated;
+  if (acknowledged) {
     next.acknowledged_at = ctx.now();
     // Leaves the worker time to stop the task and list its end before the stop
     // is ordered again.
--- a/tests/support/simulated_worker.cc
+++ b/tests/support/simulated_worker.cc
@@ -13,6 +13,8 @@
 constexpr work::duration kMaxLease{10000};
 constexpr work::duration kGangTimeout{3000};
 constexpr work::duration kStopDuration{200};
+// A worker lists so many ends at a time, the oldest first.
+constexpr std::size_t kListedEnds = 500;
 
 }  // namespace
 
@@ -69,6 +71,8 @@
                                            work::duration now) {
   if (replaced)
     return work::order_outcome::kRestarted;
+  if (refuses_stops_with)
+    return *refuses_stops_with;
   Advance(now);
   if (!AcceptToken(order.target.token))
     return work::order_outcome::kFenced;
@@ -88,6 +92,8 @@
                                            work::duration now) {
   if (replaced)
     return work::order_outcome::kRestarted;
+  if (refuses_holds_with)
+    return *refuses_holds_with;
   Advance(now);
   if (!AcceptToken(order.target.token))
     return work::order_outcome::kFenced;
@@ -113,7 +119,11 @@
   std::vector<work::running_task> running;
   for (const auto& [task, run] : running_)
     running.push_back({.task = task, .attempt = run.attempt});
-  return {.life = life, .running = std::move(running), .ended = ended_};
+  const std::size_t listed = std::min(ended_.size(), kListedEnds);
+  std::vector<work::ended_task> ended(
+      ended_.begin(), ended_.begin() + static_cast<std::ptrdiff_t>(listed));
+  return {
+      .life = life, .running = std::move(running), .ended = std::move(ended)};
 }
 
 bool simulated_worker::HasEndAfter(std::uint64_t after) const {
@@ -183,15 +193,17 @@
     on_ended(task, work::run_end_kind::kLeaseExpired);
 }
 
-void simulated_worker::Replace() {
+void simulated_worker::Replace(work::duration now) {
   Crash();
   alive = true;
   replaced = true;
+  started_at_ = now;
 }
 
 void simulated_worker::Restart(work::duration now) {
   Crash();
   alive = true;
+  replaced = false;
   life += 1;
   started_at_ = now;
   closed_attempts_.clear();
@@ -202,4 +214,10 @@
   lease_until_ = work::duration(0);
 }
 
+void simulated_worker::RestartWithEarlierLife(work::duration now) {
+  Restart(now);
+  earliest_life_ = earliest_life_.value_or(life - 1) - 1;
+  life = *earliest_life_;
+}
+
 }  // namespace parsleyhitch::tests
--- a/tests/support/simulated_worker.h
+++ b/tests/support/simulated_worker.h
@@ -32,7 +32,7 @@
   work::worker_id id;
   work::rack_id rack;
   work::resources capacity;
-  // Incremented at each restart.
+  // Incremented at each restart, unless the machine's clock was set back.
   std::uint64_t life = 1;
   bool alive = true;
   // Can't be reached by entries, and sends no heartbeats.
@@ -44,15 +44,20 @@
   std::optional<work::duration> leaves_at;
   // Number of start orders that are carried out but not answered.
   std::uint32_t lose_order_answers = 0;
-  // Number of start orders that are not answered and carried out `late_by`
-  // after they arrived.
+  // Number of start, stop and hold orders that are not answered and carried out
+  // `late_by` after they arrived, after newer ones if need be.
   std::uint32_t late_starts = 0;
+  std::uint32_t late_stops = 0;
+  std::uint32_t late_holds = 0;
   work::duration late_by{0};
   // It has crashed, and another process answers at its address. Its registry
   // entry goes on being written, as by calls that arrive late.
   bool replaced = false;
   // Start orders are answered with this outcome and not carried out.
   std::optional<work::order_outcome> refuses_starts_with;
+  // The same for stops and holds.
+  std::optional<work::order_outcome> refuses_stops_with;
+  std::optional<work::order_outcome> refuses_holds_with;
   bool fails_all_tasks = false;
   // After it crashed: when it starts again under its name, if it does.
   std::optional<work::duration> restarts_at;
@@ -90,9 +95,12 @@
   // Ends all tasks without listing them, as a crash or a power failure does.
   void Crash();
   // Crashes, and another process is started at its address.
-  void Replace();
+  void Replace(work::duration now);
   // Crashes and starts again under the same ID.
   void Restart(work::duration now);
+  // The same, on a machine whose clock was set back: the life is an earlier one
+  // than any before.
+  void RestartWithEarlierLife(work::duration now);
   const std::map<work::task_id, simulated_run>& running() const {
     return running_;
   }
@@ -114,6 +122,8 @@
   // The time of each listed end, by its number. Cleared when the lease expires.
   std::map<std::uint64_t, work::duration> ended_at_;
   work::duration advanced_to_{0};
+  // The earliest life so far, once the clock was set back.
+  std::optional<std::uint64_t> earliest_life_;
   std::uint64_t last_end_number_ = 0;
   std::uint64_t newest_token_ = 0;
   work::duration lease_until_{0};
