Delete closed jobs from the store and the entries after their time

Cause: nothing deleted the records of closed jobs, and entries kept their whole submissions. Ruled out: the topic's history, which a start does not read, and the records of units, which are deleted when their job closes.

Change: of a closed job an entry keeps owner, phase and the resources of its steps, which the leader needs for tasks that still run. The leader deletes it `job_state_kept_s` (the platform's status_s) and the longest lease after its process first read that it is closed: at most 200 jobs every 5 s, all keys of a job in one append that is fenced by the epoch, the phase last. The time counts on the clock of the process that deletes, as a time in the record would depend on other clocks and old records have none. Reading it as one of three separate deletions was ruled out: a job whose phase alone is gone would be taken for queued.

A submission that could not be stored for half of that time is dropped, as its job may be gone by then and would run again.

Tests changed: PhaseOf() of the model folds deletions, and the property looks only at records that have a value; each submission is still checked.

--- a/source/dispatch/clients.cc
+++ b/source/dispatch/clients.cc
@@ -164,7 +164,7 @@
             const work::job_id& job) {
   const records::stored_job* known = records::FindJob(ctx.state.ledger, job);
   if (known != nullptr) {
-    const bool same = known->content.Get()->owner == owner;
+    const bool same = records::OwnerOf(*known) == owner;
     Reply(ctx, incoming,
           same ? work::client_answer{.kind = work::answer_kind::kAccepted}
                : work::client_answer{
@@ -193,7 +193,7 @@
 }
 
 bool Owns(const records::stored_job& job, const work::workspace_id& owner) {
-  return job.content.Get()->owner == owner;
+  return records::OwnerOf(job) == owner;
 }
 
 // Answers a read or cancellation. If the job is unknown, reads the newest
--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -249,12 +249,9 @@
   if (job == nullptr) {
     const records::stored_job* entry =
         records::FindJob(ctx.state.ledger, task.task.job);
-    const auto* content = entry == nullptr ? nullptr : entry->content.Get();
-    const bool known =
-        content != nullptr && task.task.step < content->request.steps.size();
     AddOrphanTask(ctx, worker, task,
-                  known ? NeedOf(content->request.steps[task.task.step])
-                        : work::resources());
+                  entry == nullptr ? work::resources()
+                                   : records::NeedOf(*entry, task.task.step));
     return;
   }
   if (task.task.step >= job->content.Get()->request.steps.size())
--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/feeds.cc
@@ -8,6 +8,7 @@
 #include "dispatch/backoff.h"
 #include "dispatch/names.h"
 #include "dispatch/parts.h"
+#include "records/record_key.h"
 
 namespace parsleyhitch::dispatch {
 
@@ -31,7 +32,7 @@
            const work::feed_item& item,
            const work::record& record) {
   state& s = ctx.state;
-  s.ledger = records::Fold(std::move(s.ledger), item.offset, record);
+  s.ledger = records::Fold(std::move(s.ledger), item.offset, record, ctx.now());
   if (const auto* elected = std::get_if<work::leader_elected>(&record))
     ObserveEpoch(ctx, elected->epoch, "record");
   const std::optional<work::job_id> job = records::JobOf(record);
@@ -39,6 +40,13 @@
     OnJobRecord(ctx, *job);
 }
 
+void ApplyDeletion(const context& ctx, const work::feed_item& item) {
+  const std::optional<work::job_id> job = records::JobDeletedBy(item.key);
+  if (job)
+    ctx.state.ledger =
+        records::FoldDeletion(std::move(ctx.state.ledger), item.offset, *job);
+}
+
 // Keeps a record of an earlier leader's.
 void ApplyUnit(const context& ctx, const work::record& record) {
   if (const auto* admitted = std::get_if<work::worker_admitted>(&record))
@@ -74,6 +82,8 @@
                  *item.value);
     } else if (source == work::feed::kWorkers) {
       MarkWorkerUnlisted(ctx, work::worker_id(item.key));
+    } else if (source == work::feed::kRecords && item.deleted) {
+      ApplyDeletion(ctx, item);
     }
   }
 }
@@ -249,6 +259,8 @@
     MarkUnlistedWorkers(ctx, feed.snapshot_keys);
     feed.snapshot_keys.clear();
   }
+  if (event.source == work::feed::kRecords)
+    ctx.state.ledger = records::EndSnapshot(std::move(ctx.state.ledger));
   RestoreIfCaughtUp(ctx);
 }
 
@@ -270,6 +282,8 @@
   ctx.Log("feed_trimmed", NameOf(event.source),
           {Field("position", feed.position)});
   RestartSnapshot(feed);
+  if (event.source == work::feed::kRecords)
+    ctx.state.ledger = records::BeginSnapshot(std::move(ctx.state.ledger));
   feed.next_at = ctx.now() + SnapshotPause(ctx);
 }
 
--- a/source/dispatch/jobs.cc
+++ b/source/dispatch/jobs.cc
@@ -153,13 +153,6 @@
   return step.gang ? step.tasks : 1;
 }
 
-work::resources NeedOf(const work::step_spec& step) {
-  if (!step.fills_idle)
-    return step.need;
-  return {.memory_mb = step.need.memory_mb,
-          .accelerators = step.need.accelerators};
-}
-
 work::unit_id UnitOf(const active_job& job, const work::task_id& task) {
   const auto& steps = ContentOf(job).request.steps;
   const bool gang = task.step < steps.size() && steps[task.step].gang;
--- a/source/dispatch/outbox.cc
+++ b/source/dispatch/outbox.cc
@@ -90,6 +90,56 @@
   box.maybe_stored = false;
 }
 
+// True for a submission that has waited so long that its job may have been
+// accepted by another entry, closed and deleted since: stored now, it would run
+// again.
+bool IsOutdated(const context& ctx, const queued_record& each) {
+  const auto* submitted = std::get_if<work::job_submitted>(&each.content);
+  return submitted != nullptr && ctx.now() - submitted->content.submitted_at >=
+                                     ctx.env.job_state_kept / 2;
+}
+
+// Moves the outdated records out of the list.
+template <typename List>
+std::vector<queued_record> TakeOutdated(const context& ctx, List& list) {
+  std::vector<queued_record> taken;
+  const auto is_outdated = [&](const queued_record& each) {
+    return IsOutdated(ctx, each);
+  };
+  if (std::ranges::none_of(list, is_outdated))
+    return taken;
+  List kept;
+  for (queued_record& each : list) {
+    if (is_outdated(each))
+      taken.push_back(std::move(each));
+    else
+      kept.push_back(std::move(each));
+  }
+  list = std::move(kept);
+  return taken;
+}
+
+void RefuseOutdated(const context& ctx,
+                    const std::vector<queued_record>& dropped) {
+  for (const queued_record& each : dropped) {
+    ctx.Warn("submission_outdated", records::KeyOf(each.content));
+    if (each.caller)
+      AnswerRejectedCall(ctx, *each.caller);
+  }
+}
+
+void DropOutdated(const context& ctx, outbox& box) {
+  if (box.in_flight)
+    return;
+  const std::vector<queued_record> sent = TakeOutdated(ctx, box.batch);
+  // The store must not take what is left for a repeat of the earlier append,
+  // which may still be stored.
+  if (!sent.empty() && box.maybe_stored)
+    BeginEpoch(box);
+  RefuseOutdated(ctx, sent);
+  RefuseOutdated(ctx, TakeOutdated(ctx, box.waiting));
+}
+
 // Applies the outcome of an append that is common to all writers; true when the
 // batch is stored.
 bool ApplyOutcome(const context& ctx,
@@ -214,6 +264,7 @@
 }
 
 void FlushOutboxes(const context& ctx) {
+  DropOutdated(ctx, ctx.state.submissions);
   Flush(ctx, ctx.state.submissions);
   if (ctx.state.leadership.current_role != role::kLeader)
     return;
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -121,8 +121,6 @@
 void EraseUnitIfEnded(const context& ctx, const work::unit_id& id);
 const work::step_spec& StepOf(const active_job& job, const work::unit_id& id);
 std::uint32_t MembersOf(const work::step_spec& step);
-// The resources that one member reserves; no CPU for steps that fill idle CPU.
-work::resources NeedOf(const work::step_spec& step);
 work::unit_id UnitOf(const active_job& job, const work::task_id& task);
 
 // restore.cc: loading jobs from the records after an election.
--- a/source/dispatch/progress.cc
+++ b/source/dispatch/progress.cc
@@ -109,6 +109,60 @@
   }
 }
 
+// How many jobs are looked at for their deletion at once, which takes a few
+// milliseconds of a small entry's share.
+constexpr std::uint32_t kMaxScannedJobs = 5000;
+
+// True for a job that callers need not be told of any more, and of which
+// nothing can run that an earlier leader ordered.
+bool IsDeletionDue(const context& ctx,
+                   const work::job_id& id,
+                   const records::stored_job& job) {
+  const duration kept = ctx.env.job_state_kept + ctx.env.longest_lease;
+  // The feed must not return older records of the job after its deletion.
+  const bool read =
+      !job.progressed || *job.progressed < ctx.state.records.position;
+  return records::MayBeDeleted(job) && read && ctx.now() - job.since >= kept &&
+         !ctx.state.leader.jobs.Contains(id);
+}
+
+void CollectDeletion(const context& ctx, const work::job_id& id) {
+  for (const work::job_part part :
+       {work::job_part::kSubmission, work::job_part::kCancellation,
+        work::job_part::kPhase}) {
+    ctx.state.leader.job_phases.batch.push_back(
+        {.content = work::job_deleted{.job = id, .part = part},
+         .change = kNoChange});
+  }
+}
+
+// Behind the phases, whose oldest change is the first. The deletions of a job
+// stay together, as a batch of the leader's is never divided.
+void CollectDeletions(const context& ctx) {
+  leader_state& leader = ctx.state.leader;
+  if (ctx.now() < leader.next_deletion_at)
+    return;
+  leader.next_deletion_at = ctx.now() + ctx.limits().deletion_pause;
+  const auto& jobs = ctx.state.ledger.jobs;
+  std::uint32_t looked_at = 0;
+  std::uint32_t collected = 0;
+  auto at = jobs.LowerBound(leader.deletion_scan_at);
+  while (at != jobs.end() && looked_at < kMaxScannedJobs &&
+         collected < ctx.limits().max_batch_records) {
+    if (IsDeletionDue(ctx, at->first, at->second)) {
+      CollectDeletion(ctx, at->first);
+      collected += 1;
+    }
+    looked_at += 1;
+    ++at;
+  }
+  leader.deletion_scan_at = at == jobs.end() ? work::job_id() : at->first;
+  if (collected == 0)
+    return;
+  ctx.Log("jobs_deleted", ctx.env.self.value(),
+          {Field("jobs", collected), Field("known", jobs.size())});
+}
+
 // The oldest change that is not known to be stored.
 std::optional<std::uint64_t> OldestUnstoredChange(const leader_state& leader) {
   std::optional<std::uint64_t> oldest;
@@ -203,8 +257,10 @@
 }
 
 void CollectProgress(const context& ctx) {
-  if (MayFill(ctx, ctx.state.leader.job_phases))
+  if (MayFill(ctx, ctx.state.leader.job_phases)) {
     CollectPhases(ctx);
+    CollectDeletions(ctx);
+  }
   if (MayFill(ctx, ctx.state.leader.unit_progress)) {
     CollectUnits(ctx);
     // Behind the units, whose oldest change is the first.
@@ -226,6 +282,9 @@
                    std::get_if<work::unit_deleted>(&each.content)) {
       leader.recorded_units.insert(deleted->unit);
       leader.changed_units.Add(deleted->unit, each.change);
+    } else if (std::holds_alternative<work::job_deleted>(each.content)) {
+      // Found again when the jobs are looked through.
+      continue;
     } else if (!ReturnWorkerRecord(ctx, each.content)) {
       kept.push_back(std::move(each));
     }
--- a/source/dispatch/restore.cc
+++ b/source/dispatch/restore.cc
@@ -111,7 +111,8 @@
     leader.recorded_units.insert(id);
     const records::stored_job* entry =
         records::FindJob(ctx.state.ledger, id.job);
-    if (entry != nullptr && work::IsClosed(entry->phase))
+    // The records of a job that has none were deleted after it was closed.
+    if (entry == nullptr || work::IsClosed(entry->phase))
       NoteUnitChanged(ctx, id);
   }
 }
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -532,6 +532,10 @@
   std::map<work::worker_id, unanswered_proxy> unanswered_proxies;
   std::map<work::entry_id, forwarding_batch> forwarding;
   model::value_table<call_number, forwarded_order> forwarded_orders;
+  // Closed jobs are looked through for deletion in the order of their IDs, from
+  // this one on.
+  work::job_id deletion_scan_at;
+  timestamp next_deletion_at;
   // The tick before the latest.
   timestamp previous_tick_at;
   bool plan_due = false;
--- a/source/platform/store_calls.cc
+++ b/source/platform/store_calls.cc
@@ -146,7 +146,8 @@
   for (const keyed_record& each : records) {
     items.push_back({.offset = each.offset,
                      .key = each.key,
-                     .value = DecodeValue(source, each, findings)});
+                     .value = DecodeValue(source, each, findings),
+                     .deleted = each.value.empty()});
   }
   return items;
 }
--- a/source/records/ledger.cc
+++ b/source/records/ledger.cc
@@ -9,21 +9,48 @@
 
 namespace {
 
-stored_job JobOrDefault(const ledger& folded, const work::job_id& job) {
+// Where and when a record was read.
+struct reading {
+  std::uint64_t offset = 0;
+  work::timestamp at;
+};
+
+stored_job JobOrNew(const ledger& folded,
+                    const work::job_id& job,
+                    const reading& read) {
   const stored_job* known = folded.jobs.Find(job);
-  return known == nullptr ? stored_job() : *known;
+  stored_job stored = known == nullptr ? stored_job{.since = read.at} : *known;
+  stored.snapshot = folded.snapshot;
+  return stored;
+}
+
+job_outline OutlineOf(const work::submission& content) {
+  job_outline outline{.owner = content.owner};
+  outline.needs.reserve(content.request.steps.size());
+  for (const work::step_spec& step : content.request.steps)
+    outline.needs.push_back(work::NeedOf(step));
+  return outline;
+}
+
+// A closed job is kept without its content, which takes most of its memory.
+void DropContentIfClosed(stored_job& job) {
+  if (!work::IsClosed(job.phase) || job.content.Get() == nullptr)
+    return;
+  job.outline.Put(OutlineOf(*job.content.Get()));
+  job.content.Clear();
 }
 
 void FoldInto(ledger& folded,
-              std::uint64_t offset,
+              const reading& read,
               const work::job_submitted& record) {
   const work::job_id& job = record.content.job;
-  stored_job stored = JobOrDefault(folded, job);
+  stored_job stored = JobOrNew(folded, job, read);
   // A repeated submission changes nothing.
-  if (stored.content.Get() != nullptr)
-    return;
-  stored.content.Put(record.content);
-  stored.accepted = offset;
+  if (!IsAccepted(stored)) {
+    stored.content.Put(record.content);
+    stored.accepted = read.offset;
+    DropContentIfClosed(stored);
+  }
   folded.jobs.Put(job, std::move(stored));
 }
 
@@ -33,55 +60,92 @@
 }
 
 void FoldInto(ledger& folded,
-              std::uint64_t offset,
+              const reading& read,
               const work::job_cancelled& record) {
-  stored_job stored = JobOrDefault(folded, record.job);
-  stored.cancelled_at = Earlier(stored.cancelled_at, offset);
+  stored_job stored = JobOrNew(folded, record.job, read);
+  stored.cancelled_at = Earlier(stored.cancelled_at, read.offset);
   folded.jobs.Put(record.job, std::move(stored));
 }
 
 void FoldInto(ledger& folded,
-              std::uint64_t offset,
+              const reading& read,
               const work::job_progressed& record) {
-  stored_job stored = JobOrDefault(folded, record.job);
-  if (work::IsClosed(record.phase))
-    stored.closed_at = Earlier(stored.closed_at, offset);
-  if (!stored.progressed || *stored.progressed < offset) {
+  stored_job stored = JobOrNew(folded, record.job, read);
+  if (work::IsClosed(record.phase)) {
+    stored.since = stored.closed_at ? stored.since : read.at;
+    stored.closed_at = Earlier(stored.closed_at, read.offset);
+  }
+  if (!stored.progressed || *stored.progressed < read.offset) {
     stored.phase = record.phase;
-    stored.progressed = offset;
+    stored.progressed = read.offset;
   }
+  DropContentIfClosed(stored);
   folded.jobs.Put(record.job, std::move(stored));
 }
 
 void FoldInto(ledger& folded,
-              std::uint64_t offset,
+              const reading& read,
               const work::member_joined& record) {
   const stored_member* known = folded.members.Find(record.entry);
-  if (known != nullptr && known->joined >= offset)
+  if (known != nullptr && known->joined >= read.offset)
     return;
-  folded.members.Put(record.entry, {.content = record, .joined = offset});
+  folded.members.Put(record.entry, {.content = record, .joined = read.offset});
 }
 
 void FoldInto(ledger& folded,
-              std::uint64_t offset,
+              const reading& read,
               const work::leader_elected& record) {
   if (record.epoch <= folded.epoch)
     return;
   folded.epoch = record.epoch;
   folded.leader = record.entry;
-  folded.elected = offset;
+  folded.elected = read.offset;
 }
 
 // Units and workers are in a stream of their own.
-void FoldInto(ledger&, std::uint64_t, const work::unit_progressed&) {}
-void FoldInto(ledger&, std::uint64_t, const work::unit_deleted&) {}
-void FoldInto(ledger&, std::uint64_t, const work::worker_admitted&) {}
-void FoldInto(ledger&, std::uint64_t, const work::worker_released&) {}
+void FoldInto(ledger&, const reading&, const work::unit_progressed&) {}
+void FoldInto(ledger&, const reading&, const work::unit_deleted&) {}
+void FoldInto(ledger&, const reading&, const work::worker_admitted&) {}
+void FoldInto(ledger&, const reading&, const work::worker_released&) {}
+// Read as the deletion of a key.
+void FoldInto(ledger&, const reading&, const work::job_deleted&) {}
 
 }  // namespace
 
-ledger Fold(ledger folded, std::uint64_t offset, const work::record& record) {
-  std::visit([&](const auto& each) { FoldInto(folded, offset, each); }, record);
+ledger Fold(ledger folded,
+            std::uint64_t offset,
+            const work::record& record,
+            work::timestamp at) {
+  const reading read{.offset = offset, .at = at};
+  std::visit([&](const auto& each) { FoldInto(folded, read, each); }, record);
+  return folded;
+}
+
+ledger FoldDeletion(ledger folded,
+                    std::uint64_t offset,
+                    const work::job_id& job) {
+  const stored_job* known = folded.jobs.Find(job);
+  // The job was submitted again since.
+  const bool newer =
+      known != nullptr && IsAccepted(*known) && known->accepted > offset;
+  if (!newer)
+    folded.jobs.Erase(job);
+  return folded;
+}
+
+ledger BeginSnapshot(ledger folded) {
+  folded.snapshot += 1;
+  return folded;
+}
+
+ledger EndSnapshot(ledger folded) {
+  std::vector<work::job_id> deleted;
+  for (const auto& [id, job] : folded.jobs) {
+    if (job.snapshot != folded.snapshot)
+      deleted.push_back(id);
+  }
+  for (const work::job_id& id : deleted)
+    folded.jobs.Erase(id);
   return folded;
 }
 
@@ -97,8 +161,27 @@
 
 const stored_job* FindJob(const ledger& folded, const work::job_id& job) {
   const stored_job* found = folded.jobs.Find(job);
-  const bool accepted = found != nullptr && found->content.Get() != nullptr;
-  return accepted ? found : nullptr;
+  return found != nullptr && IsAccepted(*found) ? found : nullptr;
+}
+
+bool IsAccepted(const stored_job& job) {
+  return job.content.Get() != nullptr || job.outline.Get() != nullptr;
+}
+
+const work::workspace_id& OwnerOf(const stored_job& job) {
+  const work::submission* content = job.content.Get();
+  return content != nullptr ? content->owner : job.outline.Get()->owner;
+}
+
+work::resources NeedOf(const stored_job& job, std::uint32_t step) {
+  const work::submission* content = job.content.Get();
+  if (content != nullptr) {
+    const auto& steps = content->request.steps;
+    return step < steps.size() ? work::NeedOf(steps[step]) : work::resources();
+  }
+  const job_outline* outline = job.outline.Get();
+  const bool known = outline != nullptr && step < outline->needs.size();
+  return known ? outline->needs[step] : work::resources();
 }
 
 work::job_phase PhaseOf(const stored_job& job) {
@@ -110,6 +193,10 @@
   return job.phase;
 }
 
+bool MayBeDeleted(const stored_job& job) {
+  return work::IsClosed(job.phase) || !IsAccepted(job);
+}
+
 bool HasLeaderRestarted(const ledger& folded) {
   const stored_member* leader = folded.members.Find(folded.leader);
   return leader != nullptr && leader->joined > folded.elected;
--- a/source/records/record_key.cc
+++ b/source/records/record_key.cc
@@ -6,16 +6,32 @@
 
 namespace {
 
+constexpr char kSubmitted[] = "submitted/";
+constexpr char kCancelled[] = "cancelled/";
+constexpr char kProgress[] = "progress/";
+
 std::string Key(const work::job_submitted& record) {
-  return "submitted/" + record.content.job.value();
+  return kSubmitted + record.content.job.value();
 }
 
 std::string Key(const work::job_cancelled& record) {
-  return "cancelled/" + record.job.value();
+  return kCancelled + record.job.value();
 }
 
 std::string Key(const work::job_progressed& record) {
-  return "progress/" + record.job.value();
+  return kProgress + record.job.value();
+}
+
+std::string Key(const work::job_deleted& record) {
+  switch (record.part) {
+    case work::job_part::kSubmission:
+      return kSubmitted + record.job.value();
+    case work::job_part::kCancellation:
+      return kCancelled + record.job.value();
+    case work::job_part::kPhase:
+      break;
+  }
+  return kProgress + record.job.value();
 }
 
 std::string UnitKey(const work::unit_id& unit) {
@@ -59,7 +75,15 @@
 
 bool IsDeletion(const work::record& record) {
   return std::holds_alternative<work::unit_deleted>(record) ||
-         std::holds_alternative<work::worker_released>(record);
+         std::holds_alternative<work::worker_released>(record) ||
+         std::holds_alternative<work::job_deleted>(record);
+}
+
+std::optional<work::job_id> JobDeletedBy(std::string_view deleted_key) {
+  constexpr std::string_view kLast = kProgress;
+  if (!deleted_key.starts_with(kLast))
+    return {};
+  return work::job_id(std::string(deleted_key.substr(kLast.size())));
 }
 
 }  // namespace parsleyhitch::records
--- a/source/settings/dispatch_settings.cc
+++ b/source/settings/dispatch_settings.cc
@@ -26,7 +26,8 @@
                       max_body_bytes,
                       limits,
                       max_record_bytes,
-                      max_append_bytes)
+                      max_append_bytes,
+                      job_state_kept_s)
 
 namespace {
 
@@ -40,6 +41,10 @@
     findings.push_back({.place = place, .message = message});
 }
 
+// Submissions are dropped that could not be stored within half of the time, so
+// it must be well above the time that callers wait.
+constexpr double kMinStateKeptS = 10;
+
 // Faster than any core starts tasks.
 constexpr std::uint32_t kMaxStartRate = 10000;
 
@@ -84,6 +89,8 @@
   CheckAddress(findings, "/metrics_listen", settings.metrics_listen);
   CheckAddress(findings, "/store_address", settings.store_address);
   Require(findings, settings.cpu_share > 0, "/cpu_share", "must be above 0");
+  Require(findings, settings.job_state_kept_s >= kMinStateKeptS,
+          "/job_state_kept_s", "must be at least 10");
   Require(findings, settings.shutdown_grace_s > 0, "/shutdown_grace_s",
           "must be above 0");
   Require(
--- a/source/settings/dispatch_settings.h
+++ b/source/settings/dispatch_settings.h
@@ -38,6 +38,8 @@
   // append.
   const std::uint32_t max_record_bytes = 262144;
   const std::uint32_t max_append_bytes = 2097152;
+  // Seconds for which callers are told the state of a closed job, at least.
+  const double job_state_kept_s = 120.0;
 
   bool operator==(const dispatch_settings&) const = default;
 };
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -100,6 +100,8 @@
 PARSLEYHITCH_DESCRIBE(unit_deleted, unit)
 PARSLEYHITCH_DESCRIBE(worker_admitted, worker)
 PARSLEYHITCH_DESCRIBE(worker_released, worker)
+BOOST_DESCRIBE_ENUM(job_part, kSubmission, kCancellation, kPhase)
+PARSLEYHITCH_DESCRIBE(job_deleted, job, part)
 
 PARSLEYHITCH_DESCRIBE(client_call,
                       verb,
@@ -216,7 +218,8 @@
                       workers_per_core,
                       proxy_silent,
                       forward_pause,
-                      forward_margin)
+                      forward_margin,
+                      deletion_pause)
 
 }  // namespace parsleyhitch::work
 
--- a/source/work/event.h
+++ b/source/work/event.h
@@ -52,6 +52,8 @@
   // Absent when the key was deleted, or its value belongs to another program or
   // could not be decoded.
   const std::optional<feed_value> value{};
+  // The key was deleted.
+  const bool deleted = false;
   bool operator==(const feed_item&) const = default;
 };
 
--- a/source/work/job.h
+++ b/source/work/job.h
@@ -55,6 +55,14 @@
   bool operator==(const step_spec&) const = default;
 };
 
+// The resources that one task reserves; no CPU for steps that fill idle CPU.
+inline resources NeedOf(const step_spec& step) {
+  if (!step.fills_idle)
+    return step.need;
+  return {.memory_mb = step.need.memory_mb,
+          .accelerators = step.need.accelerators};
+}
+
 // Occurrence K is due at first_due + K * interval. With `occurrences` 0 the
 // steps run once, immediately.
 struct schedule {
--- a/source/work/limits.h
+++ b/source/work/limits.h
@@ -137,6 +137,12 @@
   // the way to the proxy and back.
   const duration forward_margin{400};
 
+  // Jobs that were closed long ago are deleted with one append in each pause,
+  // `max_batch_records` of them at most: ten times what a site of 4 jobs a
+  // second closes meanwhile, so that a backlog of a day is gone within hours.
+  // Every entry reads what is written.
+  const duration deletion_pause{5000};
+
   bool operator==(const limits&) const = default;
 };
 
--- a/source/work/record.h
+++ b/source/work/record.h
@@ -62,6 +62,19 @@
   bool operator==(const worker_released&) const = default;
 };
 
+// What the store keeps of a job.
+enum class job_part { kSubmission, kCancellation, kPhase };
+
+// Deletes one of the records of a job that was closed long ago. Written by the
+// leader only, fenced by its epoch. All parts of a job are deleted by one
+// append, the phase last: without it, the others would read as a job that is
+// queued.
+struct job_deleted {
+  const job_id job;
+  const job_part part = job_part::kSubmission;
+  bool operator==(const job_deleted&) const = default;
+};
+
 // An entry and the address at which its peers reach it.
 struct member_joined {
   const entry_id entry;
@@ -89,7 +102,8 @@
                             unit_progressed,
                             unit_deleted,
                             worker_admitted,
-                            worker_released>;
+                            worker_released,
+                            job_deleted>;
 
 }  // namespace parsleyhitch::work
 
--- a/tests/dispatch/properties_test.cc
+++ b/tests/dispatch/properties_test.cc
@@ -173,6 +173,8 @@
   }
   RC_ASSERT(fixture.Violation() == "");
   for (const work::feed_item& item : fixture.simulation.store().records()) {
+    if (!item.value)
+      continue;
     const auto& record = std::get<work::record>(*item.value);
     const auto* submitted = std::get_if<work::job_submitted>(&record);
     if (submitted == nullptr)
--- a/tests/platform/store_calls_test.cc
+++ b/tests/platform/store_calls_test.cc
@@ -157,6 +157,18 @@
   cr_assert_eq(decoded.findings[0].place, "keyed.parsleyhitch/4/cancelled/b2");
 }
 
+// Guards against a job that is taken for deleted because a record of it can't
+// be read.
+Test(page, tells_a_deleted_record_from_an_unreadable_one) {
+  const std::string body = EncodeOffset(2) + EncodeOffset(0) +
+                           platform::EncodeKeyedRecord("progress/a1", "") +
+                           platform::EncodeKeyedRecord("progress/b2", "\xff");
+  const auto decoded = store_fixture::DecodeRead(work::feed::kRecords, body);
+  const auto& read = std::get<work::feed_read>(decoded.event);
+  cr_assert(read.items.at(0).deleted);
+  cr_assert_not(read.items.at(1).deleted);
+}
+
 Test(page, truncated_is_reported_as_unread) {
   const std::string body =
       EncodeOffset(5) + EncodeOffset(0) + std::string("\0\0\0\x09xy", 6);
--- a/tests/records/ledger_test.cc
+++ b/tests/records/ledger_test.cc
@@ -5,6 +5,7 @@
 #include <criterion/criterion.h>
 
 #include <utility>
+#include <vector>
 
 #include "records/record_key.h"
 
@@ -133,3 +134,114 @@
   cr_assert_neq(submitted, progress);
   cr_assert_neq(cancelled, progress);
 }
+
+namespace {
+
+work::job_progressed Completed() {
+  return {.job = kJob, .phase = work::job_phase::kCompleted};
+}
+
+// A job that was submitted and completed, and whose records are then deleted.
+struct closed_job_fixture : ledger_fixture {
+  closed_job_fixture() {
+    Fold(1, Submitted());
+    Fold(2, Completed());
+  }
+
+  bool IsKnown() const { return ledger.jobs.Contains(kJob); }
+};
+
+}  // namespace
+
+// Guards against entries that run out of memory over a backlog of closed jobs:
+// most of what a job takes is its content.
+Test(ledger, closed_job_keeps_its_owner_and_needs_and_not_its_content) {
+  const work::resources need{.cpu_millis = 500, .memory_mb = 64};
+  const work::job_submitted submitted{
+      .content = {.job = kJob,
+                  .owner = work::workspace_id("team"),
+                  .request = {.steps = {{.tasks = 1, .need = need}}}}};
+  const std::vector<work::record> records = {submitted, Completed()};
+  for (const bool in_order : {true, false}) {
+    ledger_fixture fixture;
+    fixture.Fold(in_order ? 1 : 2, records[in_order ? 0 : 1]);
+    fixture.Fold(in_order ? 2 : 1, records[in_order ? 1 : 0]);
+    const records::stored_job* job = records::FindJob(fixture.ledger, kJob);
+    cr_assert_not_null(job);
+    cr_expect_null(job->content.Get());
+    cr_expect_eq(records::OwnerOf(*job).value(), "team");
+    cr_expect(records::NeedOf(*job, 0) == need);
+    cr_expect(records::NeedOf(*job, 1) == work::resources());
+    cr_expect(fixture.Phase() == work::job_phase::kCompleted);
+  }
+}
+
+// Guards against a deleted job that is taken for queued: its phase must be the
+// last that is deleted.
+Test(ledger, job_of_which_only_the_phase_is_left_to_delete_is_still_closed) {
+  closed_job_fixture fixture;
+  for (const work::job_part part :
+       {work::job_part::kSubmission, work::job_part::kCancellation}) {
+    const work::record deleted = work::job_deleted{.job = kJob, .part = part};
+    cr_assert(records::IsDeletion(deleted));
+    cr_assert_not(records::JobDeletedBy(records::KeyOf(deleted)));
+  }
+  cr_assert(fixture.Phase() == work::job_phase::kCompleted);
+  const auto last = records::JobDeletedBy(records::KeyOf(
+      work::job_deleted{.job = kJob, .part = work::job_part::kPhase}));
+  cr_assert(last && *last == kJob);
+  fixture.ledger = records::FoldDeletion(std::move(fixture.ledger), 5, *last);
+  cr_assert_not(fixture.IsKnown());
+}
+
+// Guards against deletions that delete nothing.
+Test(record_key, of_each_part_of_a_deleted_job_is_that_of_its_record) {
+  const auto key = [](work::job_part part) {
+    return records::KeyOf(work::job_deleted{.job = kJob, .part = part});
+  };
+  cr_assert_eq(key(work::job_part::kSubmission), records::KeyOf(Submitted()));
+  cr_assert_eq(key(work::job_part::kCancellation),
+               records::KeyOf(work::job_cancelled{.job = kJob}));
+  cr_assert_eq(key(work::job_part::kPhase), records::KeyOf(Completed()));
+}
+
+// Guards against an accepted job that is lost: its caller used the ID again.
+Test(ledger, job_submitted_again_after_its_deletion_is_kept) {
+  ledger_fixture fixture;
+  fixture.Fold(7, Submitted());
+  fixture.ledger = records::FoldDeletion(std::move(fixture.ledger), 5, kJob);
+  cr_assert_not_null(records::FindJob(fixture.ledger, kJob));
+}
+
+// Guards against a job that is run again by an entry that missed its end and
+// its deletion.
+Test(ledger, job_that_a_later_snapshot_does_not_show_is_unknown_after_it) {
+  ledger_fixture fixture;
+  const work::job_id other("00000000000000b2");
+  fixture.Fold(1, Submitted());
+  fixture.Fold(2, work::job_submitted{.content = {.job = other}});
+  fixture.ledger = records::BeginSnapshot(std::move(fixture.ledger));
+  fixture.Fold(2, work::job_submitted{.content = {.job = other}});
+  cr_assert_not_null(records::FindJob(fixture.ledger, kJob));
+  fixture.ledger = records::EndSnapshot(std::move(fixture.ledger));
+  cr_expect_null(records::FindJob(fixture.ledger, kJob));
+  cr_expect_not_null(records::FindJob(fixture.ledger, other));
+}
+
+// Guards against a state that is told for less than its time: it counts from
+// the first record of the end that was read, however often it is read.
+Test(ledger, job_that_is_closed_counts_its_time_from_the_first_such_record) {
+  ledger_fixture fixture;
+  const auto fold = [&](std::uint64_t offset, const work::record& record,
+                        std::int64_t at) {
+    fixture.ledger = records::Fold(std::move(fixture.ledger), offset, record,
+                                   work::timestamp(work::duration(at)));
+  };
+  fold(1, Submitted(), 1000);
+  cr_assert_not(records::MayBeDeleted(*records::FindJob(fixture.ledger, kJob)));
+  fold(2, Completed(), 2000);
+  fold(2, Completed(), 3000);
+  const records::stored_job* job = records::FindJob(fixture.ledger, kJob);
+  cr_expect(records::MayBeDeleted(*job));
+  cr_expect(job->since == work::timestamp(work::duration(2000)));
+}
--- a/tests/settings/dispatch_settings_test.cc
+++ b/tests/settings/dispatch_settings_test.cc
@@ -111,3 +111,16 @@
   cr_assert_eq(parsed->max_record_bytes,
                settings::dispatch_settings().max_record_bytes);
 }
+
+// Guards against jobs whose state is told for less than the platform promises.
+Test(dispatch_settings, with_a_time_to_tell_states_for_have_it) {
+  const auto parsed = wire::ValueOf([] {
+    return settings::ParseDispatchSettings(std::string(kValidSettings) +
+                                           "job_state_kept_s: 300\n");
+  });
+  cr_assert_eq(parsed->job_state_kept_s, 300.0);
+  const auto findings = settings_fixture::Findings(std::string(kValidSettings) +
+                                                   "job_state_kept_s: 9\n");
+  cr_assert_eq(findings.size(), 1U);
+  cr_assert_eq(findings[0].place, "/job_state_kept_s");
+}
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "records/record_key.h"
+
 namespace parsleyhitch::tests {
 
 namespace {
@@ -658,6 +660,11 @@
   return CallEntry(entry, work::call_verb::kCancel, job, {}, "normal");
 }
 
+void platform_simulation::GiveUp(std::uint32_t entry, std::uint64_t call) {
+  Deliver(entry, entries_[entry].life,
+          work::client_gone{.at = Timestamp(), .call = call});
+}
+
 bool platform_simulation::IsAnswered(std::uint64_t call,
                                      work::answer_kind kind) const {
   const auto& answer = calls_.at(call).answer;
@@ -668,8 +675,12 @@
     const std::string& job) const {
   records::ledger ledger;
   for (const work::feed_item& item : store_.records()) {
-    ledger = records::Fold(std::move(ledger), item.offset,
-                           std::get<work::record>(*item.value));
+    if (item.value) {
+      ledger = records::Fold(std::move(ledger), item.offset,
+                             std::get<work::record>(*item.value));
+    } else if (const auto deleted = records::JobDeletedBy(item.key)) {
+      ledger = records::FoldDeletion(std::move(ledger), item.offset, *deleted);
+    }
   }
   const records::stored_job* found =
       records::FindJob(ledger, work::job_id(job));
--- a/tests/support/platform_simulation.h
+++ b/tests/support/platform_simulation.h
@@ -120,6 +120,8 @@
                        const std::string& queue = "normal");
   std::uint64_t Read(std::uint32_t entry, const std::string& job);
   std::uint64_t Cancel(std::uint32_t entry, const std::string& job);
+  // The caller closes its connection before it is answered.
+  void GiveUp(std::uint32_t entry, std::uint64_t call);
   const simulated_call& CallOf(std::uint64_t call) const {
     return calls_.at(call);
   }
--- a/tests/support/simulated_store.cc
+++ b/tests/support/simulated_store.cc
@@ -132,8 +132,11 @@
   else
     target.newest.erase(key);
   target.sizes.push_back(size);
-  target.items.push_back(
-      {.offset = target.items.size(), .key = key, .value = std::move(value)});
+  const bool deleted = !value;
+  target.items.push_back({.offset = target.items.size(),
+                          .key = key,
+                          .value = std::move(value),
+                          .deleted = deleted});
 }
 
 read_transfer simulated_store::Transfer(
--- a/tests/wire/work_codec_test.cc
+++ b/tests/wire/work_codec_test.cc
@@ -49,6 +49,9 @@
                                          .workers = {work::worker_id("w")}}};
   const work::record worker =
       work::worker_admitted{.worker = work::worker_id("w")};
+  const work::record deleted = work::job_deleted{
+      .job = work::job_id("a1"), .part = work::job_part::kPhase};
+  cr_assert(codec_fixture::RoundTrip(deleted) == deleted);
   cr_assert(codec_fixture::RoundTrip(worker) == worker);
   cr_assert(codec_fixture::RoundTrip(submitted) == submitted);
   cr_assert(codec_fixture::RoundTrip(progressed) == progressed);
