Give a start up once its lease has expired if no stop is answered

What callers see: a job with nothing running although there is room, for as long as its worker answers holds and leaves stops unanswered.

Cause: a start without an answer is given up by a stop, and only the answer to the stop freed the unit: a listing without the task was not held against it, as the start may still be carried out late. The worker answers holds, so its tasks are not given up with its leases either. Nothing bounded the wait.

Ruled out: freeing the unit at the first listing without the task, as the start may be carried out after that; each start, however, is refused once its lease has expired on the worker's clock, and the listing comes with that clock.

Change: a member that is being stopped ends with a listing without its task that was made after the leases in all of its starts. It holds for a restarted worker too, whose clock starts anew and refuses by the same lease.

Evidence: start::unanswered_with_stops_unanswered_is_given_up_after_its_lease fails before and passes.

--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -252,6 +252,11 @@
          ctx.state.leader.workers.Find(worker)->withheld_end;
 }
 
+// True if the worker has not started the member by then and refuses to.
+bool HaveStartsExpired(const member& one, std::optional<duration> clock) {
+  return one.start_orders_sent > 0 && clock && *clock > one.starts_expire_at;
+}
+
 }  // namespace
 
 void OnTaskRunning(const context& ctx,
@@ -384,6 +389,7 @@
 void EndMissingTasks(const context& ctx,
                      const work::worker_id& worker,
                      const work::worker_listing& listing,
+                     std::optional<duration> clock,
                      timestamp listed_after) {
   if (!ListsAllEnds(ctx, worker, listing))
     return;
@@ -399,7 +405,8 @@
     const work::task_id task = TaskOf(id, index);
     const bool listing_is_newer =
         one.state == member_state::kUnverified ||
-        (one.acknowledged_at && *one.acknowledged_at < listed_after);
+        (one.acknowledged_at && *one.acknowledged_at < listed_after) ||
+        (one.stopping && HaveStartsExpired(one, clock));
     if (!listing_is_newer || running.contains({task, each->attempt}))
       continue;
     ctx.Warn("task_missing", NameOf(task), {Field("worker", worker.value())});
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -171,6 +171,7 @@
 void ApplyListing(const context& ctx,
                   const work::worker_id& worker,
                   const work::worker_listing& listing,
+                  std::optional<duration> clock,
                   timestamp requested_at) {
   const std::uint64_t processed_before =
       ctx.state.leader.workers.Find(worker)->last_processed_end;
@@ -190,7 +191,7 @@
     NoteEndsProcessed(ctx, worker, last_processed_end);
   for (const work::running_task& task : listing.running)
     OnTaskRunning(ctx, worker, task);
-  EndMissingTasks(ctx, worker, listing, requested_at);
+  EndMissingTasks(ctx, worker, listing, clock, requested_at);
 }
 
 // Delays the next hold of a worker that lists ends which can't be acknowledged
@@ -226,7 +227,7 @@
       std::max(row.last_acknowledged_end, row.hold_acknowledged_end);
   row.next_hold_at = ctx.now();
   ctx.state.leader.workers.Put(worker, std::move(row));
-  ApplyListing(ctx, worker, *event.listing, requested_at);
+  ApplyListing(ctx, worker, *event.listing, event.worker_clock, requested_at);
   SettleProcessedEnds(ctx);
   DelayHoldUntilEndsAreStored(ctx, worker);
   if (!was_schedulable)
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -69,6 +69,7 @@
   const active_job& job = *ctx.state.leader.jobs.Find(id.job);
   next.order = NewOrder(ctx, id, index, placed.attempt, row);
   next.start_orders_sent += 1;
+  next.starts_expire_at = std::max(next.starts_expire_at, lease_until);
   next.next_order_at = ctx.now() + ctx.limits().order_retry;
   SendOrder(ctx, work::start_run{.call = *next.order,
                                  .target = TargetOf(ctx, next.worker, row),
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -271,10 +271,12 @@
                std::uint32_t member,
                gang_effect effect);
 // Ends members on the worker that the listing should show but does not. The
-// listing was requested at `listed_after`.
+// listing was requested at `listed_after`; the worker's clock was at `clock`
+// when it was made.
 void EndMissingTasks(const context& ctx,
                      const work::worker_id& worker,
                      const work::worker_listing& listing,
+                     std::optional<duration> clock,
                      timestamp listed_after);
 
 // losses.cc: tasks that are lost with their workers, which they may have
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -289,6 +289,9 @@
   std::optional<call_number> order;
   timestamp next_order_at;
   std::uint32_t start_orders_sent = 0;
+  // The latest expiry of the leases in these orders, on the worker's clock. The
+  // worker refuses each of them from then on.
+  duration starts_expire_at{0};
   // A start was not answered, so that the worker may still carry it out.
   bool start_pending = false;
   // When the worker first confirmed that the task has been started.
--- a/tests/dispatch/late_start_test.cc
+++ b/tests/dispatch/late_start_test.cc
@@ -70,8 +70,45 @@
   work::order_outcome outcome_;
 };
 
+// The worker that gets the task leaves its starts unanswered until it is given
+// up, and all stops. It carries them out when the leases in them have expired.
+struct unanswered_stop_fixture : simulation_fixture {
+  unanswered_stop_fixture()
+      : simulation_fixture(
+            {.workers = kWorkers, .task_duration = kTaskDuration}) {
+    for (std::uint32_t i = 0; i < kWorkers; ++i) {
+      simulation.worker(i).late_starts = kMaxStarts;
+      simulation.worker(i).late_stops = kAllStops;
+      simulation.worker(i).late_by = kLongAfter;
+    }
+    simulation.Submit(Follower(), kJob, {Step(1, 8)});
+    cr_assert(simulation.RunUntil(
+        [&] { return !LinesOf("unit_stopped").empty(); }, kGivenUpWithin));
+    for (std::uint32_t i = 0; i < kWorkers; ++i)
+      simulation.worker(i).late_starts = 0;
+  }
+
+  static constexpr std::uint32_t kMaxStarts = 4;
+  static constexpr std::uint32_t kAllStops = 10000;
+  static constexpr work::duration kGivenUpWithin{5000};
+  static constexpr work::duration kLongAfter{20000};
+  // A lease, the time of the task, and some time to act.
+  static constexpr work::duration kEndsWithin{12000};
+};
+
 }  // namespace
 
+// Guards against a unit that counts as placed for as long as the stops of a
+// start that was never carried out are not answered.
+Test(start, unanswered_with_stops_unanswered_is_given_up_after_its_lease) {
+  unanswered_stop_fixture fixture;
+  cr_assert(fixture.Ends(kJob, work::job_phase::kCompleted,
+                         unanswered_stop_fixture::kEndsWithin));
+  fixture.simulation.RunFor(unanswered_stop_fixture::kLongAfter);
+  cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
+  cr_assert_eq(fixture.simulation.starts(), 1U);
+}
+
 // Guards against running a task twice at a time when an unhealthy worker
 // refuses the repeat of a start that it carries out late.
 Test(start, unanswered_and_then_refused_runs_its_task_once_at_a_time) {
