--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -18,15 +18,6 @@
 // A worker lists this many ends at a time, the oldest first.
 constexpr std::size_t kListedEnds = 500;
 
-// True for a member that is stopped and that its worker can't start any more,
-// as the leases of all orders to start it have expired.
-bool IsStartTooLate(const context& ctx, const member& one) {
-  const worker_state* row = ctx.state.leader.workers.Find(one.worker);
-  return one.state == member_state::kOrdered && one.stopping &&
-         row != nullptr && row->clock &&
-         *row->clock >= one.start_lease + ctx.limits().lapse_margin;
-}
-
 // Makes the unit wait again after all members of an attempt have ended without
 // completing it.
 void EndAttempt(const context& ctx, const work::unit_id& id) {
@@ -261,6 +252,11 @@
          ctx.state.leader.workers.Find(worker)->withheld_end;
 }
 
+// True if the worker has not started the member by then and refuses to.
+bool HaveStartsExpired(const member& one, std::optional<duration> clock) {
+  return one.start_orders_sent > 0 && clock && *clock > one.starts_expire_at;
+}
+
 }  // namespace
 
 void OnTaskRunning(const context& ctx,
@@ -390,6 +386,7 @@
 void EndMissingTasks(const context& ctx,
                      const work::worker_id& worker,
                      const work::worker_listing& listing,
+                     std::optional<duration> clock,
                      timestamp listed_after) {
   if (!ListsAllEnds(ctx, worker, listing))
     return;
@@ -406,7 +403,7 @@
     const bool listing_is_newer =
         one.state == member_state::kUnverified ||
         (one.acknowledged_at && *one.acknowledged_at < listed_after) ||
-        IsStartTooLate(ctx, one);
+        (one.stopping && HaveStartsExpired(one, clock));
     if (!listing_is_newer || running.contains({task, each->attempt}))
       continue;
     ctx.Warn("task_missing", NameOf(task), {Field("worker", worker.value())});
