--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -121,8 +121,6 @@
 void EraseUnitIfEnded(const context& ctx, const work::unit_id& id);
 const work::step_spec& StepOf(const active_job& job, const work::unit_id& id);
 std::uint32_t MembersOf(const work::step_spec& step);
-// The resources that one member reserves; no CPU for steps that fill idle CPU.
-work::resources NeedOf(const work::step_spec& step);
 work::unit_id UnitOf(const active_job& job, const work::task_id& task);
 
 // restore.cc: loading jobs from the records after an election.
@@ -271,10 +269,12 @@
                std::uint32_t member,
                gang_effect effect);
 // Ends members on the worker that the listing should show but does not. The
-// listing was requested at `listed_after`.
+// listing was requested at `listed_after`; the worker's clock was at `clock`
+// when it was made.
 void EndMissingTasks(const context& ctx,
                      const work::worker_id& worker,
                      const work::worker_listing& listing,
+                     std::optional<duration> clock,
                      timestamp listed_after);
 
 // losses.cc: tasks that are lost with their workers, which they may have
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -168,6 +168,9 @@
   // Whether appends to the store take long, according to the same.
   bool leader_store_slow = false;
   std::optional<timestamp> resigning_since;
+  // Since when this follower has known from the records that the leader's
+  // process has restarted. Candidates claim in turn from then on.
+  std::optional<timestamp> leader_restarted_since;
   // The time within the window that this entry drew for its claim to the next
   // epoch, if its rank is behind those that claim in turn.
   std::optional<duration> unranked_delay;
@@ -295,9 +298,9 @@
   std::optional<call_number> order;
   timestamp next_order_at;
   std::uint32_t start_orders_sent = 0;
-  // The lease in the latest of these, on the worker's clock, after which the
-  // worker carries out none of them.
-  duration start_lease{0};
+  // The latest expiry of the leases in these orders, on the worker's clock. The
+  // worker refuses each of them from then on.
+  duration starts_expire_at{0};
   // A start was not answered, so that the worker may still carry it out.
   bool start_pending = false;
   // When the worker first confirmed that the task has been started.
@@ -541,6 +544,10 @@
   std::map<work::worker_id, unanswered_proxy> unanswered_proxies;
   std::map<work::entry_id, forwarding_batch> forwarding;
   model::value_table<call_number, forwarded_order> forwarded_orders;
+  // Closed jobs are looked through for deletion in the order of their IDs, from
+  // this one on.
+  work::job_id deletion_scan_at;
+  timestamp next_deletion_at;
   // The tick before the latest.
   timestamp previous_tick_at;
   bool plan_due = false;
