Model: no life of a worker comes twice

Cause: the model. A worker whose clock was set back took the life just before its first, and the next restart took the first one again, so that an order which the first process had left unanswered was carried out by a later one. A start time in milliseconds does not come twice.

Change: clocks are set back by eight lives, which leaves room for the restarts after it.

--- a/tests/support/simulated_worker.cc
+++ b/tests/support/simulated_worker.cc
@@ -13,6 +13,8 @@
 constexpr work::duration kMaxLease{10000};
 constexpr work::duration kGangTimeout{3000};
 constexpr work::duration kStopDuration{200};
+// Leaves lives for the restarts that follow, so that none comes twice.
+constexpr std::uint64_t kSetBackBy = 8;
 // A worker lists so many ends at a time, the oldest first.
 constexpr std::size_t kListedEnds = 500;
 
@@ -210,7 +212,7 @@
 
 void simulated_worker::RestartWithEarlierLife(work::duration now) {
   Restart(now);
-  earliest_life_ = earliest_life_.value_or(life - 1) - 1;
+  earliest_life_ = earliest_life_.value_or(life - 1) - kSetBackBy;
   life = *earliest_life_;
 }
 
