Candidates claim in turn from when a restart of the leader is known

It knew of leaving workers up to 5.4 s late (registry_age_ms), so that it placed units on workers that had said 3 s before that they leave.

Cause: the turns of the candidates, larger entries first, counted from the last heartbeat.

Change: the turns count from when the follower reads that the leader has restarted (leader_restarted_since).

--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -153,8 +153,9 @@
   if (ctx.now() - s.leadership.leader_heard_at >=
       ctx.limits().leader_silent + delay)
     return "leader is silent";
-  const bool restarted = records::HasLeaderRestarted(s.ledger);
-  if (restarted && ctx.now() - s.leadership.leader_heard_at >= delay)
+  const std::optional<timestamp>& restarted =
+      s.leadership.leader_restarted_since;
+  if (restarted && ctx.now() - *restarted >= delay)
     return "leader has restarted";
   const std::optional<timestamp>& resigning = s.leadership.resigning_since;
   if (resigning && ctx.now() - *resigning >= delay)
@@ -169,8 +170,19 @@
   return store_cut_off ? "leader cannot reach the store" : "";
 }
 
+// The leader was silent while it restarted, for longer than the turns of the
+// candidates are apart. So the turns count from when its restart is known.
+void NoteLeaderRestart(const context& ctx) {
+  std::optional<timestamp>& since = ctx.state.leadership.leader_restarted_since;
+  if (!records::HasLeaderRestarted(ctx.state.ledger))
+    since.reset();
+  else if (!since)
+    since = ctx.now();
+}
+
 void AdvanceFollower(const context& ctx) {
   state& s = ctx.state;
+  NoteLeaderRestart(ctx);
   const bool can_claim = s.records.snapshot_complete &&
                          !IsStoreFailing(ctx, duration(0)) &&
                          !s.shutdown.requested && s.in_force.Get() != nullptr;
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -168,6 +168,9 @@
   // Whether appends to the store take long, according to the same.
   bool leader_store_slow = false;
   std::optional<timestamp> resigning_since;
+  // Since when this follower has known from the records that the leader's
+  // process has restarted. Candidates claim in turn from then on.
+  std::optional<timestamp> leader_restarted_since;
   // The time within the window that this entry drew for its claim to the next
   // epoch, if its rank is behind those that claim in turn.
   std::optional<duration> unranked_delay;
--- a/tests/dispatch/election_test.cc
+++ b/tests/dispatch/election_test.cc
@@ -96,3 +96,23 @@
   cr_assert_eq(fixture.Leader(), kLargest);
   cr_assert_eq(fixture.LinesOf("leadership_won").size(), 2U);
 }
+
+// Guards against a small entry as successor of a leader that restarts: all
+// candidates had waited for longer than their turns to claim are apart.
+Test(leader, that_restarts_after_a_silence_is_replaced_in_turn) {
+  constexpr work::duration kDownFor{700};
+  constexpr std::size_t kRankedCandidates = 3;
+  large_site_fixture fixture;
+  auto& simulation = fixture.simulation;
+  const std::uint32_t restarted = fixture.Leader();
+  const std::size_t before = fixture.LinesOf("leadership_claimed").size();
+  simulation.Kill(restarted);
+  simulation.RunFor(kDownFor);
+  simulation.Start(restarted);
+  cr_assert(simulation.RunUntil(
+      [&] { return fixture.LinesOf("leadership_won").size() == 2; },
+      work::duration(1500)));
+  const std::size_t claims =
+      fixture.LinesOf("leadership_claimed").size() - before;
+  cr_assert_leq(claims, kRankedCandidates, "%zu claims", claims);
+}
