Candidates also wait for the last heartbeat of a successor

Cause: when all entries restart, a follower that has not read the election of the successor yet still knows of the restart, and claimed 0.13 to 0.22 s after the successor's last heartbeat.

Change: a turn counts from the later of the two, the knowledge of the restart and the last heartbeat.

Not shown: a test of the model that fails before. leader::elected_after_all_entries_restarted_is_not_replaced_again passes with both forms.

--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -155,7 +155,8 @@
     return "leader is silent";
   const std::optional<timestamp>& restarted =
       s.leadership.leader_restarted_since;
-  if (restarted && ctx.now() - *restarted >= delay)
+  if (restarted &&
+      ctx.now() - std::max(*restarted, s.leadership.leader_heard_at) >= delay)
     return "leader has restarted";
   const std::optional<timestamp>& resigning = s.leadership.resigning_since;
   if (resigning && ctx.now() - *resigning >= delay)
@@ -171,7 +172,8 @@
 }
 
 // The leader was silent while it restarted, for longer than the turns of the
-// candidates are apart. So the turns count from when its restart is known.
+// candidates are apart. So the turns count from when its restart is known, and
+// from the last heartbeat of a successor whose election is not read yet.
 void NoteLeaderRestart(const context& ctx) {
   std::optional<timestamp>& since = ctx.state.leadership.leader_restarted_since;
   if (!records::HasLeaderRestarted(ctx.state.ledger))
--- a/tests/dispatch/election_test.cc
+++ b/tests/dispatch/election_test.cc
@@ -116,3 +116,18 @@
       fixture.LinesOf("leadership_claimed").size() - before;
   cr_assert_leq(claims, kRankedCandidates, "%zu claims", claims);
 }
+
+// Guards against one leader after another, down to the smallest entry, when all
+// entries restart.
+Test(leader, elected_after_all_entries_restarted_is_not_replaced_again) {
+  large_site_fixture fixture;
+  auto& simulation = fixture.simulation;
+  const std::size_t before = fixture.LinesOf("leadership_won").size();
+  for (std::uint32_t i = 0; i < kEntries; ++i)
+    simulation.Kill(i);
+  simulation.RunFor(work::duration(500));
+  for (std::uint32_t i = 0; i < kEntries; ++i)
+    simulation.Start(i);
+  simulation.RunFor(work::duration(6000));
+  cr_assert_eq(fixture.LinesOf("leadership_won").size(), before + 1);
+}
