--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 daemon=target/source/parsleyhitchd/parsleyhitchd
 program=target/review-2/cases-2
 [ -x "$daemon" ] && [ -x "$program" ] || exit 2
-"$program" waiting-count "$daemon" "$here/record.txt"
+"$program" counted-twice "$daemon" "$here/record.txt"
