Failures of a unit are kept by the numbers of the attempts

Cause: the record of a unit held how many attempts had failed, and whether that of the recorded attempt was among them. The next leader had to guess for all others: above the recorded attempt it counted an end that its predecessor had counted already, below it took an end for counted that nobody had counted.

Change: the record has the numbers of the failed attempts, the leader a set of them, so that an end is counted once for any order of leaders and listings. The highest attempt known to have been ordered is kept beside the placed one.

The test fixture's repair of workers moves to fault_fixture, as both properties use it.

--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -24,6 +24,7 @@
   leader_state& leader = ctx.state.leader;
   unit ended = *leader.units.Find(id);
   ended.phase = unit_phase::kWaiting;
+  ended.attempt = ended.highest_attempt;
   ended.members.clear();
   ended.since = ctx.now();
   leader.units.Put(id, std::move(ended));
@@ -88,6 +89,7 @@
   unit adopted = *known;
   adopted.phase = unit_phase::kPlaced;
   adopted.attempt = task.attempt;
+  adopted.highest_attempt = std::max(adopted.highest_attempt, task.attempt);
   adopted.since = ctx.now();
   adopted.members.push_back({.worker = worker,
                              .state = member_state::kRunning,
@@ -145,17 +147,13 @@
   ctx.state.leader.workers.Put(worker, std::move(row));
 }
 
-// Counts the failure of an attempt once, even if several members report it or
-// an earlier leader has already counted it.
-void CountFailure(const context& ctx,
-                  const work::unit_id& id,
-                  const work::worker_id& worker,
-                  std::uint64_t attempt) {
+void RecordFailure(const context& ctx,
+                   const work::unit_id& id,
+                   const work::worker_id& worker,
+                   std::uint64_t attempt) {
   unit failed = *ctx.state.leader.units.Find(id);
   failed.failed_on.insert(worker);
-  const bool counted = attempt < failed.restored_attempt ||
-                       !failed.failed_attempts.insert(attempt).second;
-  failed.failures += counted ? 0 : 1;
+  failed.failed = WithAttempt(std::move(failed.failed), attempt);
   ctx.state.leader.units.Put(id, std::move(failed));
   NoteUnitChanged(ctx, id);
 }
@@ -165,18 +163,20 @@
   const unit* each = ctx.state.leader.units.Find(id);
   return job != nullptr && each != nullptr &&
          each->phase != unit_phase::kDone &&
-         each->failures >= job->content.Get()->max_attempts;
+         CountOf(each->failed) >= job->content.Get()->max_attempts;
 }
 
 // Raises the attempt number when an earlier leader had started a later attempt
-// than its records show.
+// than its records show. The members of a placed unit keep theirs.
 void RaiseAttempt(const context& ctx,
                   const work::unit_id& id,
                   std::uint64_t attempt) {
   unit raised = *ctx.state.leader.units.Find(id);
-  if (raised.phase != unit_phase::kWaiting || attempt <= raised.attempt)
+  if (attempt <= raised.highest_attempt)
     return;
-  raised.attempt = attempt;
+  raised.highest_attempt = attempt;
+  if (raised.phase == unit_phase::kWaiting)
+    raised.attempt = attempt;
   ctx.state.leader.units.Put(id, std::move(raised));
   NoteUnitChanged(ctx, id);
 }
@@ -334,7 +334,7 @@
   if (end.how == work::run_end_kind::kFailed) {
     RecordWorkerFailure(ctx, worker, id.job, "task failed");
     if (!endless)
-      CountFailure(ctx, id, worker, end.attempt);
+      RecordFailure(ctx, id, worker, end.attempt);
   }
   each = leader.units.Find(id);
   if (each->attempt == end.attempt) {
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -108,7 +108,7 @@
 }
 
 std::uint64_t NextAttempt(const context& ctx, const unit& waiting) {
-  return std::max(waiting.attempt + 1, FirstAttemptOfEpoch(ctx));
+  return std::max(waiting.highest_attempt + 1, FirstAttemptOfEpoch(ctx));
 }
 
 void MarkJobStarted(const context& ctx, const work::job_id& id) {
@@ -336,6 +336,7 @@
            Field("checkpoint", placed.checkpoint)});
   placed.phase = unit_phase::kPlaced;
   placed.attempt = NextAttempt(ctx, placed);
+  placed.highest_attempt = placed.attempt;
   placed.since = ctx.now();
   placed.members.clear();
   for (const work::worker_id& worker : workers)
--- a/source/dispatch/progress.cc
+++ b/source/dispatch/progress.cc
@@ -31,13 +31,15 @@
           .step = id.step,
           .index = id.index,
           .done = each.phase == unit_phase::kDone,
-          .failures = each.failures,
+          .failures = CountOf(each.failed),
           .attempt = each.attempt,
-          .attempt_failed = each.failed_attempts.contains(each.attempt),
+          .attempt_failed = each.failed.numbers.contains(each.attempt),
           .checkpoint = each.checkpoint,
           .workers = WorkersOf(each),
           .losses = each.losses,
-          .later_losses = each.later_losses};
+          .later_losses = each.later_losses,
+          .failed_attempts = {each.failed.numbers.begin(),
+                              each.failed.numbers.end()}};
 }
 
 // The record of the unit as it is now. None for a unit of a closed job: the
--- a/source/dispatch/restore.cc
+++ b/source/dispatch/restore.cc
@@ -2,6 +2,7 @@
 // earlier leader placed count as placed until the listings of their workers
 // show otherwise.
 
+#include <algorithm>
 #include <utility>
 
 #include "dispatch/loads.h"
@@ -20,6 +21,14 @@
   return members;
 }
 
+// The failure of a later attempt may have been recorded while an earlier one
+// counted as placed.
+std::uint64_t HighestAttemptIn(const work::unit_progress& saved) {
+  return saved.failed_attempts.empty()
+             ? saved.attempt
+             : std::max(saved.attempt, saved.failed_attempts.back());
+}
+
 // Adds the restored unit's members to the load of their workers.
 void AddRestoredLoad(const context& ctx,
                      const work::unit_id& id,
@@ -45,17 +54,15 @@
   unit restored{.phase = saved.done              ? unit_phase::kDone
                          : saved.workers.empty() ? unit_phase::kWaiting
                                                  : unit_phase::kPlaced,
-                .failures = saved.failures,
                 .attempt = saved.attempt,
+                .highest_attempt = HighestAttemptIn(saved),
                 .checkpoint = saved.checkpoint,
                 .members = RestoredMembers(saved),
-                .restored_attempt = saved.attempt,
+                .failed = FailedAttemptsIn(saved),
                 .losses = saved.losses,
                 .later_losses = saved.later_losses,
                 .last_loss_at = ctx.now(),
                 .since = ctx.now()};
-  if (saved.attempt_failed)
-    restored.failed_attempts.insert(saved.attempt);
   if (restored.losses > 0)
     ctx.state.leader.suspects.insert(unit_id);
   AddRestoredLoad(ctx, unit_id, restored, step);
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "dispatch/change_queue.h"
+#include "dispatch/failures.h"
 #include "model/value_cell.h"
 #include "model/value_table.h"
 #include "records/ledger.h"
@@ -319,20 +320,21 @@
 enum class unit_phase { kWaiting, kPlaced, kDone };
 
 // What is placed as a whole: one task, or all tasks of a gang.
-// Invariant: a waiting unit has no members. A done unit may still have members
-// whose end the worker has not listed yet.
+// Invariant: a waiting unit has no members, and `attempt` is its highest; a
+// placed one may have a higher `highest_attempt`. A done unit may still have
+// members whose end the worker has not listed yet.
 struct unit {
   unit_phase phase = unit_phase::kWaiting;
-  std::uint32_t failures = 0;
   // How often it was stopped in favour of more important work.
   std::uint32_t preemptions = 0;
+  // Number of the attempt that is placed, or of the latest one.
   std::uint64_t attempt = 0;
+  // Of all attempts that are known to have been ordered, also by earlier
+  // leaders and without a record.
+  std::uint64_t highest_attempt = 0;
   std::string checkpoint;
   std::vector<member> members;
-  // Attempts whose failure is included in `failures`. Those before
-  // `restored_attempt` are included too, but not listed here.
-  std::set<std::uint64_t> failed_attempts;
-  std::uint64_t restored_attempt = 0;
+  failed_attempts failed;
   // Workers on which an attempt failed.
   std::set<work::worker_id> failed_on;
   // Attempts that were lost with a worker: it crashed, or was out of reach
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -88,7 +88,8 @@
                       checkpoint,
                       workers,
                       losses,
-                      later_losses)
+                      later_losses,
+                      failed_attempts)
 
 PARSLEYHITCH_DESCRIBE(job_submitted, content)
 PARSLEYHITCH_DESCRIBE(job_cancelled, job)
--- a/source/work/job.h
+++ b/source/work/job.h
@@ -136,9 +136,10 @@
   const std::uint32_t step = 0;
   const std::uint32_t index = 0;
   const bool done = false;
+  // The size of `failed_attempts`, for versions that do not read these.
   const std::uint32_t failures = 0;
-  // Highest attempt number ever ordered, and whether its failure is included in
-  // `failures`.
+  // Number of the attempt that runs, or else the highest that is known to have
+  // been ordered, and whether it has failed.
   const std::uint64_t attempt = 0;
   const bool attempt_failed = false;
   // Checkpoint from which the next attempt resumes; empty to start over.
@@ -149,6 +150,9 @@
   // whose start may have crashed the worker, and the others.
   const std::uint32_t losses = 0;
   const std::uint32_t later_losses = 0;
+  // Numbers of the attempts that ended as failed, in ascending order. Fewer
+  // than `failures` in a record of a version that did not store them.
+  const std::vector<std::uint64_t> failed_attempts{};
 
   bool operator==(const unit_progress&) const = default;
 };
--- a/tests/dispatch/fault_fixture.h
+++ b/tests/dispatch/fault_fixture.h
@@ -180,6 +180,18 @@
     RepairNewer(each, worker);
   }
 
+  // Ends what faults left behind, such as orders still to be delayed.
+  void RepairAll() {
+    for (std::uint32_t i = 0; i < simulation.worker_count(); ++i) {
+      simulated_worker& each = simulation.worker(i);
+      each.late_starts = 0;
+      each.late_stops = 0;
+      each.late_holds = 0;
+      each.lose_order_answers = 0;
+      each.cut_from_store = each.replaced;
+    }
+  }
+
   // The number of workers that faults are injected into.
   std::uint32_t TargetWorkers() const {
     return simulation.worker_count() - spare_workers_;
--- a/tests/dispatch/newer_failures_test.cc
+++ b/tests/dispatch/newer_failures_test.cc
@@ -90,18 +90,6 @@
       simulation.Cancel(entry, JobOf(number));
   }
 
-  // Ends what faults left behind, such as orders still to be delayed.
-  void RepairAll() {
-    for (std::uint32_t i = 0; i < simulation.worker_count(); ++i) {
-      tests::simulated_worker& each = simulation.worker(i);
-      each.late_starts = 0;
-      each.late_stops = 0;
-      each.late_holds = 0;
-      each.lose_order_answers = 0;
-      each.cut_from_store = each.replaced;
-    }
-  }
-
   // Returns the first member that has counted as placed for too long without
   // running on its worker, or empty. To be called at each step.
   std::string MissingForLong() {
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -18,14 +18,14 @@
 constexpr char kHost[] = "jobs.example";
 constexpr char kApiKey[] = "key-1";
 
-work::catalog DefaultCatalog() {
-  const auto queue = [](const char* name, std::uint32_t priority) {
+work::catalog DefaultCatalog(std::uint32_t max_attempts) {
+  const auto queue = [&](const char* name, std::uint32_t priority) {
     return work::queue{.id = work::queue_id(name),
                        .host = kHost,
                        .path_prefix = std::string("/") + name + "/",
                        .service = work::service_id("pool"),
                        .priority = priority,
-                       .max_attempts = 3,
+                       .max_attempts = max_attempts,
                        .stretch_permille = 2000,
                        .target_latency = work::duration(1000)};
   };
@@ -83,7 +83,7 @@
       task_duration_spread_(options.task_duration_spread),
       monitor_(workers_, MonitorHooks()) {
   store_.limits = options.store;
-  Publish(DefaultCatalog());
+  Publish(DefaultCatalog(options.max_attempts));
   workers_.resize(options.workers);
   missed_heartbeats_.resize(options.workers);
   AdvanceWorkers();
--- a/tests/wire/work_codec_test.cc
+++ b/tests/wire/work_codec_test.cc
@@ -4,11 +4,42 @@
 
 #include <criterion/criterion.h>
 
+#include "wire/proto_codec.h"
+#include "wire/work_describe.h"
+
 namespace wire = parsleyhitch::wire;
 namespace work = parsleyhitch::work;
 
 namespace {
 
+// The progress of a unit in versions without `failed_attempts`.
+struct older_unit_progress {
+  const std::uint32_t occurrence = 0;
+  const std::uint32_t step = 0;
+  const std::uint32_t index = 0;
+  const bool done = false;
+  const std::uint32_t failures = 0;
+  const std::uint64_t attempt = 0;
+  const bool attempt_failed = false;
+  const std::string checkpoint;
+  const std::vector<work::worker_id> workers{};
+  const std::uint32_t losses = 0;
+  const std::uint32_t later_losses = 0;
+};
+
+PARSLEYHITCH_DESCRIBE(older_unit_progress,
+                      occurrence,
+                      step,
+                      index,
+                      done,
+                      failures,
+                      attempt,
+                      attempt_failed,
+                      checkpoint,
+                      workers,
+                      losses,
+                      later_losses)
+
 struct codec_fixture {
   static work::record RoundTrip(const work::record& record) {
     return wire::DecodeRecord(wire::EncodeRecord(record)).value();
@@ -46,7 +77,8 @@
                                          .attempt = 1002,
                                          .attempt_failed = true,
                                          .checkpoint = "00ff",
-                                         .workers = {work::worker_id("w")}}};
+                                         .workers = {work::worker_id("w")},
+                                         .failed_attempts = {1002}}};
   const work::record worker =
       work::worker_admitted{.worker = work::worker_id("w")};
   const work::record deleted = work::job_deleted{
@@ -78,3 +110,30 @@
       [&] { return wire::DecodeRecord(bytes.substr(0, bytes.size() - 1)); });
   cr_assert_not(decoded.has_value());
 }
+
+// Guards against a release in which entries of the older version can't read
+// units, or count other failures.
+Test(unit_progress, read_by_an_older_version_has_the_number_of_failures) {
+  const work::unit_progress stored{.failures = 2,
+                                   .attempt = 1002,
+                                   .attempt_failed = true,
+                                   .later_losses = 1,
+                                   .failed_attempts = {1, 1002}};
+  const auto read =
+      wire::FromProto<older_unit_progress>(wire::ToProto(stored)).value();
+  cr_assert_eq(read.failures, 2U);
+  cr_assert_eq(read.attempt, 1002U);
+  cr_assert(read.attempt_failed);
+  cr_assert_eq(read.later_losses, 1U);
+}
+
+// Guards against a release in which units of the older version are lost.
+Test(unit_progress, of_an_older_version_is_read_without_failed_attempts) {
+  const older_unit_progress stored{
+      .failures = 2, .attempt = 1002, .attempt_failed = true, .losses = 1};
+  const auto read =
+      wire::FromProto<work::unit_progress>(wire::ToProto(stored)).value();
+  const work::unit_progress expected{
+      .failures = 2, .attempt = 1002, .attempt_failed = true, .losses = 1};
+  cr_assert(read == expected);
+}
