A job begins with the first evidence of a run

Cause: the leader marked a job as running when it had chosen workers for it, and a new leader did so for each job with a stored unit, which is stored when it is placed. A start that is never answered, refused or given up left the mark.

Change: a job is marked by a positive answer to a start, by a listing with a running task, or by a listed end. Restored jobs have begun if a unit's record shows a run. `job_wait` measures the same event.

--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -272,6 +272,8 @@
                                    : records::NeedOf(*entry, task.task.step));
     return;
   }
+  MarkJobStarted(ctx, task.task.job);
+  job = leader.jobs.Find(task.task.job);
   if (task.task.step >= job->content.Get()->request.steps.size())
     return;
   const work::unit_id id = UnitOf(*job, task.task);
@@ -299,6 +301,7 @@
   leader_state& leader = ctx.state.leader;
   ctx.state.leader.orphan_tasks.Erase({.worker = worker, .task = end.task});
   leader.plan_due = true;
+  MarkJobStarted(ctx, end.task.job);
   const active_job* job = leader.jobs.Find(end.task.job);
   const bool known = job != nullptr &&
                      end.task.step < job->content.Get()->request.steps.size();
--- a/source/dispatch/jobs.cc
+++ b/source/dispatch/jobs.cc
@@ -220,6 +220,18 @@
   FinishSteps(ctx, id.job);
 }
 
+void MarkJobStarted(const context& ctx, const work::job_id& id) {
+  const active_job* known = ctx.state.leader.jobs.Find(id);
+  if (known == nullptr || known->phase != work::job_phase::kQueued)
+    return;
+  active_job job = *known;
+  job.phase = work::job_phase::kRunning;
+  const duration waited = ctx.now() - ContentOf(job).submitted_at;
+  ctx.Emit(work::observe_latency{.name = "job_wait", .value = waited});
+  ctx.state.leader.jobs.Put(id, std::move(job));
+  NoteJobChanged(ctx, id);
+}
+
 void CloseJob(const context& ctx,
               const work::job_id& id,
               work::job_phase phase) {
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -111,19 +111,6 @@
   return std::max(waiting.highest_attempt + 1, FirstAttemptOfEpoch(ctx));
 }
 
-void MarkJobStarted(const context& ctx, const work::job_id& id) {
-  const active_job* known = ctx.state.leader.jobs.Find(id);
-  if (known->phase != work::job_phase::kQueued)
-    return;
-  active_job job = *known;
-  job.phase = work::job_phase::kRunning;
-  ctx.Emit(work::observe_latency{
-      .name = "job_wait",
-      .value = ctx.now() - job.content.Get()->submitted_at});
-  ctx.state.leader.jobs.Put(id, std::move(job));
-  NoteJobChanged(ctx, id);
-}
-
 // The member to which an answer refers; null when the answer is for an earlier
 // attempt or a superseded order.
 const member* MemberOf(const context& ctx,
@@ -164,6 +151,16 @@
   return answered_order{.about = about, .current = *current};
 }
 
+// A positive answer shows that the task was started, also if the order has been
+// superseded since.
+void NoteStarted(const context& ctx,
+                 call_number call,
+                 work::order_outcome outcome) {
+  const order_reference* about = ctx.state.leader.orders.Find(call);
+  if (outcome == work::order_outcome::kDone && about != nullptr)
+    MarkJobStarted(ctx, about->unit.job);
+}
+
 // True if the answer shows that the process of the worker that was called, and
 // that is still the latest known, has ended.
 bool IsReplaced(const context& ctx,
@@ -343,7 +340,6 @@
     placed.members.push_back({.worker = worker});
   leader.units.Put(id, std::move(placed));
   NoteUnitChanged(ctx, id);
-  MarkJobStarted(ctx, id.job);
   for (std::uint32_t i = 0; i < workers.size(); ++i) {
     AddToLoad(ctx, workers[i], id, i, need);
     SendStart(ctx, id, i);
@@ -459,6 +455,7 @@
   NoteDisconnection(ctx, event.worker, event.outcome);
   const bool replaced =
       IsReplaced(ctx, event.call, event.worker, event.outcome);
+  NoteStarted(ctx, event.call, event.outcome);
   // Before the others on the worker: this one was not started by the call.
   ApplyStartAnswer(ctx, event);
   if (replaced)
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -114,6 +114,9 @@
 // True when all steps that the unit's step depends on are finished.
 bool MayStart(const active_job& job, const work::unit_id& id);
 void FinishUnit(const context& ctx, const work::unit_id& id);
+// Called with each evidence that a task of the job runs or has run: only then
+// the job has begun. That it was placed, or ordered to start, shows nothing.
+void MarkJobStarted(const context& ctx, const work::job_id& job);
 void CloseJob(const context& ctx,
               const work::job_id& job,
               work::job_phase phase);
--- a/source/dispatch/restore.cc
+++ b/source/dispatch/restore.cc
@@ -80,6 +80,11 @@
   return units;
 }
 
+// True for a unit of which a task has run for certain.
+bool HasRun(const work::unit_progress& saved) {
+  return saved.done || saved.failures > 0 || !saved.checkpoint.empty();
+}
+
 void RestoreJob(const context& ctx,
                 const work::job_id& id,
                 const records::stored_job& entry) {
@@ -87,9 +92,9 @@
                  .accepted = entry.accepted,
                  .phase = entry.phase};
   const std::vector<work::unit_progress> units = StoredUnitsOf(ctx, id);
-  // The unit's start was stored, and the job's was not.
-  const bool phase_missing =
-      !units.empty() && job.phase == work::job_phase::kQueued;
+  // The unit's progress was stored, and the job's was not.
+  const bool phase_missing = job.phase == work::job_phase::kQueued &&
+                             std::ranges::any_of(units, HasRun);
   if (phase_missing)
     job.phase = work::job_phase::kRunning;
   ctx.state.leader.jobs.Put(id, job);
