The ledger counts waiting jobs by queue

A call for the number of waiting jobs walked all jobs of the ledger, closed ones among them, which are kept for minutes; a queue's callers ask each entry for it. The count is kept while records are folded, and a call looks it up.

The cost of a call was not measured.

--- a/source/records/ledger.cc
+++ b/source/records/ledger.cc
@@ -24,6 +24,50 @@
   return stored;
 }
 
+// The queue among whose waiting jobs the job is; empty for a job that is not.
+std::optional<work::queue_id> WaitsIn(const stored_job& job) {
+  const work::submission* content = job.content.Get();
+  if (content == nullptr || PhaseOf(job) != work::job_phase::kQueued)
+    return {};
+  return content->queue;
+}
+
+void AddWaiting(ledger& folded, const work::queue_id& queue) {
+  folded.waiting.Put(queue, CountWaiting(folded, queue) + 1);
+}
+
+void RemoveWaiting(ledger& folded, const work::queue_id& queue) {
+  const std::uint64_t left = CountWaiting(folded, queue) - 1;
+  if (left == 0)
+    folded.waiting.Erase(queue);
+  else
+    folded.waiting.Put(queue, left);
+}
+
+void EraseJob(ledger& folded, const work::job_id& id) {
+  const stored_job* known = folded.jobs.Find(id);
+  if (known == nullptr)
+    return;
+  const auto waited_in = WaitsIn(*known);
+  if (waited_in)
+    RemoveWaiting(folded, *waited_in);
+  folded.jobs.Erase(id);
+}
+
+void PutJob(ledger& folded, const work::job_id& id, stored_job next) {
+  const stored_job* known = folded.jobs.Find(id);
+  const auto waited_in =
+      known == nullptr ? std::optional<work::queue_id>() : WaitsIn(*known);
+  const auto waits_in = WaitsIn(next);
+  folded.jobs.Put(id, std::move(next));
+  if (waits_in == waited_in)
+    return;
+  if (waited_in)
+    RemoveWaiting(folded, *waited_in);
+  if (waits_in)
+    AddWaiting(folded, *waits_in);
+}
+
 job_outline OutlineOf(const work::submission& content) {
   job_outline outline{.owner = content.owner};
   outline.needs.reserve(content.request.steps.size());
@@ -51,7 +95,7 @@
     stored.accepted = read.offset;
     DropContentIfClosed(stored);
   }
-  folded.jobs.Put(job, std::move(stored));
+  PutJob(folded, job, std::move(stored));
 }
 
 std::uint64_t Earlier(const std::optional<std::uint64_t>& known,
@@ -64,7 +108,7 @@
               const work::job_cancelled& record) {
   stored_job stored = JobOrNew(folded, record.job, read);
   stored.cancelled_at = Earlier(stored.cancelled_at, read.offset);
-  folded.jobs.Put(record.job, std::move(stored));
+  PutJob(folded, record.job, std::move(stored));
 }
 
 void FoldInto(ledger& folded,
@@ -80,7 +124,7 @@
     stored.progressed = read.offset;
   }
   DropContentIfClosed(stored);
-  folded.jobs.Put(record.job, std::move(stored));
+  PutJob(folded, record.job, std::move(stored));
 }
 
 void FoldInto(ledger& folded,
@@ -129,7 +173,7 @@
   const bool newer =
       known != nullptr && IsAccepted(*known) && known->accepted > offset;
   if (!newer)
-    folded.jobs.Erase(job);
+    EraseJob(folded, job);
   return folded;
 }
 
@@ -145,7 +189,7 @@
       deleted.push_back(id);
   }
   for (const work::job_id& id : deleted)
-    folded.jobs.Erase(id);
+    EraseJob(folded, id);
   return folded;
 }
 
@@ -203,14 +247,8 @@
 }
 
 std::uint64_t CountWaiting(const ledger& folded, const work::queue_id& queue) {
-  std::uint64_t waiting = 0;
-  for (const auto& [id, job] : folded.jobs) {
-    const work::submission* content = job.content.Get();
-    const bool queued = content != nullptr && content->queue == queue &&
-                        PhaseOf(job) == work::job_phase::kQueued;
-    waiting += queued ? 1 : 0;
-  }
-  return waiting;
+  const std::uint64_t* waiting = folded.waiting.Find(queue);
+  return waiting == nullptr ? 0 : *waiting;
 }
 
 }  // namespace parsleyhitch::records
--- a/source/records/ledger.h
+++ b/source/records/ledger.h
@@ -61,8 +61,11 @@
   bool operator==(const stored_member&) const = default;
 };
 
+// Invariant: `waiting` has, for each queue with such jobs, the number of its
+// accepted jobs that are open and have not begun.
 struct ledger {
   model::value_table<work::job_id, stored_job> jobs;
+  model::value_table<work::queue_id, std::uint64_t> waiting;
   model::value_table<work::entry_id, stored_member> members;
   // Epoch of the current leader; 0 before the first election.
   std::uint64_t epoch = 0;
@@ -117,7 +120,7 @@
 // longer the leader.
 bool HasLeaderRestarted(const ledger& folded);
 
-// Number of jobs of the queue that have not started.
+// Number of accepted jobs of the queue that are open and have not begun.
 std::uint64_t CountWaiting(const ledger& folded, const work::queue_id& queue);
 
 }  // namespace parsleyhitch::records
--- a/tests/records/ledger_test.cc
+++ b/tests/records/ledger_test.cc
@@ -4,6 +4,8 @@
 
 #include <criterion/criterion.h>
 
+#include <random>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -16,6 +18,7 @@
 
 const work::job_id kJob("00000000000000a1");
 const work::queue_id kQueue("queue");
+const work::queue_id kOtherQueue("other");
 
 work::job_submitted Submitted(const char* spec = "first") {
   return {.content = {.job = kJob,
@@ -25,11 +28,57 @@
 
 struct ledger_fixture {
   records::ledger ledger;
+  std::uint64_t last_offset = 0;
 
   void Fold(std::uint64_t offset, const work::record& record) {
     ledger = records::Fold(std::move(ledger), offset, record);
   }
 
+  // Folds a record of one of a few jobs, or the deletion of one, at one of the
+  // latest offsets.
+  template <typename Draw>
+  void FoldRandom(Draw draw) {
+    const work::job_id job(std::to_string(draw(8)));
+    last_offset += 1;
+    const std::uint64_t offset = last_offset + draw(6);
+    switch (draw(6)) {
+      case 0:
+      case 1:
+        Fold(offset,
+             work::job_submitted{
+                 .content = {.job = job,
+                             .queue = draw(2) == 0 ? kQueue : kOtherQueue}});
+        return;
+      case 2:
+        Fold(offset, work::job_cancelled{.job = job});
+        return;
+      case 3:
+        ledger = records::FoldDeletion(std::move(ledger), offset, job);
+        return;
+      default:
+        Fold(offset,
+             work::job_progressed{
+                 .job = job, .phase = static_cast<work::job_phase>(draw(5))});
+        return;
+    }
+  }
+
+  // Reads the newest records again, among which nothing is left of the jobs.
+  void ReadSnapshot() {
+    ledger = records::EndSnapshot(records::BeginSnapshot(std::move(ledger)));
+  }
+
+  std::uint64_t WaitingJobs(const work::queue_id& queue) const {
+    std::uint64_t waiting = 0;
+    for (const auto& [id, job] : ledger.jobs) {
+      const work::submission* content = job.content.Get();
+      const bool waits = content != nullptr && content->queue == queue &&
+                         records::PhaseOf(job) == work::job_phase::kQueued;
+      waiting += waits ? 1 : 0;
+    }
+    return waiting;
+  }
+
   work::job_phase Phase() const {
     return records::PhaseOf(*records::FindJob(ledger, kJob));
   }
@@ -104,6 +153,26 @@
   cr_assert_eq(records::CountWaiting(fixture.ledger, kQueue), 1U);
 }
 
+// Guards against a count that drifts from the jobs, whatever the order in which
+// their records are read.
+Test(ledger, folding_records_in_any_order_counts_the_jobs_that_wait) {
+  constexpr int kRecords = 20000;
+  std::mt19937 random(42);
+  const auto draw = [&](std::uint32_t below) {
+    return static_cast<std::uint32_t>(random() % below);
+  };
+  ledger_fixture fixture;
+  for (int i = 0; i < kRecords; ++i) {
+    fixture.FoldRandom(draw);
+    if (draw(500) == 0)
+      fixture.ReadSnapshot();
+    for (const work::queue_id& queue : {kQueue, kOtherQueue}) {
+      cr_assert_eq(records::CountWaiting(fixture.ledger, queue),
+                   fixture.WaitingJobs(queue));
+    }
+  }
+}
+
 Test(ledger, leader_of_a_lower_epoch_changes_nothing) {
   ledger_fixture fixture;
   fixture.Fold(1,
