Losses of a unit are kept by the numbers of the attempts

A job is shown as failed after some attempts of a task were lost with their workers.

Cause: the record of a unit held how many attempts were lost, not which. Two leaders could count one attempt of a gang, each with another of its workers, and a successor could not take back the loss of a worker that was only silent.

Evidence: both tests that go in with this fail on: the gang is lost twice in the log, and the successor still counts the silent worker's loss.

Change: the record names the lost attempts, each with its worker and the worker's process. A successor knows them and what may be taken back. Numbers are still written for the version before, and read from it without names.

--- a/source/dispatch/losses.cc
+++ b/source/dispatch/losses.cc
@@ -77,25 +77,21 @@
   return found;
 }
 
-std::uint32_t& CountOf(unit& lost, loss_kind kind) {
-  return kind == loss_kind::kAtStart ? lost.losses : lost.later_losses;
-}
-
 // Counts the loss of an attempt once, with whichever of its workers is lost
-// first.
-bool CountLoss(const context& ctx, const work::unit_id& id, loss_kind kind) {
+// first, also if an earlier leader has counted it.
+bool CountLoss(const context& ctx,
+               const work::unit_id& id,
+               const attempt_loss& loss) {
   unit lost = *ctx.state.leader.units.Find(id);
   if (lost.lost_attempts.contains(lost.attempt))
     return false;
   if (ctx.now() - lost.last_loss_at > kLossWindow) {
-    lost.losses = 0;
-    lost.later_losses = 0;
+    lost.unnamed_losses.clear();
     lost.lost_attempts.clear();
   }
-  lost.lost_attempts.emplace(lost.attempt, kind);
-  CountOf(lost, kind) += 1;
+  lost.lost_attempts.emplace(lost.attempt, loss);
   lost.last_loss_at = ctx.now();
-  if (kind == loss_kind::kAtStart)
+  if (loss.kind == loss_kind::kAtStart)
     ctx.state.leader.suspects.insert(id);
   ctx.state.leader.units.Put(id, std::move(lost));
   NoteUnitChanged(ctx, id);
@@ -117,9 +113,9 @@
 // more.
 void ClearLosses(const context& ctx, const work::unit_id& id) {
   unit cleared = *ctx.state.leader.units.Find(id);
-  cleared.losses = 0;
+  cleared.unnamed_losses.erase(loss_kind::kAtStart);
   std::erase_if(cleared.lost_attempts, [](const auto& each) {
-    return each.second == loss_kind::kAtStart;
+    return each.second.kind == loss_kind::kAtStart;
   });
   ctx.state.leader.units.Put(id, std::move(cleared));
   NoteUnitChanged(ctx, id);
@@ -147,11 +143,9 @@
   const unit* known = ctx.state.leader.units.Find(id);
   if (known == nullptr)
     return;
-  const auto counted = known->lost_attempts.find(attempt);
-  if (counted == known->lost_attempts.end())
+  if (!known->lost_attempts.contains(attempt))
     return;
   unit kept = *known;
-  CountOf(kept, counted->second) -= 1;
   kept.lost_attempts.erase(attempt);
   ctx.state.leader.units.Put(id, std::move(kept));
   NoteUnitChanged(ctx, id);
@@ -169,46 +163,95 @@
                           loss_kind kind,
                           bool alone) {
   const unit& lost = *ctx.state.leader.units.Find(id);
+  const std::uint32_t at_start = LossesOf(lost, loss_kind::kAtStart);
+  const std::uint32_t later = LossesOf(lost, loss_kind::kLater);
   const std::uint32_t most = alone ? kMaxLossesAlone : kMaxLosses;
   ctx.Warn(
       "unit_lost", NameOf(id),
-      {Field("worker", worker.value()), Field("losses", lost.losses),
-       Field("later_losses", lost.later_losses),
+      {Field("worker", worker.value()), Field("losses", at_start),
+       Field("later_losses", later),
        Field("alone", std::string(alone ? "yes" : "no")), Field("most", most)});
   const bool endless = StepOf(*ctx.state.leader.jobs.Find(id.job), id).endless;
-  const bool too_often = kind == loss_kind::kAtStart
-                             ? lost.losses >= most
-                             : lost.later_losses >= kMaxLaterLosses;
+  const bool too_often =
+      kind == loss_kind::kAtStart ? at_start >= most : later >= kMaxLaterLosses;
   if (endless || !too_often)
     return;
   ctx.Count("units_given_up");
   CloseJob(ctx, id.job, work::job_phase::kFailed);
 }
 
+// Notes with which process of its worker the attempt was lost, unless a later
+// one is known, which confirms the crash.
+void NoteLostWith(const context& ctx,
+                  const std::pair<work::unit_id, std::uint64_t>& attempt,
+                  const attempt_loss& loss) {
+  worker_losses& known = ctx.state.leader.losses[loss.worker];
+  if (loss.life < known.life)
+    return;
+  if (loss.life > known.life)
+    known = {.life = loss.life};
+  known.at = ctx.now();
+  known.attempts.insert(attempt);
+}
+
 }  // namespace
 
+std::uint32_t LossesOf(const unit& each, loss_kind kind) {
+  const auto named = std::ranges::count_if(
+      each.lost_attempts,
+      [&](const auto& lost) { return lost.second.kind == kind; });
+  const auto unnamed = each.unnamed_losses.find(kind);
+  return static_cast<std::uint32_t>(named) +
+         (unnamed == each.unnamed_losses.end() ? 0 : unnamed->second);
+}
+
+void RestoreLosses(const context& ctx,
+                   const work::unit_id& id,
+                   const work::unit_progress& saved) {
+  unit restored = *ctx.state.leader.units.Find(id);
+  std::map<loss_kind, std::uint32_t> unnamed{
+      {loss_kind::kAtStart, saved.losses},
+      {loss_kind::kLater, saved.later_losses}};
+  for (const work::lost_attempt& each : saved.lost_attempts) {
+    const attempt_loss loss{
+        .kind = each.at_start ? loss_kind::kAtStart : loss_kind::kLater,
+        .worker = each.worker,
+        .life = each.life};
+    restored.lost_attempts.emplace(each.attempt, loss);
+    if (unnamed[loss.kind] > 0)
+      unnamed[loss.kind] -= 1;
+    NoteLostWith(ctx, {id, each.attempt}, loss);
+  }
+  std::erase_if(unnamed, [](const auto& each) { return each.second == 0; });
+  restored.unnamed_losses = std::move(unnamed);
+  if (LossesOf(restored, loss_kind::kAtStart) > 0)
+    ctx.state.leader.suspects.insert(id);
+  ctx.state.leader.units.Put(id, std::move(restored));
+}
+
 void CountLosses(const context& ctx, const work::worker_id& worker) {
   // A draining worker has announced that it ends what runs on it.
   const worker_state* row = ctx.state.leader.workers.Find(worker);
   if (row == nullptr || row->listed().draining)
     return;
   ForgetOldLosses(ctx);
+  const std::uint64_t life = row->listed().life;
   const std::map<work::unit_id, loss_kind> units = UnitsOn(ctx, worker, *row);
   const auto at_start = std::ranges::count_if(units, [](const auto& each) {
     return each.second == loss_kind::kAtStart;
   });
-  worker_losses lost{.life = row->listed().life, .at = ctx.now()};
   for (const auto& [id, kind] : units) {
     // Giving up one unit closes its job, and with it the job's other units.
     const active_job* job = ctx.state.leader.jobs.Find(id.job);
-    if (job == nullptr || work::IsClosed(job->phase) ||
-        !CountLoss(ctx, id, kind))
+    if (job == nullptr || work::IsClosed(job->phase))
+      continue;
+    const std::uint64_t attempt = ctx.state.leader.units.Find(id)->attempt;
+    const attempt_loss loss{.kind = kind, .worker = worker, .life = life};
+    if (!CountLoss(ctx, id, loss))
       continue;
-    lost.attempts.insert({id, ctx.state.leader.units.Find(id)->attempt});
+    NoteLostWith(ctx, {id, attempt}, loss);
     GiveUpIfLostTooOften(ctx, id, worker, kind, at_start <= 1);
   }
-  if (!lost.attempts.empty())
-    ctx.state.leader.losses[worker] = std::move(lost);
 }
 
 void OnWorkerSeen(const context& ctx,
@@ -228,7 +271,7 @@
 }
 
 bool IsSuspect(const unit& each) {
-  return each.losses >= kLossesUntilAlone;
+  return LossesOf(each, loss_kind::kAtStart) >= kLossesUntilAlone;
 }
 
 void AdvanceSuspects(const context& ctx) {
@@ -236,11 +279,12 @@
   leader.watched_workers.clear();
   std::erase_if(leader.suspects, [&](const work::unit_id& id) {
     const unit* each = leader.units.Find(id);
-    if (each == nullptr || each->losses == 0)
+    if (each == nullptr || LossesOf(*each, loss_kind::kAtStart) == 0)
       return true;
     if (HasOutlivedStart(ctx, *each)) {
       ctx.Log("unit_cleared", NameOf(id),
-              {Field("losses", each->losses), Field("attempt", each->attempt)});
+              {Field("losses", LossesOf(*each, loss_kind::kAtStart)),
+               Field("attempt", each->attempt)});
       ClearLosses(ctx, id);
       return true;
     }
--- a/source/dispatch/losses.h
+++ b/source/dispatch/losses.h
@@ -18,6 +18,9 @@
   std::map<work::service_id, std::size_t> left;
 };
 
+// How many attempts of the unit were lost in this way, as far as they count.
+std::uint32_t LossesOf(const unit& each, loss_kind kind);
+
 // True when the unit is to have its workers for itself until it has outlived
 // its start there.
 bool IsSuspect(const unit& each);
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -285,6 +285,10 @@
 // Counts the loss of the attempts on the worker, which has crashed or counts as
 // lost, and gives up jobs with a task that was lost too often.
 void CountLosses(const context& ctx, const work::worker_id& worker);
+// Takes over the losses in the record of a restored unit.
+void RestoreLosses(const context& ctx,
+                   const work::unit_id& id,
+                   const work::unit_progress& saved);
 // Called when a process of the worker has shown itself. If it is the one with
 // which tasks were lost, it was only silent, and the losses no longer count.
 void OnWorkerSeen(const context& ctx,
--- a/source/dispatch/progress.cc
+++ b/source/dispatch/progress.cc
@@ -6,6 +6,7 @@
 #include <limits>
 #include <utility>
 
+#include "dispatch/losses.h"
 #include "dispatch/parts.h"
 #include "dispatch/steps.h"
 
@@ -26,6 +27,18 @@
   return workers;
 }
 
+std::vector<work::lost_attempt> LostAttemptsOf(const unit& each) {
+  std::vector<work::lost_attempt> lost;
+  lost.reserve(each.lost_attempts.size());
+  for (const auto& [attempt, loss] : each.lost_attempts) {
+    lost.push_back({.attempt = attempt,
+                    .worker = loss.worker,
+                    .life = loss.life,
+                    .at_start = loss.kind == loss_kind::kAtStart});
+  }
+  return lost;
+}
+
 work::unit_progress ProgressOf(const work::unit_id& id, const unit& each) {
   return {.occurrence = id.occurrence,
           .step = id.step,
@@ -36,10 +49,11 @@
           .attempt_failed = each.failed.numbers.contains(each.attempt),
           .checkpoint = each.checkpoint,
           .workers = WorkersOf(each),
-          .losses = each.losses,
-          .later_losses = each.later_losses,
+          .losses = LossesOf(each, loss_kind::kAtStart),
+          .later_losses = LossesOf(each, loss_kind::kLater),
           .failed_attempts = {each.failed.numbers.begin(),
-                              each.failed.numbers.end()}};
+                              each.failed.numbers.end()},
+          .lost_attempts = LostAttemptsOf(each)};
 }
 
 // The record of the unit as it is now. None for a unit of a closed job: the
--- a/source/dispatch/restore.cc
+++ b/source/dispatch/restore.cc
@@ -59,14 +59,11 @@
                 .checkpoint = saved.checkpoint,
                 .members = RestoredMembers(saved),
                 .failed = FailedAttemptsIn(saved),
-                .losses = saved.losses,
-                .later_losses = saved.later_losses,
                 .last_loss_at = ctx.now(),
                 .since = ctx.now()};
-  if (restored.losses > 0)
-    ctx.state.leader.suspects.insert(unit_id);
   AddRestoredLoad(ctx, unit_id, restored, step);
   ctx.state.leader.units.Put(unit_id, std::move(restored));
+  RestoreLosses(ctx, unit_id, saved);
 }
 
 // The units of the job as earlier leaders stored them.
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -317,6 +317,15 @@
 // Whether the worker may have been lost by the start of the attempt.
 enum class loss_kind : std::uint8_t { kAtStart, kLater };
 
+// The worker's process with which an attempt was lost.
+struct attempt_loss {
+  loss_kind kind = loss_kind::kLater;
+  work::worker_id worker;
+  std::uint64_t life = 0;
+
+  bool operator==(const attempt_loss&) const = default;
+};
+
 enum class unit_phase { kWaiting, kPlaced, kDone };
 
 // What is placed as a whole: one task, or all tasks of a gang.
@@ -338,12 +347,10 @@
   // Workers on which an attempt failed.
   std::set<work::worker_id> failed_on;
   // Attempts that were lost with a worker: it crashed, or was out of reach
-  // until its leases had expired. `losses` counts those whose start may have
-  // crashed the worker, `later_losses` the others; `lost_attempts` has those of
-  // both that this leader counted.
-  std::uint32_t losses = 0;
-  std::uint32_t later_losses = 0;
-  std::map<std::uint64_t, loss_kind> lost_attempts;
+  // until its leases had expired.
+  std::map<std::uint64_t, attempt_loss> lost_attempts;
+  // More of them, of which an older version stored only how many there were.
+  std::map<loss_kind, std::uint32_t> unnamed_losses;
   timestamp last_loss_at;
   // When it was last placed, last began to wait, or was done.
   timestamp since;
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -77,6 +77,7 @@
                       target_latency,
                       submitted_at,
                       request)
+PARSLEYHITCH_DESCRIBE(lost_attempt, attempt, worker, life, at_start)
 PARSLEYHITCH_DESCRIBE(unit_progress,
                       occurrence,
                       step,
@@ -89,7 +90,8 @@
                       workers,
                       losses,
                       later_losses,
-                      failed_attempts)
+                      failed_attempts,
+                      lost_attempts)
 
 PARSLEYHITCH_DESCRIBE(job_submitted, content)
 PARSLEYHITCH_DESCRIBE(job_cancelled, job)
--- a/source/work/job.h
+++ b/source/work/job.h
@@ -130,6 +130,18 @@
   auto operator<=>(const task_id&) const = default;
 };
 
+// An attempt that was lost with a worker.
+struct lost_attempt {
+  const std::uint64_t attempt = 0;
+  const worker_id worker;
+  // The worker's process with which it was lost.
+  const std::uint64_t life = 0;
+  // Its start may have crashed the worker.
+  const bool at_start = false;
+
+  bool operator==(const lost_attempt&) const = default;
+};
+
 // Progress of a unit as kept in the store.
 struct unit_progress {
   const std::uint32_t occurrence = 0;
@@ -146,13 +158,16 @@
   const std::string checkpoint;
   // Workers of the running attempt, one per task; empty when none is running.
   const std::vector<worker_id> workers{};
-  // Attempts that were lost with a worker, as far as they still count: those
-  // whose start may have crashed the worker, and the others.
+  // How many attempts were lost with a worker, as far as they still count: of
+  // those whose start may have crashed it, and of the others.
   const std::uint32_t losses = 0;
   const std::uint32_t later_losses = 0;
   // Numbers of the attempts that ended as failed, in ascending order. Fewer
   // than `failures` in a record of a version that did not store them.
   const std::vector<std::uint64_t> failed_attempts{};
+  // The lost attempts, in ascending order. Fewer than `losses` and
+  // `later_losses` in a record of a version that did not store them.
+  const std::vector<lost_attempt> lost_attempts{};
 
   bool operator==(const unit_progress&) const = default;
 };
--- a/tests/dispatch/losses_test.cc
+++ b/tests/dispatch/losses_test.cc
@@ -4,8 +4,10 @@
 #include <set>
 #include <string>
 
+#include "dispatch/losses.h"
 #include "dispatch/simulation_fixture.h"
 
+namespace dispatch = parsleyhitch::dispatch;
 namespace tests = parsleyhitch::tests;
 namespace work = parsleyhitch::work;
 using tests::kJob;
@@ -41,7 +43,10 @@
   std::uint32_t LossesOf(const std::string& job) {
     const auto& units = simulation.entry(Leader()).state.leader.units;
     const auto* unit = units.Find({.job = work::job_id(job)});
-    return unit == nullptr ? 0 : unit->losses + unit->later_losses;
+    return unit == nullptr
+               ? 0
+               : dispatch::LossesOf(*unit, dispatch::loss_kind::kAtStart) +
+                     dispatch::LossesOf(*unit, dispatch::loss_kind::kLater);
   }
 };
 
@@ -109,6 +114,76 @@
   cr_assert(fixture.Ends(kOtherJob, work::job_phase::kCompleted));
 }
 
+// Leaders follow one another while workers are cut off.
+struct successor_losses_fixture : deadly_fixture {
+  // Cuts off a worker that runs the job and can be reached.
+  tests::simulated_worker& CutWorkerOf(const std::string& job) {
+    for (std::uint32_t i = 0; i < kWorkers; ++i) {
+      tests::simulated_worker& each = simulation.worker(i);
+      const bool runs = std::ranges::any_of(
+          each.running(),
+          [&](const auto& run) { return run.first.job.value() == job; });
+      if (!runs || each.cut)
+        continue;
+      each.cut = true;
+      return each;
+    }
+    cr_assert_fail("no worker runs the job");
+    return simulation.worker(0);
+  }
+
+  void AwaitLosses(std::uint32_t losses) {
+    cr_assert(simulation.RunUntil([&] { return LossesOf(kOtherJob) == losses; },
+                                  kWithin));
+  }
+
+  void ReplaceLeader() {
+    const std::uint32_t killed = Leader();
+    // Its records are stored.
+    simulation.RunFor(work::duration(300));
+    simulation.Kill(killed);
+    cr_assert(simulation.RunUntil(
+        [&] {
+          const auto leader = simulation.Leader();
+          return leader && *leader != killed &&
+                 simulation.entry(*leader).state.leader.restored;
+        },
+        work::duration(4000)));
+  }
+};
+
+// Guards against an attempt of a gang whose loss is counted by two leaders in
+// turn, each with another of its workers.
+Test(gang, whose_workers_are_lost_to_two_leaders_counts_one_loss) {
+  successor_losses_fixture fixture;
+  fixture.simulation.Submit(fixture.Follower(), kOtherJob, {Step(2, 8, true)});
+  cr_assert(fixture.Runs(kOtherJob, work::duration(1000)));
+  fixture.CutWorkerOf(kOtherJob);
+  fixture.simulation.RunFor(work::duration(3000));
+  fixture.CutWorkerOf(kOtherJob);
+  fixture.AwaitLosses(1);
+  fixture.ReplaceLeader();
+  cr_assert_eq(fixture.LossesOf(kOtherJob), 1U);
+  cr_assert(fixture.Ends(kOtherJob, work::job_phase::kCompleted));
+  cr_assert_eq(fixture.LinesOf("unit_lost").size(), 1U);
+}
+
+// Guards against silence that counts as a crash once the leader that counted it
+// has been replaced.
+Test(task, whose_worker_was_only_silent_counts_no_loss_with_a_successor) {
+  successor_losses_fixture fixture;
+  fixture.simulation.Submit(fixture.Follower(), kOtherJob, {Step(1, 8)});
+  cr_assert(fixture.Runs(kOtherJob, work::duration(1000)));
+  tests::simulated_worker& silent = fixture.CutWorkerOf(kOtherJob);
+  fixture.AwaitLosses(1);
+  fixture.ReplaceLeader();
+  cr_assert_eq(fixture.LossesOf(kOtherJob), 1U);
+  silent.cut = false;
+  fixture.AwaitLosses(0);
+  // Not because the job has ended.
+  cr_assert(fixture.IsRunning(kOtherJob));
+}
+
 // Guards against a gang that is given up as all its workers fail at once.
 Test(gang, whose_workers_are_all_lost_at_once_counts_one_loss) {
   deadly_fixture fixture;
--- a/tests/wire/work_codec_test.cc
+++ b/tests/wire/work_codec_test.cc
@@ -69,16 +69,20 @@
                                       .request = kRequest}};
   const work::record progressed = work::job_progressed{
       .job = work::job_id("a1"), .phase = work::job_phase::kRunning};
-  const work::record unit =
-      work::unit_progressed{.job = work::job_id("a1"),
-                            .progress = {.step = 1,
-                                         .index = 3,
-                                         .failures = 1,
-                                         .attempt = 1002,
-                                         .attempt_failed = true,
-                                         .checkpoint = "00ff",
-                                         .workers = {work::worker_id("w")},
-                                         .failed_attempts = {1002}}};
+  const work::record unit = work::unit_progressed{
+      .job = work::job_id("a1"),
+      .progress = {.step = 1,
+                   .index = 3,
+                   .failures = 1,
+                   .attempt = 1002,
+                   .attempt_failed = true,
+                   .checkpoint = "00ff",
+                   .workers = {work::worker_id("w")},
+                   .failed_attempts = {1002},
+                   .lost_attempts = {{.attempt = 1001,
+                                      .worker = work::worker_id("w"),
+                                      .life = 7,
+                                      .at_start = true}}}};
   const work::record worker =
       work::worker_admitted{.worker = work::worker_id("w")};
   const work::record deleted = work::job_deleted{
