A relayed call keeps the route that its entry found

Cause: an entry checks a call by its catalog and relays it while appends are slow or the store turns it away. The leader routed and checked it again by its own catalog, which is older when the leader is slow, and the entry passed its refusal on.

Change: `call_relayed` carries the queue and the owner that the entry found, and the receiver handles the call by these. Open calls keep them as well, so that a call that waits for newer records is not judged twice. A call from an entry of the version before has no route and is judged as before.

--- a/source/dispatch/clients.cc
+++ b/source/dispatch/clients.cc
@@ -23,6 +23,8 @@
   const work::client_call& content;
   std::string relayed_by;
   call_number peer_call_number = 0;
+  // Once it is known; by the catalog of the entry that took the call.
+  model::value_cell<work::call_route> route;
 };
 
 work::client_answer Refusal(const context& ctx, work::answer_kind kind) {
@@ -96,6 +98,7 @@
                 .deadline = ctx.now() + usable,
                 .stage = stage,
                 .job = job,
+                .route = incoming.route,
                 .confirming_read = confirms ? RequestConfirmingRead(ctx) : 0,
                 .relayed_by = incoming.relayed_by,
                 .peer_call_number = incoming.peer_call_number});
@@ -131,7 +134,8 @@
   SendToPeer(ctx, ctx.state.leadership.leader_address,
              work::call_relayed{.call = number,
                                 .address = ctx.env.peer_address,
-                                .content = call.content});
+                                .content = call.content,
+                                .route = *call.route.Get()});
   ctx.Log("relayed", call.content.path,
           {Field("to", ctx.state.leadership.leader_address)});
   call.stage = call_stage::kRelayed;
@@ -235,43 +239,60 @@
   return {};
 }
 
-void Handle(const context& ctx, const incoming_call& incoming) {
+// Answers a call that the catalog in force does not allow, and returns nothing
+// then.
+std::optional<work::call_route> Admit(const context& ctx,
+                                      const incoming_call& incoming) {
   const work::published_catalog* current = ctx.state.in_force.Get();
   if (current == nullptr) {
     Reply(ctx, incoming, Refusal(ctx, work::answer_kind::kNotRun));
-    return;
+    return {};
   }
-  const auto routed = RouteOf(current->content, incoming.content);
-  if (!routed) {
+  const work::queue* queue = RouteOf(current->content, incoming.content);
+  if (queue == nullptr) {
     Reply(ctx, incoming, {.kind = work::answer_kind::kNoQueue});
-    return;
+    return {};
   }
-  const auto owner =
-      OwnerFor(current->content, *routed->queue, incoming.content.key);
+  const auto owner = OwnerFor(current->content, *queue, incoming.content.key);
   if (!owner) {
     Reply(ctx, incoming, {.kind = work::answer_kind::kNoKey});
-    return;
+    return {};
   }
+  return work::call_route{.destination = *queue, .owner = *owner};
+}
+
+void HandleRouted(const context& ctx, const incoming_call& incoming) {
+  const auto& [queue, owner] = *incoming.route.Get();
+  const std::string_view rest = RestOfPath(queue, incoming.content);
   const bool reads = incoming.content.verb == work::call_verb::kRead;
-  if (reads && routed->rest.empty()) {
+  if (reads && rest.empty()) {
     Reply(ctx, incoming,
           {.kind = work::answer_kind::kWaiting,
-           .waiting =
-               records::CountWaiting(ctx.state.ledger, routed->queue->id)});
+           .waiting = records::CountWaiting(ctx.state.ledger, queue.id)});
     return;
   }
-  if (!IsJobId(routed->rest)) {
+  if (!IsJobId(rest)) {
     Reply(ctx, incoming,
           {.kind = work::answer_kind::kInvalid,
            .faults = model::OneFinding(
                "", "the path must end in an ID of 16 hexadecimal digits")});
     return;
   }
-  const work::job_id job{std::string(routed->rest)};
+  const work::job_id job{std::string(rest)};
   if (incoming.content.verb == work::call_verb::kSubmit)
-    Submit(ctx, incoming, *routed->queue, *owner, job);
+    Submit(ctx, incoming, queue, owner, job);
   else
-    ReadOrCancel(ctx, incoming, *owner, job);
+    ReadOrCancel(ctx, incoming, owner, job);
+}
+
+void Handle(const context& ctx, incoming_call incoming) {
+  if (incoming.route.Get() == nullptr) {
+    std::optional<work::call_route> route = Admit(ctx, incoming);
+    if (!route)
+      return;
+    incoming.route.Put(std::move(*route));
+  }
+  HandleRouted(ctx, incoming);
 }
 
 bool IsInBatch(const context& ctx, call_number call) {
@@ -326,10 +347,13 @@
 
 void OnCallRelayed(const context& ctx, const work::call_relayed& message) {
   const call_number number = kRelayedCallBase + ctx.NewCall();
-  Handle(ctx, {.call = number,
-               .content = message.content,
-               .relayed_by = message.address,
-               .peer_call_number = message.call});
+  incoming_call incoming{.call = number,
+                         .content = message.content,
+                         .relayed_by = message.address,
+                         .peer_call_number = message.call};
+  if (message.route)
+    incoming.route.Put(*message.route);
+  Handle(ctx, std::move(incoming));
 }
 
 void OnCallSettled(const context& ctx, const work::call_settled& message) {
@@ -385,7 +409,8 @@
     Handle(ctx, {.call = number,
                  .content = call.content,
                  .relayed_by = call.relayed_by,
-                 .peer_call_number = call.peer_call_number});
+                 .peer_call_number = call.peer_call_number,
+                 .route = call.route});
   }
 }
 
--- a/source/dispatch/routing.cc
+++ b/source/dispatch/routing.cc
@@ -14,8 +14,8 @@
 
 }  // namespace
 
-std::optional<routed_call> RouteOf(const work::catalog& catalog,
-                                   const work::client_call& call) {
+const work::queue* RouteOf(const work::catalog& catalog,
+                           const work::client_call& call) {
   const work::queue* best = nullptr;
   for (const work::queue& each : catalog.queues) {
     const bool matches =
@@ -25,11 +25,15 @@
     if (matches && longer)
       best = &each;
   }
-  if (best == nullptr)
-    return {};
-  return routed_call{
-      .queue = best,
-      .rest = std::string_view(call.path).substr(best->path_prefix.size())};
+  return best;
+}
+
+std::string_view RestOfPath(const work::queue& queue,
+                            const work::client_call& call) {
+  const std::string_view path = call.path;
+  return path.starts_with(queue.path_prefix)
+             ? path.substr(queue.path_prefix.size())
+             : std::string_view();
 }
 
 const work::workspace* OwnerOf(const work::catalog& catalog,
--- a/source/dispatch/routing.h
+++ b/source/dispatch/routing.h
@@ -3,7 +3,6 @@
 #ifndef PARSLEYHITCH_DISPATCH_ROUTING_H_
 #define PARSLEYHITCH_DISPATCH_ROUTING_H_
 
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -12,15 +11,14 @@
 
 namespace parsleyhitch::dispatch {
 
-struct routed_call {
-  const work::queue* queue = nullptr;
-  // The part of the path after the queue's prefix: a job's ID, or empty.
-  std::string_view rest;
-};
+// The queue of the call's host with the longest prefix that matches the path;
+// null when there is none.
+const work::queue* RouteOf(const work::catalog& catalog,
+                           const work::client_call& call);
 
-// The queue of the call's host with the longest prefix that matches the path.
-std::optional<routed_call> RouteOf(const work::catalog& catalog,
-                                   const work::client_call& call);
+// The part of the call's path after the queue's prefix: a job's ID, or empty.
+std::string_view RestOfPath(const work::queue& queue,
+                            const work::client_call& call);
 
 // The workspace that has the API key; null when there is none.
 const work::workspace* OwnerOf(const work::catalog& catalog,
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -139,6 +139,8 @@
   timestamp deadline;
   call_stage stage = call_stage::kStoring;
   work::job_id job;
+  // As the entry that took the call decided; later catalogs change nothing.
+  model::value_cell<work::call_route> route;
   // In `kConfirming`: the first confirming read sent after it arrived, counted
   // from 1.
   std::uint64_t confirming_read = 0;
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -134,7 +134,19 @@
                       takes_orders)
 PARSLEYHITCH_DESCRIBE(catalog_wanted, address, held_version)
 PARSLEYHITCH_DESCRIBE(catalog_offered, version, content)
-PARSLEYHITCH_DESCRIBE(call_relayed, call, address, content)
+PARSLEYHITCH_DESCRIBE(queue,
+                      id,
+                      host,
+                      path_prefix,
+                      service,
+                      priority,
+                      max_attempts,
+                      stretch_permille,
+                      target_latency,
+                      call_timeout,
+                      allows_anonymous)
+PARSLEYHITCH_DESCRIBE(call_route, destination, owner)
+PARSLEYHITCH_DESCRIBE(call_relayed, call, address, content, route)
 PARSLEYHITCH_DESCRIBE(call_settled, call, answer)
 PARSLEYHITCH_DESCRIBE(task_id, job, occurrence, step, index)
 PARSLEYHITCH_DESCRIBE(order_target, worker, address, token, valid_until)
--- a/source/work/catalog.h
+++ b/source/work/catalog.h
@@ -30,6 +30,15 @@
   bool operator==(const queue&) const = default;
 };
 
+// What a catalog says of a call that it allows.
+struct call_route {
+  const queue destination;
+  // The workspace that has the call's key; empty for a call without one.
+  const workspace_id owner;
+
+  bool operator==(const call_route&) const = default;
+};
+
 struct worker_service {
   const service_id id;
   // The workers refuse tasks that would exceed their capacity.
--- a/source/work/peer_message.h
+++ b/source/work/peer_message.h
@@ -5,11 +5,13 @@
 #define PARSLEYHITCH_WORK_PEER_MESSAGE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "work/call.h"
+#include "work/catalog.h"
 #include "work/order.h"
 #include "work/record.h"
 
@@ -68,6 +70,9 @@
   const std::uint64_t call = 0;
   const std::string address;
   const client_call content{};
+  // By the catalog of the sender, which has decided that the call is allowed;
+  // absent from senders of older versions.
+  const std::optional<call_route> route{};
   bool operator==(const call_relayed&) const = default;
 };
 
--- a/tests/wire/work_codec_test.cc
+++ b/tests/wire/work_codec_test.cc
@@ -115,6 +115,24 @@
   cr_assert_not(decoded.has_value());
 }
 
+// Guards against a call that is routed again by a receiver with an older
+// catalog.
+Test(work_message, relayed_with_its_route_is_decoded_with_it) {
+  const work::peer_message relayed{
+      .from = work::entry_id("entry-1"),
+      .content = work::call_relayed{
+          .call = 9,
+          .content = {.path = "/q/a1"},
+          .route = work::call_route{
+              .destination = {.id = work::queue_id("q"),
+                              .path_prefix = "/q/",
+                              .max_attempts = 3,
+                              .target_latency = work::duration(1000),
+                              .allows_anonymous = true},
+              .owner = work::workspace_id("team")}}};
+  cr_assert(codec_fixture::RoundTrip(relayed) == relayed);
+}
+
 // Guards against a release in which entries of the older version can't read
 // units, or count other failures.
 Test(unit_progress, read_by_an_older_version_has_the_number_of_failures) {
