Listings and restored units are handled with fewer look-ups

A listed task looked its job up twice around MarkJobStarted(); marking first leaves one. A restored unit without losses was copied and replaced for nothing. Costs were not measured.

--- a/source/dispatch/ends.cc
+++ b/source/dispatch/ends.cc
@@ -263,6 +263,7 @@
                    const work::worker_id& worker,
                    const work::running_task& task) {
   leader_state& leader = ctx.state.leader;
+  MarkJobStarted(ctx, task.task.job);
   const active_job* job = leader.jobs.Find(task.task.job);
   if (job == nullptr) {
     const records::stored_job* entry =
@@ -272,8 +273,6 @@
                                    : records::NeedOf(*entry, task.task.step));
     return;
   }
-  MarkJobStarted(ctx, task.task.job);
-  job = leader.jobs.Find(task.task.job);
   if (task.task.step >= job->content.Get()->request.steps.size())
     return;
   const work::unit_id id = UnitOf(*job, task.task);
--- a/source/dispatch/losses.cc
+++ b/source/dispatch/losses.cc
@@ -208,6 +208,8 @@
 void RestoreLosses(const context& ctx,
                    const work::unit_id& id,
                    const work::unit_progress& saved) {
+  if (saved.losses == 0 && saved.later_losses == 0)
+    return;
   unit restored = *ctx.state.leader.units.Find(id);
   std::map<loss_kind, std::uint32_t> unnamed{
       {loss_kind::kAtStart, saved.losses},
