--- a/tests/dispatch/failure_count_test.cc
+++ b/tests/dispatch/failure_count_test.cc
@@ -22,6 +22,7 @@
 using tests::fault_kind;
 using tests::injected_fault;
 using tests::kJob;
+using tests::kTakeoverTime;
 using tests::simulation_fixture;
 using tests::simulation_options;
 using tests::Step;
@@ -29,7 +30,6 @@
 namespace {
 
 constexpr work::duration kLongTask{100000};
-constexpr work::duration kTakeoverTime{4000};
 constexpr std::uint32_t kMaxAttempts = 3;
 
 std::uint32_t FailuresOf(const dispatch::unit& each) {
@@ -73,15 +73,7 @@
     simulation.Kill(killed_);
   }
 
-  void AwaitSuccessor() {
-    cr_assert(simulation.RunUntil(
-        [&] {
-          const auto leader = simulation.Leader();
-          return leader && *leader != killed_ &&
-                 simulation.entry(*leader).state.leader.restored;
-        },
-        kTakeoverTime));
-  }
+  void AwaitSuccessor() { AwaitSuccessorOf(killed_); }
 
   std::uint32_t CountedFailures() {
     const dispatch::unit* unit =
--- a/tests/dispatch/given_up_test.cc
+++ b/tests/dispatch/given_up_test.cc
@@ -95,12 +95,7 @@
     simulation.RunFor(3 * kHeartbeatInterval);
     simulation.Kill(first);
     simulation.store().down = false;
-    cr_assert(simulation.RunUntil(
-        [&] {
-          const auto leader = simulation.Leader();
-          return leader && *leader != first;
-        },
-        work::duration(4000)));
+    AwaitSuccessorOf(first);
   }
 
   tests::simulated_worker* unlisted = nullptr;
--- a/tests/dispatch/job_start_test.cc
+++ b/tests/dispatch/job_start_test.cc
@@ -20,7 +20,6 @@
 constexpr work::duration kCountAge{2000};
 // Longer than the leader goes on with a start that is not answered.
 constexpr work::duration kStartsGivenUp{3500};
-constexpr work::duration kTakeoverTime{4000};
 constexpr std::uint32_t kManyOrders = 1000000;
 
 struct job_start_fixture : simulation_fixture {
@@ -61,13 +60,7 @@
     const std::uint32_t killed = Leader();
     simulation.Kill(killed);
     simulation.store().refused.clear();
-    cr_assert(simulation.RunUntil(
-        [&] {
-          const auto leader = simulation.Leader();
-          return leader && *leader != killed &&
-                 simulation.entry(*leader).state.leader.restored;
-        },
-        kTakeoverTime));
+    AwaitSuccessorOf(killed);
   }
 };
 
--- a/tests/dispatch/losses_test.cc
+++ b/tests/dispatch/losses_test.cc
@@ -142,13 +142,7 @@
     // Its records are stored.
     simulation.RunFor(work::duration(300));
     simulation.Kill(killed);
-    cr_assert(simulation.RunUntil(
-        [&] {
-          const auto leader = simulation.Leader();
-          return leader && *leader != killed &&
-                 simulation.entry(*leader).state.leader.restored;
-        },
-        work::duration(4000)));
+    AwaitSuccessorOf(killed);
   }
 };
 
--- a/tests/dispatch/simulation_fixture.h
+++ b/tests/dispatch/simulation_fixture.h
@@ -16,6 +16,7 @@
 inline constexpr char kJob[] = "00000000000000a1";
 inline constexpr char kOtherJob[] = "00000000000000b2";
 inline constexpr work::duration kElectionTime{2500};
+inline constexpr work::duration kTakeoverTime{4000};
 inline constexpr work::duration kDefaultTimeout{40000};
 
 inline work::step_spec Step(std::uint32_t tasks,
@@ -52,6 +53,17 @@
     return simulation.RunUntil([&] { return IsRunning(job); }, within);
   }
 
+  // Runs until another entry leads and has restored its jobs.
+  void AwaitSuccessorOf(std::uint32_t former) {
+    cr_assert(simulation.RunUntil(
+        [&] {
+          const auto leader = simulation.Leader();
+          return leader && *leader != former &&
+                 simulation.entry(*leader).state.leader.restored;
+        },
+        kTakeoverTime));
+  }
+
   // The first violated invariant, or empty.
   std::string Violation() const {
     return simulation.breaches().empty() ? std::string()
--- a/tests/dispatch/unit_records_test.cc
+++ b/tests/dispatch/unit_records_test.cc
@@ -52,12 +52,7 @@
     const std::uint32_t first = Leader();
     simulation.Kill(first);
     simulation.store().refused.clear();
-    cr_assert(simulation.RunUntil(
-        [&] {
-          const auto leader = simulation.Leader();
-          return leader && *leader != first;
-        },
-        work::duration(4000)));
+    AwaitSuccessorOf(first);
   }
 };
 
