Limits that follow from the platform's bounds are derived from them

Cause: the check is right, but the default of 500 ms stood for a bound of 200 ms. The same holds for the time that leaving workers are cleared in advance (700 ms) and for a longest lease below the default lease.

Change: the settings derive lapse_margin_ms (task_stop_ms + 300) and lease_ms (at most longest_lease_ms) unless they are set; the departure of workers counts with task_stop. A margin that is set below the bound is still rejected. With task_stop_ms 200 all values are as before.

A test renders the deployed template with the figures of all deployments.

--- a/source/dispatch/evacuation.cc
+++ b/source/dispatch/evacuation.cc
@@ -18,8 +18,9 @@
 // entry when it is read.
 constexpr duration kRegistryLag{800};
 
-// From the decision to stop a unit until its worker lists the end.
-constexpr duration kStopTime{700};
+// From the decision to stop a unit until its worker lists the end, beyond the
+// time that the stop takes.
+constexpr duration kStopReserve{500};
 
 // A unit that has run longer than estimated needs at least this share of its
 // run time on top, in thousandths.
@@ -45,7 +46,8 @@
       ctx.now() + ExpectedRemaining(*each, step, ctx.now()) <= leaves_at;
   if (ends_in_time)
     return false;
-  return !step.checkpointed || ctx.now() >= leaves_at - kStopTime;
+  const duration stop_time = ctx.env.task_stop + kStopReserve;
+  return !step.checkpointed || ctx.now() >= leaves_at - stop_time;
 }
 
 }  // namespace
--- a/source/runtime/dispatch_process.cc
+++ b/source/runtime/dispatch_process.cc
@@ -52,6 +52,7 @@
           .cpu_millis =
               static_cast<std::uint32_t>(settings.cpu_share * kMilliCpusPerCpu),
           .longest_lease = settings.longest_lease,
+          .task_stop = settings.task_stop,
           .job_state_kept = std::chrono::ceil<work::duration>(
               std::chrono::duration<double>(settings.job_state_kept_s)),
           .max_record_bytes = settings.max_record_bytes,
--- a/source/settings/dispatch_settings.cc
+++ b/source/settings/dispatch_settings.cc
@@ -2,6 +2,7 @@
 
 #include "settings/dispatch_settings.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "settings/address.h"
@@ -45,6 +46,38 @@
 // it must be well above the time that callers wait.
 constexpr double kMinStateKeptS = 10;
 
+// From the end of a lease until a task that its worker then stops counts as
+// dead, beyond the time that the stop takes.
+constexpr model::duration kLapseReserve{300};
+
+// Adds the limits that follow from bounds of the platform, unless they are set.
+// Bounds that can't be read are left to the decoder.
+void AddDerivedLimits(nlohmann::ordered_json& content) {
+  if (!content.is_object())
+    return;
+  const dispatch_settings defaults;
+  const auto bound = [&](const char* key, model::duration otherwise) {
+    const auto found = content.find(key);
+    return found != content.end() && found->is_number_integer()
+               ? model::duration(found->get<std::int64_t>())
+               : otherwise;
+  };
+  const model::duration task_stop = bound("task_stop_ms", defaults.task_stop);
+  const model::duration longest_lease =
+      bound("longest_lease_ms", defaults.longest_lease);
+  nlohmann::ordered_json& limits = content["limits"];
+  if (limits.is_null())
+    limits = nlohmann::ordered_json::object();
+  if (!limits.is_object())
+    return;
+  const auto add = [&](const char* key, model::duration value) {
+    if (!limits.contains(key))
+      limits[key] = value.count();
+  };
+  add("lapse_margin_ms", task_stop + kLapseReserve);
+  add("lease_ms", std::min(defaults.limits.lease, longest_lease));
+}
+
 // Faster than any core starts tasks.
 constexpr std::uint32_t kMaxStartRate = 10000;
 
@@ -111,8 +144,10 @@
   model::findings findings = source.findings;
   if (!findings.empty())
     return boost::leaf::new_error(std::move(findings));
+  nlohmann::ordered_json content = source.content;
+  AddDerivedLimits(content);
   dispatch_settings parsed =
-      wire::detail::DecodeJson<dispatch_settings>(source.content, "", findings);
+      wire::detail::DecodeJson<dispatch_settings>(content, "", findings);
   CheckSettings(findings, parsed);
   if (!findings.empty())
     return boost::leaf::new_error(LocateFindings(source, findings));
--- a/source/work/limits.h
+++ b/source/work/limits.h
@@ -53,15 +53,15 @@
   // How long a new leader waits for the workers' task lists.
   const duration settle_timeout{700};
 
-  // Workers.
+  // Workers. The lease is at most the longest that they grant.
   const duration lease{6000};
   // The platform's bound on how much slower a worker's clock may run.
   const std::uint32_t clock_drift_permille = 20;
   const duration hold_wait{1500};
   const duration order_timeout{600};
   const duration order_retry{250};
-  // Added to a lease before its tasks count as dead: the longest time that a
-  // worker takes to stop a task.
+  // Added to a lease before its tasks count as dead: longer than a worker takes
+  // to stop a task. The settings derive it from that bound unless it is set.
   const duration lapse_margin{500};
   // A worker is removed after it was absent this long from lists that were read
   // successfully.
--- a/tests/settings/dispatch_settings_test.cc
+++ b/tests/settings/dispatch_settings_test.cc
@@ -4,6 +4,12 @@
 
 #include <criterion/criterion.h>
 
+#include <cstdint>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <string>
+
 namespace model = parsleyhitch::model;
 namespace settings = parsleyhitch::settings;
 namespace wire = parsleyhitch::wire;
@@ -24,7 +30,88 @@
 task_stop_ms: 200
 )";
 
+// Bounds that deployments state, and the size of an entry.
+struct bounds_row {
+  std::int64_t stop_ms = 0;
+  std::int64_t hold_max_ms = 0;
+  const char* save_s = "";
+  std::int64_t restore_ms = 0;
+  const char* cpu_share = "";
+};
+
+constexpr bounds_row kDeployments[] = {
+    {.stop_ms = 200,
+     .hold_max_ms = 10000,
+     .save_s = "2",
+     .restore_ms = 250,
+     .cpu_share = "0.25"},
+    {.stop_ms = 200,
+     .hold_max_ms = 10000,
+     .save_s = "0.5",
+     .restore_ms = 100,
+     .cpu_share = "0.12"},
+    {.stop_ms = 200,
+     .hold_max_ms = 6000,
+     .save_s = "1",
+     .restore_ms = 600,
+     .cpu_share = "0.5"},
+    {.stop_ms = 400,
+     .hold_max_ms = 10000,
+     .save_s = "0.5",
+     .restore_ms = 100,
+     .cpu_share = "0.25"},
+    {.stop_ms = 400,
+     .hold_max_ms = 10000,
+     .save_s = "2",
+     .restore_ms = 600,
+     .cpu_share = "0.12"},
+    {.stop_ms = 900,
+     .hold_max_ms = 10000,
+     .save_s = "2",
+     .restore_ms = 250,
+     .cpu_share = "0.09"},
+    // Below what any deployment has stated so far.
+    {.stop_ms = 50,
+     .hold_max_ms = 4000,
+     .save_s = "4",
+     .restore_ms = 1000,
+     .cpu_share = "1"},
+};
+
 struct settings_fixture {
+  // The deployed template with the figures of one deployment.
+  static std::string Render(const bounds_row& bounds) {
+    std::ifstream file(std::string(PARSLEYHITCH_SOURCE_DIR) +
+                       "/deploy/settings.yaml.template");
+    std::string text((std::istreambuf_iterator<char>(file)), {});
+    const std::map<std::string, std::string> values{
+        {"nodeName", "front-1"},
+        {"zone", "zone-1"},
+        {"ip", "10.1.0.19"},
+        {"listenAddrs.front", "10.1.0.19:8521"},
+        {"listenAddrs.ready", "10.1.0.19:8523"},
+        {"portRange.0", "7000"},
+        {"portRange.1", "7001"},
+        {"platform.address", "10.200.1.7:8524"},
+        {"platform.recordBytes", "262144"},
+        {"platform.callBytes", "2097152"},
+        {"limits.cpuShare", bounds.cpu_share},
+        {"bounds.graceS", "6"},
+        {"bounds.holdMaxMs", std::to_string(bounds.hold_max_ms)},
+        {"bounds.stopMs", std::to_string(bounds.stop_ms)},
+        {"bounds.saveS", bounds.save_s},
+        {"bounds.restoreMs", std::to_string(bounds.restore_ms)},
+        {"bounds.farX", "3"},
+        {"bounds.status_s", "120"}};
+    for (const auto& [name, value] : values) {
+      const std::string placeholder = "{{" + name + "}}";
+      for (std::size_t at = text.find(placeholder); at != std::string::npos;
+           at = text.find(placeholder))
+        text.replace(at, placeholder.size(), value);
+    }
+    return text;
+  }
+
   static model::findings Findings(const std::string& text) {
     return wire::Handle(
         [&] { return settings::ParseDispatchSettings(text); },
@@ -83,6 +170,28 @@
   cr_assert_eq(findings[0].place, "/limits/leader_retry_max_ms");
 }
 
+// Guards against bounds of a deployment with which no entry starts.
+Test(dispatch_settings, rendered_for_any_deployment_have_no_findings) {
+  for (const bounds_row& bounds : kDeployments) {
+    const std::string text = settings_fixture::Render(bounds);
+    const auto parsed =
+        wire::ValueOf([&] { return settings::ParseDispatchSettings(text); });
+    cr_assert(parsed, "%s", text.c_str());
+    cr_assert_gt(parsed->limits.lapse_margin.count(), bounds.stop_ms);
+    cr_assert_leq(parsed->limits.lease.count(), bounds.hold_max_ms);
+    cr_assert_eq(parsed->task_stop.count(), bounds.stop_ms);
+  }
+}
+
+Test(dispatch_settings, with_a_margin_below_the_time_of_a_stop_are_rejected) {
+  std::string text = kValidSettings;
+  text.replace(text.find("task_stop_ms: 200"), 17, "task_stop_ms: 900");
+  const auto findings =
+      settings_fixture::Findings(text + "limits:\n  lapse_margin_ms: 500\n");
+  cr_assert_eq(findings.size(), 1U);
+  cr_assert_eq(findings[0].place, "/limits/lapse_margin_ms");
+}
+
 // Guards against a division by zero in planning.
 Test(dispatch_settings, with_rates_of_zero_are_rejected) {
   const auto findings = settings_fixture::Findings(
