Nothing is started in failure domains that operators have evacuated

Cause: the operators' request was never read.

Change: every entry keeps the evacuated domains from the operators' stream, and passes them on with heartbeats and replies; the leader plans without their workers, withholds starts that are not sent and withdraws those without answer; a proxy refuses starts there for a leader that does not know yet.

--- a/source/dispatch/demands.cc
+++ b/source/dispatch/demands.cc
@@ -137,7 +137,7 @@
   std::map<work::service_id, work::resources> capacity;
   std::map<work::service_id, work::resources> used;
   for (const auto& [worker, row] : ctx.state.leader.workers) {
-    if (!IsSchedulable(row))
+    if (!IsSchedulable(row) || IsEvacuated(ctx, row.listed().failure_domain))
       continue;
     const work::service_id& service = row.listed().service;
     capacity[service] = capacity[service] + row.listed().capacity;
@@ -229,7 +229,8 @@
   for (const auto& [worker, row] : ctx.state.leader.workers) {
     if (!IsSchedulable(row) || !IsAdmitted(ctx, worker))
       continue;
-    if (kept.workers.contains(worker) || ctx.now() < row.next_start_at)
+    if (kept.workers.contains(worker) || ctx.now() < row.next_start_at ||
+        IsEvacuated(ctx, row.listed().failure_domain))
       continue;
     const worker_load& carried = LoadOf(ctx, worker);
     workers.push_back({.worker = worker,
--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/feeds.cc
@@ -71,6 +71,39 @@
     UpsertWorker(ctx, entry);
 }
 
+// Replaces what is known of evacuations, and logs the differences.
+void PutEvacuations(const context& ctx,
+                    evacuated_domains next,
+                    std::string_view source) {
+  const evacuated_domains& before = ctx.state.evacuations;
+  const auto log = [&](const char* decision, const auto& failure_domain) {
+    ctx.Log(decision, failure_domain.value(),
+            {Field("position", next.position),
+             Field("source", std::string(source))});
+    ctx.state.leader.plan_due = true;
+  };
+  for (const auto& [failure_domain, offset] : next.active) {
+    if (!before.active.contains(failure_domain))
+      log("domain_evacuated", failure_domain);
+  }
+  for (const auto& [failure_domain, offset] : before.active) {
+    if (!next.active.contains(failure_domain))
+      log("domain_returned", failure_domain);
+  }
+  if (before.active.size() != next.active.size())
+    ctx.Emit(work::set_gauge{.name = "domains_evacuated",
+                             .value = next.active.size()});
+  ctx.state.evacuations = std::move(next);
+}
+
+void Apply(const context& ctx,
+           const work::feed_item& item,
+           const work::domain_evacuation& change) {
+  PutEvacuations(ctx,
+                 ApplyEvacuation(ctx.state.evacuations, item.offset, change),
+                 "store");
+}
+
 void ApplyAll(const context& ctx,
               work::feed source,
               const std::vector<work::feed_item>& items) {
@@ -228,9 +261,14 @@
   feed.position = event.next;
   feed.confirmed_at = feed.sent_at;
   feed.next_at = ctx.now() + ReadPause(ctx, event.source, !event.items.empty());
+  if (event.source == work::feed::kCatalog)
+    ctx.state.evacuations =
+        AdvanceTo(std::move(ctx.state.evacuations), event.next);
   // Each catalog replaces the one before, so those in between are skipped.
   if (event.source == work::feed::kCatalog && event.next < event.end)
     RestartSnapshot(feed);
+  if (event.source == work::feed::kCatalog)
+    ctx.state.evacuations.listed.clear();
   if (event.source == work::feed::kRecords)
     RestoreIfCaughtUp(ctx);
 }
@@ -261,6 +299,9 @@
   }
   if (event.source == work::feed::kRecords)
     ctx.state.ledger = records::EndSnapshot(std::move(ctx.state.ledger));
+  if (event.source == work::feed::kCatalog)
+    PutEvacuations(ctx, EndSnapshot(ctx.state.evacuations, feed.position),
+                   "store");
   RestoreIfCaughtUp(ctx);
 }
 
@@ -303,6 +344,16 @@
   s.leader.plan_due = true;
 }
 
+void AdoptEvacuations(const context& ctx,
+                      const work::evacuation_report& report) {
+  PutEvacuations(ctx, Adopt(ctx.state.evacuations, report), "peer");
+}
+
+bool IsEvacuated(const context& ctx,
+                 const work::failure_domain_id& failure_domain) {
+  return ctx.state.evacuations.active.contains(failure_domain);
+}
+
 std::uint64_t RequestConfirmingRead(const context& ctx) {
   ctx.state.confirming_reads.due = true;
   return ctx.state.confirming_reads.sent + 1;
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet.cc
@@ -154,7 +154,8 @@
                   .labels = before.labels,
                   .capacity = before.capacity,
                   .draining = false,
-                  .life = life});
+                  .life = life,
+                  .failure_domain = before.failure_domain});
   // The new process may already have been told to start tasks, under leases up
   // to the longest that a worker grants.
   next.earlier_leases_end_at =
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership.cc
@@ -80,7 +80,8 @@
                    .store_reached = !IsStoreFailing(ctx, duration(0)),
                    .resigning = ctx.state.shutdown.requested,
                    .store_slow = AreAppendsSlow(ctx),
-                   .all_streams_reached = !IsAnyStreamFailing(ctx)});
+                   .all_streams_reached = !IsAnyStreamFailing(ctx),
+                   .evacuations = ReportOf(ctx.state.evacuations)});
   }
 }
 
@@ -350,6 +351,7 @@
       leadership.leader_reached_store_at = ctx.now();
   }
   RequestCatalogIfNeeded(ctx, message.address, message.catalog_version);
+  AdoptEvacuations(ctx, message.evacuations);
   SendToPeer(
       ctx, message.address,
       work::heartbeat_reply{.epoch = leadership.epoch,
@@ -358,13 +360,15 @@
                             .catalog_version = CatalogVersion(ctx),
                             .clock = ctx.now(),
                             .incarnation = ctx.state.incarnation,
-                            .takes_orders = !ctx.state.shutdown.requested});
+                            .takes_orders = !ctx.state.shutdown.requested,
+                            .evacuations = ReportOf(ctx.state.evacuations)});
 }
 
 void OnHeartbeatReply(const context& ctx,
                       const work::entry_id& from,
                       const work::heartbeat_reply& message) {
   ObserveEpoch(ctx, message.epoch, "reply");
+  AdoptEvacuations(ctx, message.evacuations);
   leadership_state& leadership = ctx.state.leadership;
   if (leadership.current_role != role::kLeader)
     return;
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders.cc
@@ -236,6 +236,11 @@
   return row != nullptr && row->listed().draining;
 }
 
+bool IsInEvacuatedDomain(const context& ctx, const work::worker_id& worker) {
+  const worker_state* row = ctx.state.leader.workers.Find(worker);
+  return row != nullptr && IsEvacuated(ctx, row->listed().failure_domain);
+}
+
 // Gives up a start that no worker has confirmed. Without an order for it the
 // unit can be placed elsewhere at once; otherwise the worker may still carry
 // one out, and refuses that only after a stop.
@@ -271,6 +276,10 @@
     GiveUpStart(ctx, id, index, "worker drains");
     return;
   }
+  if (IsInEvacuatedDomain(ctx, one.worker)) {
+    GiveUpStart(ctx, id, index, "domain evacuated");
+    return;
+  }
   if (one.start_orders_sent < kMaxStartOrders) {
     SendStart(ctx, id, index);
     return;
@@ -309,7 +318,8 @@
   return {.worker = worker,
           .address = row.listed().address,
           .token = ctx.state.leader.epoch,
-          .valid_until = AuthorityExpiresAt(ctx) + ClockAheadFor(ctx, worker)};
+          .valid_until = AuthorityExpiresAt(ctx) + ClockAheadFor(ctx, worker),
+          .failure_domain = row.listed().failure_domain};
 }
 
 std::uint64_t FirstAttemptOfEpoch(const context& ctx) {
--- a/source/dispatch/parts.h
+++ b/source/dispatch/parts.h
@@ -22,6 +22,13 @@
 void ActivateCatalog(const context& ctx,
                      const work::published_catalog& published,
                      std::string_view source);
+// Takes over what a peer knows of evacuated failure domains, if it has read
+// more of the operators' stream.
+void AdoptEvacuations(const context& ctx,
+                      const work::evacuation_report& report);
+// True while operators want no task to be started in the failure domain.
+bool IsEvacuated(const context& ctx,
+                 const work::failure_domain_id& failure_domain);
 // Restores the jobs once every record from before the election has been read.
 void RestoreIfCaughtUp(const context& ctx);
 // Requests another read of the newest records, concurrent with that of the
--- a/source/dispatch/proxies.cc
+++ b/source/dispatch/proxies.cc
@@ -454,6 +454,28 @@
   return next;
 }
 
+namespace {
+
+// Answers a start in an evacuated failure domain, of which the leader may not
+// know yet, instead of sending it. False for any other order.
+bool WithholdStart(const context& ctx,
+                   const work::order& order,
+                   call_number call) {
+  const auto* start = std::get_if<work::start_run>(&order);
+  if (start == nullptr || !IsEvacuated(ctx, start->target.failure_domain))
+    return false;
+  ctx.Log("start_withheld", NameOf(start->task),
+          {Field("worker", start->target.worker.value()),
+           Field("why", std::string("domain evacuated"))});
+  return ReturnAnswer(
+      ctx, work::start_answered{.at = ctx.now(),
+                                .call = call,
+                                .worker = start->target.worker,
+                                .outcome = work::order_outcome::kTooLate});
+}
+
+}  // namespace
+
 void OnOrdersForwarded(const context& ctx,
                        const work::orders_forwarded& message) {
   ObserveEpoch(ctx, message.epoch, "orders");
@@ -470,6 +492,8 @@
     ctx.state.proxying.calls.Put(call, {.leader_address = message.address,
                                         .epoch = message.epoch,
                                         .leader_call = CallOf(order)});
+    if (WithholdStart(ctx, order, call))
+      continue;
     const work::order own = std::visit(
         [&](const auto& each) { return WithCall(each, call); }, order);
     std::visit([&](const auto& each) { ctx.Emit(each); }, own);
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "dispatch/change_queue.h"
+#include "dispatch/evacuated_domains.h"
 #include "dispatch/failures.h"
 #include "model/value_cell.h"
 #include "model/value_table.h"
@@ -617,6 +618,7 @@
   feed_state records;
   feed_state catalogs;
   feed_state workers;
+  evacuated_domains evacuations;
   // Holds the streams that were called so far.
   std::map<work::feed, stream_health> store_health;
   records::ledger ledger;
--- a/source/platform/store_calls.cc
+++ b/source/platform/store_calls.cc
@@ -6,6 +6,7 @@
 #include <curl/curl.h>
 
 #include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -24,6 +25,9 @@
 constexpr char kCatalogTopic[] = "keyed.op";
 constexpr char kWorkersTopic[] = "keyed.servers";
 constexpr char kCatalogKey[] = "config";
+// Followed by the name of a failure domain. The record has no meaning beyond
+// its key.
+constexpr std::string_view kEvacuationPrefix = "evacuate/";
 
 // Longest time for one read, however slowly it makes progress.
 constexpr work::duration kMaxReadTime{30000};
@@ -99,12 +103,29 @@
           .bytes_read = failure.bytes_read};
 }
 
+// What the record says of the evacuation of a failure domain: a tombstone ends
+// it. Empty for any other record.
+std::optional<work::feed_value> DecodeEvacuation(work::feed source,
+                                                 const keyed_record& record) {
+  const bool evacuates = source == work::feed::kCatalog &&
+                         record.key.starts_with(kEvacuationPrefix) &&
+                         record.key.size() > kEvacuationPrefix.size();
+  if (!evacuates)
+    return {};
+  return work::domain_evacuation{
+      .failure_domain =
+          work::failure_domain_id(record.key.substr(kEvacuationPrefix.size())),
+      .active = !record.value.empty()};
+}
+
 // The decoded value of a record. Empty if the record is a tombstone, has a key
 // that is not used here, or cannot be decoded; only the latter adds to
 // `findings`.
 std::optional<work::feed_value> DecodeValue(work::feed source,
                                             const keyed_record& record,
                                             model::findings& findings) {
+  if (auto evacuation = DecodeEvacuation(source, record))
+    return evacuation;
   if (record.value.empty())
     return {};
   const std::string place = TopicName(source) + "/" +
--- a/source/platform/worker_codec.cc
+++ b/source/platform/worker_codec.cc
@@ -125,6 +125,7 @@
   std::string address = entry.RequiredString("address");
   if (!address.empty() && !wire::IsIpAndPort(address))
     entry.AddFinding("address", "must be an IP address and a port");
+  std::string zone = entry.String("zone");
   const work::resources capacity = DecodeCapacity(entry.Object("capacity"));
   // The worker's start time distinguishes its incarnations.
   const std::uint64_t life = entry.Number("born");
@@ -141,7 +142,8 @@
       .capacity = capacity,
       .draining = draining,
       .leaves_in = work::duration(static_cast<std::int64_t>(leaves_in_ms)),
-      .life = life};
+      .life = life,
+      .failure_domain = work::failure_domain_id(std::move(zone))};
 }
 
 wire::result<hold_response> DecodeHoldResponse(std::string_view body) {
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -115,6 +115,7 @@
                       request,
                       faults)
 PARSLEYHITCH_DESCRIBE(client_answer, kind, phase, waiting, faults, retry_after)
+PARSLEYHITCH_DESCRIBE(evacuation_report, position, failure_domains)
 PARSLEYHITCH_DESCRIBE(leader_heartbeat,
                       epoch,
                       address,
@@ -123,7 +124,8 @@
                       store_reached,
                       resigning,
                       store_slow,
-                      all_streams_reached)
+                      all_streams_reached,
+                      evacuations)
 PARSLEYHITCH_DESCRIBE(heartbeat_reply,
                       epoch,
                       address,
@@ -131,7 +133,8 @@
                       catalog_version,
                       clock,
                       incarnation,
-                      takes_orders)
+                      takes_orders,
+                      evacuations)
 PARSLEYHITCH_DESCRIBE(catalog_wanted, address, held_version)
 PARSLEYHITCH_DESCRIBE(catalog_offered, version, content)
 PARSLEYHITCH_DESCRIBE(queue,
@@ -149,7 +152,12 @@
 PARSLEYHITCH_DESCRIBE(call_relayed, call, address, content, route)
 PARSLEYHITCH_DESCRIBE(call_settled, call, answer)
 PARSLEYHITCH_DESCRIBE(task_id, job, occurrence, step, index)
-PARSLEYHITCH_DESCRIBE(order_target, worker, address, token, valid_until)
+PARSLEYHITCH_DESCRIBE(order_target,
+                      worker,
+                      address,
+                      token,
+                      valid_until,
+                      failure_domain)
 PARSLEYHITCH_DESCRIBE(start_run,
                       call,
                       target,
--- a/source/work/event.h
+++ b/source/work/event.h
@@ -20,7 +20,8 @@
 
 namespace parsleyhitch::work {
 
-// The streams of keyed items kept by the store. `kUnits` holds the progress of
+// The streams of keyed items kept by the store. `kCatalog` holds what operators
+// publish: the configuration and evacuations. `kUnits` holds the progress of
 // units, which its writer, the leader, reads once after its election.
 enum class feed { kRecords, kCatalog, kWorkers, kUnits };
 
@@ -44,13 +45,22 @@
   bool operator==(const published_catalog&) const = default;
 };
 
-using feed_value = std::variant<record, published_catalog, registered_worker>;
+// The operator's request that no task is started in a failure domain, or the
+// end of that request.
+struct domain_evacuation {
+  const failure_domain_id failure_domain;
+  const bool active = true;
+  bool operator==(const domain_evacuation&) const = default;
+};
+
+using feed_value = std::
+    variant<record, published_catalog, registered_worker, domain_evacuation>;
 
 struct feed_item {
   const std::uint64_t offset = 0;
   const std::string key;
   // Absent when the key was deleted, or its value belongs to another program or
-  // could not be decoded.
+  // could not be decoded. A deleted evacuation has the value of its end.
   const std::optional<feed_value> value{};
   // The key was deleted.
   const bool deleted = false;
--- a/source/work/job.h
+++ b/source/work/job.h
@@ -15,6 +15,7 @@
 namespace parsleyhitch::work {
 
 using model::duration;
+using model::failure_domain_id;
 using model::job_id;
 using model::rack_id;
 using model::service_id;
--- a/source/work/order.h
+++ b/source/work/order.h
@@ -27,6 +27,8 @@
   // When the sender's authority expires unless it is renewed. A process that
   // was paused since the order was decided must not send it afterwards.
   const timestamp valid_until{};
+  // Empty from senders of older versions.
+  const failure_domain_id failure_domain{};
   bool operator==(const order_target&) const = default;
 };
 
@@ -72,7 +74,8 @@
   kDone,
   kFenced,     // the worker saw a higher token
   kOutdated,   // an attempt with this or a higher number ended there
-  kTooLate,    // the order's deadline had passed on the worker's clock
+  kTooLate,    // the order's deadline had passed on the worker's clock, or its
+               // failure domain was evacuated before it was sent
   kNoRoom,     // the worker lacks the capacity
   kRefused,    // the worker is unhealthy or can't read the order; nothing done
   kRestarted,  // another process answers at the worker's address
--- a/source/work/peer_message.h
+++ b/source/work/peer_message.h
@@ -17,6 +17,15 @@
 
 namespace parsleyhitch::work {
 
+// The evacuated failure domains as of a position in the operators' stream, so
+// that an entry that the store turns away learns of them from its peers.
+struct evacuation_report {
+  // 0 if the sender has not read the stream.
+  const std::uint64_t position = 0;
+  const std::vector<failure_domain_id> failure_domains{};
+  bool operator==(const evacuation_report&) const = default;
+};
+
 // From the leader to every member.
 struct leader_heartbeat {
   const std::uint64_t epoch = 0;
@@ -33,6 +42,7 @@
   // The leader can reach the other streams too. Unless it does, tasks may have
   // been started without a record.
   const bool all_streams_reached = false;
+  const evacuation_report evacuations{};
   bool operator==(const leader_heartbeat&) const = default;
 };
 
@@ -48,6 +58,7 @@
   const std::uint64_t incarnation = 0;
   // The sender takes forwarded orders.
   const bool takes_orders = false;
+  const evacuation_report evacuations{};
   bool operator==(const heartbeat_reply&) const = default;
 };
 
--- a/source/work/worker.h
+++ b/source/work/worker.h
@@ -26,6 +26,7 @@
   const duration leaves_in{0};
   // Identifies one run of the worker process; increases with each restart.
   const std::uint64_t life = 0;
+  const failure_domain_id failure_domain;
 
   bool operator==(const registered_worker&) const = default;
 };
--- a/tests/platform/store_calls_test.cc
+++ b/tests/platform/store_calls_test.cc
@@ -228,3 +228,22 @@
   cr_assert_eq(published.content.workspaces[0].guaranteed_accelerators, 72U);
   cr_assert_eq(published.encoded, config);
 }
+
+// Guards against the end of an evacuation that is taken for an unused key.
+Test(read, of_evacuations_tells_which_domain_and_whether_it_ended) {
+  const std::string body =
+      EncodeOffset(6) + EncodeOffset(0) +
+      platform::EncodeKeyedRecord("evacuate/zone-1", "{}") +
+      platform::EncodeKeyedRecord("evacuate/zone-2", "") +
+      platform::EncodeKeyedRecord("evacuate/", "{}");
+  const auto decoded = store_fixture::DecodeRead(work::feed::kCatalog, body);
+  const auto& items = std::get<work::feed_read>(decoded.event).items;
+  cr_assert_eq(items.size(), 3U);
+  const auto& begun = std::get<work::domain_evacuation>(*items[0].value);
+  cr_assert_eq(begun.failure_domain.value(), "zone-1");
+  cr_assert(begun.active);
+  const auto& ended = std::get<work::domain_evacuation>(*items[1].value);
+  cr_assert_eq(ended.failure_domain.value(), "zone-2");
+  cr_assert_not(ended.active);
+  cr_assert_not(items[2].value.has_value());
+}
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -70,6 +70,13 @@
   return spread * part / kParts;
 }
 
+work::published_catalog NewestCatalog(const simulated_store& store) {
+  const work::newest_read all = store.Newest({.source = work::feed::kCatalog});
+  const auto found =
+      std::ranges::find(all.items, "config", &work::feed_item::key);
+  return std::get<work::published_catalog>(*found->value);
+}
+
 }  // namespace
 
 platform_simulation::platform_simulation(const simulation_options& options)
@@ -90,8 +97,10 @@
   for (std::uint32_t i = 0; i < options.workers; ++i) {
     simulated_worker& each = workers_[i];
     each.id = work::worker_id(options.worker_prefix + std::to_string(i));
-    each.rack =
-        work::rack_id("r-" + std::to_string(i / options.workers_per_rack));
+    const std::string rack = std::to_string(i / options.workers_per_rack);
+    each.rack = work::rack_id("r-" + rack);
+    // Each rack is a failure domain.
+    each.failure_domain = work::failure_domain_id("domain-" + rack);
     each.capacity = {
         .cpu_millis = 64000, .memory_mb = 65536, .accelerators = 8};
     each.clock_rate = i % 2 == 0 ? 1.0 : 0.98;
@@ -590,13 +599,9 @@
       const auto* offer =
           std::get_if<work::catalog_offered>(&effect.message.content);
       if (offer != nullptr) {
-        const work::feed_read all =
-            store_.Read({.source = work::feed::kCatalog});
-        Deliver(
-            to, entries_[to].life,
-            work::catalog_relayed{.at = Timestamp(),
-                                  .content = std::get<work::published_catalog>(
-                                      *all.items.back().value)});
+        Deliver(to, entries_[to].life,
+                work::catalog_relayed{.at = Timestamp(),
+                                      .content = NewestCatalog(store_)});
       }
       Deliver(to, entries_[to].life,
               work::peer_heard{.at = Timestamp(), .message = effect.message});
@@ -771,7 +776,21 @@
                               .capacity = each.capacity,
                               .draining = each.draining,
                               .leaves_in = each.leaves_at.value_or(now_) - now_,
-                              .life = each.life});
+                              .life = each.life,
+                              .failure_domain = each.failure_domain});
+}
+
+void platform_simulation::Evacuate(const std::string& failure_domain) {
+  store_.Put(work::feed::kCatalog, "evacuate/" + failure_domain,
+             work::domain_evacuation{
+                 .failure_domain = work::failure_domain_id(failure_domain)});
+}
+
+void platform_simulation::ReturnDomain(const std::string& failure_domain) {
+  store_.Put(work::feed::kCatalog, "evacuate/" + failure_domain,
+             work::domain_evacuation{
+                 .failure_domain = work::failure_domain_id(failure_domain),
+                 .active = false});
 }
 
 void platform_simulation::SendHeartbeat(std::uint32_t index) {
--- a/tests/support/platform_simulation.h
+++ b/tests/support/platform_simulation.h
@@ -143,6 +143,9 @@
   // Requests a graceful shutdown, as SIGTERM does.
   void Shutdown(std::uint32_t entry, work::duration grace);
   void Publish(const work::catalog& catalog);
+  // Evacuates a failure domain, and returns it to service.
+  void Evacuate(const std::string& failure_domain);
+  void ReturnDomain(const std::string& failure_domain);
   // Announces that the worker leaves after `notice`, and removes it then.
   void Drain(std::uint32_t worker, work::duration notice);
   simulated_store& store() { return store_; }
--- a/tests/support/simulated_store.cc
+++ b/tests/support/simulated_store.cc
@@ -44,6 +44,11 @@
   return limit == 0 || page_bytes == 0 || page_bytes + item_bytes <= limit;
 }
 
+bool EndsEvacuation(const work::feed_value& value) {
+  const auto* evacuation = std::get_if<work::domain_evacuation>(&value);
+  return evacuation != nullptr && !evacuation->active;
+}
+
 bool Exceeds(std::uint64_t size, std::uint64_t limit) {
   return limit != 0 && size > limit;
 }
@@ -127,12 +132,12 @@
   feed_log& target = logs_.at(source);
   const std::uint64_t size = SizeOf(key, value);
   bytes_appended_[{source, KindOf(key)}] += size;
-  if (value)
-    target.newest[key] = target.items.size();
-  else
+  const bool deleted = !value || EndsEvacuation(*value);
+  if (deleted)
     target.newest.erase(key);
+  else
+    target.newest[key] = target.items.size();
   target.sizes.push_back(size);
-  const bool deleted = !value;
   target.items.push_back({.offset = target.items.size(),
                           .key = key,
                           .value = std::move(value),
--- a/tests/support/simulated_store.h
+++ b/tests/support/simulated_store.h
@@ -68,7 +68,7 @@
                          work::duration now,
                          work::duration gives_up_at);
   // Appends an item, as the operator or a worker does. An absent value deletes
-  // the key.
+  // the key, and so does that of an evacuation's end.
   void Put(work::feed source,
            const std::string& key,
            std::optional<work::feed_value> value);
--- a/tests/support/simulated_worker.h
+++ b/tests/support/simulated_worker.h
@@ -31,6 +31,7 @@
   // Set by the test.
   work::worker_id id;
   work::rack_id rack;
+  work::failure_domain_id failure_domain;
   work::resources capacity;
   // Incremented at each restart, unless the machine's clock was set back.
   std::uint64_t life = 1;
