The dispatcher's sources are grouped by area; progress of tasks is observed

Each area (callers, leadership, store, jobs, fleet, orders, planning) has a folder and a header now; what the sources include shows which areas they use. No behaviour changes by it.

source/policy/ begins with the expected end of a task: from the progress that listings show, and from the estimate until they have. The leader keeps it in observations, a struct of its own, and the departure of workers goes by it: a straggler on a leaving worker is no longer expected to end soon because its estimate is over. Further bounds of the platform reach the dispatcher.

--- a/source/dispatch/clients.cc
+++ b/source/dispatch/callers/clients.cc
@@ -5,9 +5,11 @@
 #include <string>
 #include <utility>
 
+#include "dispatch/callers/callers.h"
+#include "dispatch/callers/routing.h"
+#include "dispatch/leadership/leadership.h"
 #include "dispatch/names.h"
-#include "dispatch/parts.h"
-#include "dispatch/routing.h"
+#include "dispatch/store/store.h"
 
 namespace parsleyhitch::dispatch {
 
--- a/source/dispatch/routing.cc
+++ b/source/dispatch/callers/routing.cc
@@ -1,7 +1,7 @@
 // The searches are linear: a catalog has tens of queues and keys, rarely
 // hundreds.
 
-#include "dispatch/routing.h"
+#include "dispatch/callers/routing.h"
 
 #include <algorithm>
 #include <cctype>
--- a/source/dispatch/routing.h
+++ b/source/dispatch/callers/routing.h
@@ -1,7 +1,7 @@
 // Finds the queue and the workspace of a client call in the catalog.
 
-#ifndef PARSLEYHITCH_DISPATCH_ROUTING_H_
-#define PARSLEYHITCH_DISPATCH_ROUTING_H_
+#ifndef PARSLEYHITCH_DISPATCH_CALLERS_ROUTING_H_
+#define PARSLEYHITCH_DISPATCH_CALLERS_ROUTING_H_
 
 #include <string>
 #include <string_view>
@@ -29,4 +29,4 @@
 
 }  // namespace parsleyhitch::dispatch
 
-#endif  // PARSLEYHITCH_DISPATCH_ROUTING_H_
+#endif  // PARSLEYHITCH_DISPATCH_CALLERS_ROUTING_H_
--- a/source/dispatch/environment.h
+++ b/source/dispatch/environment.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "dispatch/hooks.h"
+#include "work/bounds.h"
 #include "work/limits.h"
 #include "work/record.h"
 
@@ -21,8 +22,7 @@
   std::uint32_t cpu_millis = 1000;
   // The longest lease that workers grant; they cut longer ones to it.
   work::duration longest_lease{10000};
-  // The longest time that a worker takes to stop a task.
-  work::duration task_stop{200};
+  work::platform_bounds bounds;
   // How long callers are told the state of a closed job, at least.
   work::duration job_state_kept{120000};
   // What the store takes: bytes of one record, and of all records of one
--- a/source/dispatch/admission.cc
+++ b/source/dispatch/fleet/admission.cc
@@ -8,8 +8,8 @@
 #include <optional>
 #include <utility>
 
-#include "dispatch/loads.h"
-#include "dispatch/parts.h"
+#include "dispatch/fleet/fleet.h"
+#include "dispatch/fleet/loads.h"
 
 namespace parsleyhitch::dispatch {
 
--- a/source/dispatch/evacuation.cc
+++ b/source/dispatch/fleet/departures.cc
@@ -6,9 +6,11 @@
 #include <algorithm>
 #include <set>
 
-#include "dispatch/loads.h"
-#include "dispatch/parts.h"
-#include "dispatch/steps.h"
+#include "dispatch/fleet/fleet.h"
+#include "dispatch/fleet/loads.h"
+#include "dispatch/jobs/jobs.h"
+#include "dispatch/jobs/steps.h"
+#include "dispatch/orders/orders.h"
 
 namespace parsleyhitch::dispatch {
 
@@ -22,15 +24,25 @@
 // time that the stop takes.
 constexpr duration kStopReserve{500};
 
-// A unit that has run longer than estimated needs at least this share of its
-// run time on top, in thousandths.
-constexpr std::int64_t kOverdueShare = 250;
-
-duration ExpectedRemaining(const unit& each,
-                           const work::step_spec& step,
-                           timestamp now) {
-  const duration ran = now - each.since;
-  return std::max(step.estimate - ran, ran * kOverdueShare / 1000);
+// The longest that one of the unit's tasks is expected to run on.
+duration ExpectedRemaining(const context& ctx,
+                           const work::unit_id& id,
+                           const unit& each,
+                           const work::step_spec& step) {
+  const policy::run_progress unobserved{.started = each.since,
+                                        .estimate = step.estimate};
+  duration longest{0};
+  for (std::uint32_t i = 0; i < each.members.size(); ++i) {
+    if (each.members[i].state == member_state::kEnded)
+      continue;
+    const task_observation* seen =
+        ctx.state.leader.observed.tasks.Find(TaskOf(id, i));
+    const bool same_attempt = seen != nullptr && seen->attempt == each.attempt;
+    longest = std::max(
+        longest, policy::ExpectedRemaining(
+                     same_attempt ? seen->progress : unobserved, ctx.now()));
+  }
+  return longest;
 }
 
 bool MustStop(const context& ctx,
@@ -43,10 +55,10 @@
   const work::step_spec& step = StepOf(*job, id);
   const bool ends_in_time =
       !step.endless &&
-      ctx.now() + ExpectedRemaining(*each, step, ctx.now()) <= leaves_at;
+      ctx.now() + ExpectedRemaining(ctx, id, *each, step) <= leaves_at;
   if (ends_in_time)
     return false;
-  const duration stop_time = ctx.env.task_stop + kStopReserve;
+  const duration stop_time = ctx.env.bounds.task_stop + kStopReserve;
   return !step.checkpointed || ctx.now() >= leaves_at - stop_time;
 }
 
@@ -62,7 +74,7 @@
   row.leaves_at = std::min(row.leaves_at.value_or(leaves_at), leaves_at);
 }
 
-void EvacuateLeavingWorkers(const context& ctx) {
+void ClearLeavingWorkers(const context& ctx) {
   std::set<work::unit_id> due;
   for (const auto& [worker, row] : ctx.state.leader.workers) {
     if (!row.leaves_at)
--- a/source/dispatch/fleet.cc
+++ b/source/dispatch/fleet/fleet.cc
@@ -7,10 +7,13 @@
 #include <utility>
 
 #include "dispatch/backoff.h"
-#include "dispatch/loads.h"
+#include "dispatch/fleet/fleet.h"
+#include "dispatch/fleet/loads.h"
+#include "dispatch/jobs/steps.h"
+#include "dispatch/leadership/leadership.h"
 #include "dispatch/names.h"
-#include "dispatch/parts.h"
-#include "dispatch/steps.h"
+#include "dispatch/orders/orders.h"
+#include "dispatch/store/store.h"
 
 namespace parsleyhitch::dispatch {
 
@@ -551,7 +554,7 @@
     all.push_back(worker);
   for (const work::worker_id& worker : all)
     AdvanceWorker(ctx, worker);
-  EvacuateLeavingWorkers(ctx);
+  ClearLeavingWorkers(ctx);
   ResolveEarlierTasksIfDue(ctx);
   FinishReconcilingIfDue(ctx);
 }
--- a/source/dispatch/loads.cc
+++ b/source/dispatch/fleet/loads.cc
@@ -1,6 +1,6 @@
 // All changes of worker loads are made here.
 
-#include "dispatch/loads.h"
+#include "dispatch/fleet/loads.h"
 
 #include <utility>
 
--- a/source/dispatch/loads.h
+++ b/source/dispatch/fleet/loads.h
@@ -1,7 +1,7 @@
 // The load on each worker, as recorded by the leader.
 
-#ifndef PARSLEYHITCH_DISPATCH_LOADS_H_
-#define PARSLEYHITCH_DISPATCH_LOADS_H_
+#ifndef PARSLEYHITCH_DISPATCH_FLEET_LOADS_H_
+#define PARSLEYHITCH_DISPATCH_FLEET_LOADS_H_
 
 #include <cstdint>
 #include <vector>
@@ -40,4 +40,4 @@
 
 }  // namespace parsleyhitch::dispatch
 
-#endif  // PARSLEYHITCH_DISPATCH_LOADS_H_
+#endif  // PARSLEYHITCH_DISPATCH_FLEET_LOADS_H_
--- a/source/dispatch/losses.cc
+++ b/source/dispatch/fleet/losses.cc
@@ -6,7 +6,7 @@
 // one; the latter comes back under its name and life, and its losses no longer
 // count.
 
-#include "dispatch/losses.h"
+#include "dispatch/fleet/losses.h"
 
 #include <algorithm>
 #include <map>
@@ -14,10 +14,12 @@
 #include <utility>
 #include <vector>
 
-#include "dispatch/loads.h"
+#include "dispatch/fleet/fleet.h"
+#include "dispatch/fleet/loads.h"
+#include "dispatch/jobs/jobs.h"
+#include "dispatch/jobs/steps.h"
 #include "dispatch/names.h"
-#include "dispatch/parts.h"
-#include "dispatch/steps.h"
+#include "dispatch/store/store.h"
 
 namespace parsleyhitch::dispatch {
 
--- a/source/dispatch/losses.h
+++ b/source/dispatch/fleet/losses.h
@@ -1,7 +1,7 @@
 // Workers that are kept for tasks that are suspected of crashing them.
 
-#ifndef PARSLEYHITCH_DISPATCH_LOSSES_H_
-#define PARSLEYHITCH_DISPATCH_LOSSES_H_
+#ifndef PARSLEYHITCH_DISPATCH_FLEET_LOSSES_H_
+#define PARSLEYHITCH_DISPATCH_FLEET_LOSSES_H_
 
 #include <cstddef>
 #include <map>
@@ -31,4 +31,4 @@
 
 }  // namespace parsleyhitch::dispatch
 
-#endif  // PARSLEYHITCH_DISPATCH_LOSSES_H_
+#endif  // PARSLEYHITCH_DISPATCH_FLEET_LOSSES_H_
--- a/source/dispatch/jobs.cc
+++ b/source/dispatch/jobs/jobs.cc
@@ -4,9 +4,11 @@
 #include <string>
 #include <utility>
 
+#include "dispatch/jobs/jobs.h"
+#include "dispatch/jobs/steps.h"
 #include "dispatch/names.h"
-#include "dispatch/parts.h"
-#include "dispatch/steps.h"
+#include "dispatch/orders/orders.h"
+#include "dispatch/store/store.h"
 
 namespace parsleyhitch::dispatch {
 
--- a/source/dispatch/steps.h
+++ b/source/dispatch/jobs/steps.h
@@ -1,7 +1,7 @@
 // Helpers for the parts that work on the steps and units of a job.
 
-#ifndef PARSLEYHITCH_DISPATCH_STEPS_H_
-#define PARSLEYHITCH_DISPATCH_STEPS_H_
+#ifndef PARSLEYHITCH_DISPATCH_JOBS_STEPS_H_
+#define PARSLEYHITCH_DISPATCH_JOBS_STEPS_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -50,4 +50,4 @@
 
 }  // namespace parsleyhitch::dispatch
 
-#endif  // PARSLEYHITCH_DISPATCH_STEPS_H_
+#endif  // PARSLEYHITCH_DISPATCH_JOBS_STEPS_H_
--- a/source/dispatch/leadership.cc
+++ b/source/dispatch/leadership/leadership.cc
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "dispatch/backoff.h"
-#include "dispatch/parts.h"
+#include "dispatch/leadership/leadership.h"
+#include "dispatch/orders/orders.h"
+#include "dispatch/store/store.h"
 
 namespace parsleyhitch::dispatch {
 
--- a/source/dispatch/load_report.cc
+++ b/source/dispatch/leadership/load_report.cc
@@ -6,7 +6,8 @@
 #include <utility>
 #include <vector>
 
-#include "dispatch/parts.h"
+#include "dispatch/leadership/leadership.h"
+#include "dispatch/store/store.h"
 
 namespace parsleyhitch::dispatch {
 
--- a/source/dispatch/peers.cc
+++ b/source/dispatch/leadership/peers.cc
@@ -2,7 +2,9 @@
 
 #include <utility>
 
-#include "dispatch/parts.h"
+#include "dispatch/callers/callers.h"
+#include "dispatch/leadership/leadership.h"
+#include "dispatch/orders/orders.h"
 
 namespace parsleyhitch::dispatch {
 
--- a/source/dispatch/restore.cc
+++ b/source/dispatch/leadership/restore.cc
@@ -5,9 +5,12 @@
 #include <algorithm>
 #include <utility>
 
-#include "dispatch/loads.h"
-#include "dispatch/parts.h"
-#include "dispatch/steps.h"
+#include "dispatch/fleet/fleet.h"
+#include "dispatch/fleet/loads.h"
+#include "dispatch/jobs/jobs.h"
+#include "dispatch/jobs/steps.h"
+#include "dispatch/leadership/leadership.h"
+#include "dispatch/store/store.h"
 
 namespace parsleyhitch::dispatch {
 
--- a/source/dispatch/shutdown.cc
+++ b/source/dispatch/leadership/shutdown.cc
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "dispatch/parts.h"
+#include "dispatch/leadership/leadership.h"
 
 namespace parsleyhitch::dispatch {
 
--- a/source/dispatch/ends.cc
+++ b/source/dispatch/orders/ends.cc
@@ -6,10 +6,13 @@
 #include <string>
 #include <utility>
 
-#include "dispatch/loads.h"
+#include "dispatch/fleet/fleet.h"
+#include "dispatch/fleet/loads.h"
+#include "dispatch/jobs/jobs.h"
+#include "dispatch/jobs/steps.h"
 #include "dispatch/names.h"
-#include "dispatch/parts.h"
-#include "dispatch/steps.h"
+#include "dispatch/orders/orders.h"
+#include "dispatch/store/store.h"
 
 namespace parsleyhitch::dispatch {
 
@@ -286,6 +289,8 @@
         index && each->members[*index].state != member_state::kEnded;
     if (live) {
       MarkRunning(ctx, id, *index, task);
+      leader.observed = ObserveTask(std::move(leader.observed), worker, task,
+                                    step.estimate, ctx.now());
       StopIfDone(ctx, id);
       return;
     }
@@ -367,6 +372,7 @@
   const bool done = next.phase == unit_phase::kDone;
   const bool ended = AllEnded(next);
   leader.units.Put(id, std::move(next));
+  leader.observed = ForgetTask(std::move(leader.observed), TaskOf(id, index));
   RemoveFromLoad(ctx, worker, id, index, was_leaving,
                  NeedOf(StepOf(*leader.jobs.Find(id.job), id)));
   leader.plan_due = true;
--- a/source/dispatch/failures.cc
+++ b/source/dispatch/orders/failures.cc
@@ -2,7 +2,7 @@
 // record may include takes the place of an unnamed failure, so that the count
 // stays as it is.
 
-#include "dispatch/failures.h"
+#include "dispatch/orders/failures.h"
 
 #include <utility>
 
--- a/source/dispatch/failures.h
+++ b/source/dispatch/orders/failures.h
@@ -2,8 +2,8 @@
 // the end of an attempt may be listed to several leaders in turn, by several
 // members of a gang, and before or after the record that takes note of it.
 
-#ifndef PARSLEYHITCH_DISPATCH_FAILURES_H_
-#define PARSLEYHITCH_DISPATCH_FAILURES_H_
+#ifndef PARSLEYHITCH_DISPATCH_ORDERS_FAILURES_H_
+#define PARSLEYHITCH_DISPATCH_ORDERS_FAILURES_H_
 
 #include <cstdint>
 #include <set>
@@ -34,4 +34,4 @@
 
 }  // namespace parsleyhitch::dispatch
 
-#endif  // PARSLEYHITCH_DISPATCH_FAILURES_H_
+#endif  // PARSLEYHITCH_DISPATCH_ORDERS_FAILURES_H_
--- a/source/dispatch/orders.cc
+++ b/source/dispatch/orders/orders.cc
@@ -9,10 +9,14 @@
 #include <utility>
 
 #include "dispatch/backoff.h"
-#include "dispatch/loads.h"
+#include "dispatch/fleet/fleet.h"
+#include "dispatch/fleet/loads.h"
+#include "dispatch/jobs/jobs.h"
+#include "dispatch/jobs/steps.h"
+#include "dispatch/leadership/leadership.h"
 #include "dispatch/names.h"
-#include "dispatch/parts.h"
-#include "dispatch/steps.h"
+#include "dispatch/orders/orders.h"
+#include "dispatch/store/store.h"
 
 namespace parsleyhitch::dispatch {
 
--- a/source/dispatch/proxies.cc
+++ b/source/dispatch/orders/proxies.cc
@@ -10,8 +10,11 @@
 #include <utility>
 #include <vector>
 
+#include "dispatch/fleet/fleet.h"
+#include "dispatch/leadership/leadership.h"
 #include "dispatch/names.h"
-#include "dispatch/parts.h"
+#include "dispatch/orders/orders.h"
+#include "dispatch/store/store.h"
 
 namespace parsleyhitch::dispatch {
 
--- a/source/dispatch/demands.cc
+++ b/source/dispatch/planning/demands.cc
@@ -1,7 +1,7 @@
 // A job's rank follows its priority. Jobs of priority 0 that fit into their
 // workspace's guarantee, in the order of their submission, get the first rank.
 
-#include "dispatch/demands.h"
+#include "dispatch/planning/demands.h"
 
 #include <algorithm>
 #include <map>
@@ -9,9 +9,13 @@
 #include <utility>
 
 #include "dispatch/backoff.h"
-#include "dispatch/loads.h"
-#include "dispatch/parts.h"
-#include "dispatch/steps.h"
+#include "dispatch/fleet/fleet.h"
+#include "dispatch/fleet/loads.h"
+#include "dispatch/jobs/jobs.h"
+#include "dispatch/jobs/steps.h"
+#include "dispatch/orders/orders.h"
+#include "dispatch/planning/planning.h"
+#include "dispatch/store/store.h"
 
 namespace parsleyhitch::dispatch {
 
--- a/source/dispatch/demands.h
+++ b/source/dispatch/planning/demands.h
@@ -1,14 +1,14 @@
 // Ranks waiting units and selects the units that may be preempted for them.
 
-#ifndef PARSLEYHITCH_DISPATCH_DEMANDS_H_
-#define PARSLEYHITCH_DISPATCH_DEMANDS_H_
+#ifndef PARSLEYHITCH_DISPATCH_PLANNING_DEMANDS_H_
+#define PARSLEYHITCH_DISPATCH_PLANNING_DEMANDS_H_
 
 #include <map>
 #include <vector>
 
 #include "dispatch/context.h"
+#include "dispatch/fleet/losses.h"
 #include "dispatch/hooks.h"
-#include "dispatch/losses.h"
 #include "placement/capacity_map.h"
 #include "placement/preempt.h"
 
@@ -41,4 +41,4 @@
 
 }  // namespace parsleyhitch::dispatch
 
-#endif  // PARSLEYHITCH_DISPATCH_DEMANDS_H_
+#endif  // PARSLEYHITCH_DISPATCH_PLANNING_DEMANDS_H_
--- a/source/dispatch/planning.cc
+++ b/source/dispatch/planning/planning.cc
@@ -8,9 +8,11 @@
 #include <string>
 #include <utility>
 
-#include "dispatch/demands.h"
+#include "dispatch/leadership/leadership.h"
 #include "dispatch/names.h"
-#include "dispatch/parts.h"
+#include "dispatch/orders/orders.h"
+#include "dispatch/planning/demands.h"
+#include "dispatch/planning/planning.h"
 #include "placement/room.h"
 
 namespace parsleyhitch::dispatch {
--- a/source/dispatch/reduce.cc
+++ b/source/dispatch/reduce.cc
@@ -6,7 +6,13 @@
 #include <algorithm>
 #include <utility>
 
-#include "dispatch/parts.h"
+#include "dispatch/callers/callers.h"
+#include "dispatch/fleet/fleet.h"
+#include "dispatch/jobs/jobs.h"
+#include "dispatch/leadership/leadership.h"
+#include "dispatch/orders/orders.h"
+#include "dispatch/planning/planning.h"
+#include "dispatch/store/store.h"
 
 namespace parsleyhitch::dispatch {
 
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -15,8 +15,9 @@
 #include <vector>
 
 #include "dispatch/change_queue.h"
-#include "dispatch/evacuated_domains.h"
-#include "dispatch/failures.h"
+#include "dispatch/observations.h"
+#include "dispatch/orders/failures.h"
+#include "dispatch/store/evacuated_domains.h"
 #include "model/value_cell.h"
 #include "model/value_table.h"
 #include "records/ledger.h"
@@ -562,6 +563,7 @@
   timestamp next_deletion_at;
   // The tick before the latest.
   timestamp previous_tick_at;
+  dispatch::observations observed;
   bool plan_due = false;
   timestamp next_plan_at;
   // Starts are paced: those so far take the leader until this time.
--- a/source/dispatch/evacuated_domains.cc
+++ b/source/dispatch/store/evacuated_domains.cc
@@ -1,7 +1,7 @@
 // Offsets order all changes, whether they are read from the store or reported
 // by a peer.
 
-#include "dispatch/evacuated_domains.h"
+#include "dispatch/store/evacuated_domains.h"
 
 #include <algorithm>
 #include <utility>
--- a/source/dispatch/evacuated_domains.h
+++ b/source/dispatch/store/evacuated_domains.h
@@ -1,8 +1,8 @@
 // The failure domains that operators have evacuated, as known from the
 // operators' stream and from peers that have read more of it.
 
-#ifndef PARSLEYHITCH_DISPATCH_EVACUATED_DOMAINS_H_
-#define PARSLEYHITCH_DISPATCH_EVACUATED_DOMAINS_H_
+#ifndef PARSLEYHITCH_DISPATCH_STORE_EVACUATED_DOMAINS_H_
+#define PARSLEYHITCH_DISPATCH_STORE_EVACUATED_DOMAINS_H_
 
 #include <cstdint>
 #include <map>
@@ -45,4 +45,4 @@
 
 }  // namespace parsleyhitch::dispatch
 
-#endif  // PARSLEYHITCH_DISPATCH_EVACUATED_DOMAINS_H_
+#endif  // PARSLEYHITCH_DISPATCH_STORE_EVACUATED_DOMAINS_H_
--- a/source/dispatch/feeds.cc
+++ b/source/dispatch/store/feeds.cc
@@ -6,8 +6,12 @@
 #include <utility>
 
 #include "dispatch/backoff.h"
+#include "dispatch/callers/callers.h"
+#include "dispatch/fleet/fleet.h"
+#include "dispatch/jobs/jobs.h"
+#include "dispatch/leadership/leadership.h"
 #include "dispatch/names.h"
-#include "dispatch/parts.h"
+#include "dispatch/store/store.h"
 #include "records/record_key.h"
 
 namespace parsleyhitch::dispatch {
--- a/source/dispatch/outbox.cc
+++ b/source/dispatch/store/outbox.cc
@@ -4,7 +4,10 @@
 #include <array>
 #include <utility>
 
-#include "dispatch/parts.h"
+#include "dispatch/callers/callers.h"
+#include "dispatch/fleet/fleet.h"
+#include "dispatch/leadership/leadership.h"
+#include "dispatch/store/store.h"
 #include "records/record_key.h"
 
 namespace parsleyhitch::dispatch {
--- a/source/dispatch/progress.cc
+++ b/source/dispatch/store/progress.cc
@@ -6,9 +6,11 @@
 #include <limits>
 #include <utility>
 
-#include "dispatch/losses.h"
-#include "dispatch/parts.h"
-#include "dispatch/steps.h"
+#include "dispatch/fleet/fleet.h"
+#include "dispatch/fleet/losses.h"
+#include "dispatch/jobs/jobs.h"
+#include "dispatch/jobs/steps.h"
+#include "dispatch/store/store.h"
 
 namespace parsleyhitch::dispatch {
 
--- a/source/dispatch/store_health.cc
+++ b/source/dispatch/store/store_health.cc
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "dispatch/names.h"
-#include "dispatch/parts.h"
+#include "dispatch/store/store.h"
 
 namespace parsleyhitch::dispatch {
 
--- a/source/runtime/dispatch_process.cc
+++ b/source/runtime/dispatch_process.cc
@@ -43,6 +43,16 @@
 // Health probes and metrics scrapes have no bodies.
 constexpr std::uint32_t kMaxProbeBodyBytes = 1024;
 
+work::platform_bounds BoundsOf(const settings::dispatch_settings& settings) {
+  constexpr double kPermille = 1000.0;
+  return {.task_stop = settings.task_stop,
+          .checkpoint_interval = std::chrono::ceil<work::duration>(
+              std::chrono::duration<double>(settings.checkpoint_interval_s)),
+          .checkpoint_restore = settings.checkpoint_restore,
+          .remote_permille =
+              static_cast<std::uint32_t>(settings.remote_slowdown * kPermille)};
+}
+
 dispatch::environment EnvironmentOf(
     const settings::dispatch_settings& settings) {
   dispatch::hooks behaviour = dispatch::DefaultHooks();
@@ -52,7 +62,7 @@
           .cpu_millis =
               static_cast<std::uint32_t>(settings.cpu_share * kMilliCpusPerCpu),
           .longest_lease = settings.longest_lease,
-          .task_stop = settings.task_stop,
+          .bounds = BoundsOf(settings),
           .job_state_kept = std::chrono::ceil<work::duration>(
               std::chrono::duration<double>(settings.job_state_kept_s)),
           .max_record_bytes = settings.max_record_bytes,
--- a/source/settings/dispatch_settings.cc
+++ b/source/settings/dispatch_settings.cc
@@ -28,7 +28,10 @@
                       limits,
                       max_record_bytes,
                       max_append_bytes,
-                      job_state_kept_s)
+                      job_state_kept_s,
+                      checkpoint_interval_s,
+                      checkpoint_restore,
+                      remote_slowdown)
 
 namespace {
 
@@ -78,6 +81,8 @@
   add("lease_ms", std::min(defaults.limits.lease, longest_lease));
 }
 
+constexpr double kMaxRemoteSlowdown = 1000;
+
 // Faster than any core starts tasks.
 constexpr std::uint32_t kMaxStartRate = 10000;
 
@@ -124,6 +129,12 @@
   Require(findings, settings.cpu_share > 0, "/cpu_share", "must be above 0");
   Require(findings, settings.job_state_kept_s >= kMinStateKeptS,
           "/job_state_kept_s", "must be at least 10");
+  Require(findings, settings.checkpoint_interval_s > 0,
+          "/checkpoint_interval_s", "must be above 0");
+  Require(findings,
+          settings.remote_slowdown >= 1 &&
+              settings.remote_slowdown <= kMaxRemoteSlowdown,
+          "/remote_slowdown", "must be from 1 to 1000");
   Require(findings, settings.shutdown_grace_s > 0, "/shutdown_grace_s",
           "must be above 0");
   Require(
--- a/source/settings/dispatch_settings.h
+++ b/source/settings/dispatch_settings.h
@@ -40,6 +40,12 @@
   const std::uint32_t max_append_bytes = 2097152;
   // Seconds for which callers are told the state of a closed job, at least.
   const double job_state_kept_s = 120.0;
+  // Seconds of work between two checkpoints of a task, and the time that it
+  // takes to resume from one.
+  const double checkpoint_interval_s = 2.0;
+  const model::duration checkpoint_restore{250};
+  // How many times as long a task takes away from its data or rack.
+  const double remote_slowdown = 3.0;
 
   bool operator==(const dispatch_settings&) const = default;
 };
--- a/tests/dispatch/evacuated_domains_test.cc
+++ b/tests/dispatch/evacuated_domains_test.cc
@@ -1,6 +1,6 @@
 // The known evacuations, by the order in which changes of them are learnt.
 
-#include "dispatch/evacuated_domains.h"
+#include "dispatch/store/evacuated_domains.h"
 
 #include <criterion/criterion.h>
 
--- a/tests/dispatch/failures_test.cc
+++ b/tests/dispatch/failures_test.cc
@@ -1,7 +1,7 @@
 // The failed attempts of a unit, and what they are taken for from a record of a
 // version that stored only how many there were.
 
-#include "dispatch/failures.h"
+#include "dispatch/orders/failures.h"
 
 #include <criterion/criterion.h>
 
--- a/tests/dispatch/losses_test.cc
+++ b/tests/dispatch/losses_test.cc
@@ -4,7 +4,7 @@
 #include <set>
 #include <string>
 
-#include "dispatch/losses.h"
+#include "dispatch/fleet/losses.h"
 #include "dispatch/simulation_fixture.h"
 
 namespace dispatch = parsleyhitch::dispatch;
--- a/tests/support/simulated_worker.cc
+++ b/tests/support/simulated_worker.cc
@@ -119,8 +119,11 @@
 
 work::worker_listing simulated_worker::Listing() const {
   std::vector<work::running_task> running;
-  for (const auto& [task, run] : running_)
-    running.push_back({.task = task, .attempt = run.attempt});
+  for (const auto& [task, run] : running_) {
+    running.push_back({.task = task,
+                       .attempt = run.attempt,
+                       .percent = PercentOf(task, run)});
+  }
   const std::size_t listed = std::min(ended_.size(), kListedEnds);
   std::vector<work::ended_task> ended(
       ended_.begin(), ended_.begin() + static_cast<std::ptrdiff_t>(listed));
@@ -128,6 +131,17 @@
       .life = life, .running = std::move(running), .ended = std::move(ended)};
 }
 
+std::uint32_t simulated_worker::PercentOf(const work::task_id& task,
+                                          const simulated_run& run) const {
+  constexpr std::int64_t kAllPercent = 100;
+  if (!run.working)
+    return 0;
+  const work::duration duration = duration_of(task);
+  const work::duration worked =
+      std::min(advanced_to_ - run.working_since, duration);
+  return static_cast<std::uint32_t>(worked * kAllPercent / duration);
+}
+
 bool simulated_worker::HasEndAfter(std::uint64_t after) const {
   return last_end_number_ > after;
 }
--- a/tests/support/simulated_worker.h
+++ b/tests/support/simulated_worker.h
@@ -114,6 +114,9 @@
   // Returns false if a newer token was seen.
   bool AcceptToken(std::uint64_t token);
   work::resources Used() const;
+  // The completed share of the task's work.
+  std::uint32_t PercentOf(const work::task_id& task,
+                          const simulated_run& run) const;
 
   std::map<work::task_id, simulated_run> running_;
   // The newest attempt of each task that was stopped or has ended; it and
