--- a/soak/main.cc
+++ b/soak/main.cc
@@ -1,5 +1,5 @@
 // soak --seeds 1,2,3 [--seconds 10] [--entries 3] [--workers 6] [--logs FILE]
-// [--all_faults] [--forwarding]:
+// [--all_faults] [--operations] [--forwarding]:
 // injects random failures into real processes and prints one line per seed.
 // Exits with 1 if an invariant was violated, with 2 if a seed could not be run.
 
@@ -20,6 +20,9 @@
             false,
             "draw from all kinds of faults, and submit jobs "
             "with more and longer tasks");
+DEFINE_bool(operations,
+            false,
+            "draw from what operators ask for as well, beside all faults");
 DEFINE_uint32(seconds, 10, "seconds during which faults are injected");
 DEFINE_uint32(entries, 3, "number of entries");
 DEFINE_uint32(workers, 6, "number of workers");
@@ -30,6 +33,8 @@
 namespace {
 
 fault_set FaultSet() {
+  if (FLAGS_operations)
+    return fault_set::kAllAndOperations;
   return FLAGS_all_faults ? fault_set::kAll : fault_set::kBasic;
 }
 
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -29,12 +29,15 @@
   kLateStarts,
   kCrashWorker,
   kUnlistWorker,
+  kEvacuateDomain,
   kCount,
 };
 
 // Which faults a schedule draws from: the basic ones are those up to
-// `kOneWayLink`. Schedules of both sets stay as they are for their seeds.
-enum class fault_set : std::uint8_t { kBasic, kAll };
+// `kOneWayLink`, all faults those up to `kUnlistWorker`; operations are what
+// operators ask for besides. Schedules of a set stay as they are for their
+// seeds.
+enum class fault_set : std::uint8_t { kBasic, kAll, kAllAndOperations };
 
 // One fault, repaired after `duration`. `target` selects the entry, worker or
 // link, modulo their number.
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -25,6 +25,7 @@
 constexpr std::uint64_t kTicksPerJob = 6;
 constexpr std::int64_t kLinkDelayMs = 400;
 constexpr std::uint32_t kLostAnswers = 2;
+constexpr std::uint32_t kFailureDomains = 2;
 
 bool IsEntryFault(fault_kind kind) {
   return kind == fault_kind::kKillEntry || kind == fault_kind::kFreezeEntry ||
@@ -53,7 +54,7 @@
       : length_(length),
         schedule_(GenerateSchedule(seed, length, set)),
         site_(options),
-        callers_(io_, site_, seed, set == fault_set::kAll),
+        callers_(io_, site_, seed, set != fault_set::kBasic),
         timer_(io_) {}
 
   soak_result Run() {
@@ -156,10 +157,10 @@
   // Sends all active faults of the store, the workers and the links. Faults
   // with a single effect are sent only when they start.
   void SendFaults(const fault* started) {
-    json control{{"cut", json::array()},     {"failing", json::array()},
-                 {"restart", json::array()}, {"shedding", json::array()},
-                 {"late", json::array()},    {"crashed", json::array()},
-                 {"unlisted", json::array()}};
+    json control{{"cut", json::array()},      {"failing", json::array()},
+                 {"restart", json::array()},  {"shedding", json::array()},
+                 {"late", json::array()},     {"crashed", json::array()},
+                 {"unlisted", json::array()}, {"evacuated", json::array()}};
     json links = json::array();
     for (const fault* each : active_) {
       const std::uint32_t worker = each->target % site_.workers();
@@ -180,6 +181,8 @@
         control["crashed"] = WorkersFrom(worker, site_.workers() / 4);
       else if (each->kind == fault_kind::kUnlistWorker)
         control["unlisted"] = WorkersFrom(worker, site_.workers() / 4);
+      else if (each->kind == fault_kind::kEvacuateDomain)
+        control["evacuated"].push_back(each->target % kFailureDomains);
       else if (each->kind >= fault_kind::kDelayLink)
         links.push_back({{"link", link},
                          {"mode", LinkMode(each->kind)},
--- a/tests/stand_ins/site_journal.h
+++ b/tests/stand_ins/site_journal.h
@@ -35,6 +35,8 @@
   const std::vector<std::uint32_t> late{};
   const std::vector<std::uint32_t> crashed{};
   const std::vector<std::uint32_t> unlisted{};
+  // Failure domains that the operators have evacuated, by number.
+  const std::vector<std::uint32_t> evacuated{};
 };
 PARSLEYHITCH_DESCRIBE(site_control,
                       store_down,
@@ -47,7 +49,8 @@
                       shedding,
                       late,
                       crashed,
-                      unlisted)
+                      unlisted,
+                      evacuated)
 
 struct site_journal {
   // Descriptions of breaches of the platform's rules, oldest first.
--- a/tests/stand_ins/site_stand_in.cc
+++ b/tests/stand_ins/site_stand_in.cc
@@ -37,6 +37,15 @@
 constexpr std::uint32_t kMaxAttempts = 3;
 constexpr std::uint32_t kWorkersPerRack = 4;
 constexpr char kService[] = "pool";
+// Workers belong to these in turn.
+constexpr std::uint32_t kFailureDomains = 2;
+// By the users' bounds nothing is started in an evacuated failure domain later
+// than this, also while the store is in trouble.
+constexpr work::duration kEvacuationBound{11000};
+
+std::string DomainName(std::size_t worker) {
+  return "domain-" + std::to_string(worker % kFailureDomains);
+}
 
 const char* EndKindName(work::run_end_kind how) {
   switch (how) {
@@ -201,6 +210,7 @@
     store_.Put("keyed.servers", each.id.value(),
                json{{"service", kService},
                     {"address", addresses_[index]},
+                    {"zone", DomainName(index)},
                     {"state", "ready"},
                     {"born", each.life},
                     {"labels", {"a", each.rack.value()}},
@@ -241,6 +251,29 @@
       workers_[i].cut_from_store = std::ranges::count(control->unlisted, i) > 0;
       SetCrashed(workers_[i], std::ranges::count(control->crashed, i) > 0);
     }
+    for (std::uint32_t i = 0; i < kFailureDomains; ++i)
+      SetEvacuated(i, std::ranges::count(control->evacuated, i) > 0);
+  }
+
+  // Writes the operators' request, or its end, if there is a change.
+  void SetEvacuated(std::uint32_t domain, bool evacuated) {
+    const std::string name = DomainName(domain);
+    if (evacuated == evacuated_since_.contains(name))
+      return;
+    store_.Put("keyed.op", "evacuate/" + name, evacuated ? "{}" : "");
+    if (evacuated)
+      evacuated_since_[name] = Now();
+    else
+      evacuated_since_.erase(name);
+  }
+
+  void CheckEvacuation(std::size_t index, const work::task_id& task) {
+    const auto since = evacuated_since_.find(DomainName(index));
+    if (since == evacuated_since_.end() ||
+        Now() - since->second <= kEvacuationBound)
+      return;
+    evacuation_breaches_.push_back(platform::TaskName(task) +
+                                   " was started in an evacuated domain");
   }
 
   void SetCrashed(tests::simulated_worker& worker, bool crashed) {
@@ -262,8 +295,11 @@
     std::set<std::string> jobs;
     for (const auto& [job, steps] : steps_)
       jobs.insert(job.value());
+    std::vector<std::string> breaches = monitor_.breaches();
+    breaches.insert(breaches.end(), evacuation_breaches_.begin(),
+                    evacuation_breaches_.end());
     return wire::ToJson(
-        site_journal{.breaches = monitor_.breaches(),
+        site_journal{.breaches = std::move(breaches),
                      .starts = monitor_.starts(),
                      .running = running,
                      .jobs = {jobs.begin(), jobs.end()},
@@ -293,8 +329,19 @@
     else if (call.path == "/run-start" && late_[index] && ++starts_ % 2 == 0)
       StartLate(index, body);
     else
-      respond(OrderReply(index, call.path == "/run-start" ? Start(index, body)
-                                                          : Stop(index, body)));
+      respond(OrderReply(index, call.path == "/run-start"
+                                    ? StartInTime(index, body)
+                                    : Stop(index, body)));
+  }
+
+  // A start that is carried out when it arrives, as no late one is.
+  work::order_outcome StartInTime(std::size_t index, const json& body) {
+    const std::uint64_t started_before = monitor_.starts();
+    const work::order_outcome outcome = Start(index, body);
+    if (monitor_.starts() != started_before)
+      CheckEvacuation(
+          index, *platform::ParseTaskName(body.value("task", std::string())));
+    return outcome;
   }
 
   // Leaves the order unanswered and carries it out after newer ones, unless the
@@ -383,8 +430,8 @@
     const work::worker_listing listing = worker.Listing();
     json running = json::array();
     for (const work::running_task& each : listing.running) {
-      running.push_back(
-          {platform::TaskName(each.task), each.attempt, each.checkpoint, 0});
+      running.push_back({platform::TaskName(each.task), each.attempt,
+                         each.checkpoint, each.percent});
     }
     json finished = json::array();
     for (const work::ended_task& each : listing.ended) {
@@ -423,6 +470,8 @@
   std::vector<std::string> addresses_;
   std::map<work::job_id, std::vector<work::step_spec>> steps_;
   tests::run_monitor monitor_;
+  std::map<std::string, work::duration> evacuated_since_;
+  std::vector<std::string> evacuation_breaches_;
   std::vector<waiting_hold> holds_;
   asio::steady_timer advance_timer_;
   asio::steady_timer heartbeat_timer_;
