--- a/source/settings/dispatch_settings.cc
+++ b/source/settings/dispatch_settings.cc
@@ -58,7 +58,7 @@
 void AddDerivedLimits(nlohmann::ordered_json& content) {
   if (!content.is_object())
     return;
-  const dispatch_settings defaults;
+  const dispatch_settings defaults{};
   const auto bound = [&](const char* key, model::duration otherwise) {
     const auto found = content.find(key);
     return found != content.end() && found->is_number_integer()
