--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -4,6 +4,7 @@
 
 #include <fcntl.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -13,7 +14,10 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <optional>
+#include <sstream>
 #include <stdexcept>
 
 #include "runtime/http_client.h"
@@ -114,6 +118,62 @@
   return pid;
 }
 
+// A child inherits the limits that its parent has when it is started.
+pid_t SpawnWithDescriptors(const std::vector<std::string>& arguments,
+                           const std::string& log_path,
+                           std::uint64_t descriptors) {
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const rlimit lowered{.rlim_cur = descriptors, .rlim_max = before.rlim_max};
+  if (setrlimit(RLIMIT_NOFILE, &lowered) != 0)
+    throw std::runtime_error("cannot limit the descriptors of a child");
+  const pid_t pid = Spawn(arguments, log_path);
+  setrlimit(RLIMIT_NOFILE, &before);
+  return pid;
+}
+
+process_usage UsageOf(pid_t pid) {
+  const std::filesystem::path process =
+      std::filesystem::path("/proc") / std::to_string(pid);
+  process_usage usage;
+  std::ifstream status(process / "status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmHWM:"))
+      usage.peak_resident_kb = std::stoull(line.substr(line.find(':') + 1));
+  }
+  std::error_code ended;
+  for (std::filesystem::directory_iterator each(process / "fd", ended), end;
+       !ended && each != end; each.increment(ended))
+    ++usage.descriptors;
+  return usage;
+}
+
+// Each line has the slot, the local and the remote address, the state, and
+// "sent:received", the bytes that are queued in each direction; for a listener,
+// the latter is the number of connections to accept (proc(5)).
+bool HasReadAll(std::uint16_t port) {
+  constexpr int kHex = 16;
+  const auto after_colon = [](const std::string& text) {
+    return std::stoul(text.substr(text.find(':') + 1), nullptr, kHex);
+  };
+  std::ifstream sockets("/proc/net/tcp");
+  std::string line;
+  std::getline(sockets, line);
+  while (std::getline(sockets, line)) {
+    std::istringstream fields(line);
+    std::string slot;
+    std::string local;
+    std::string remote;
+    std::string state;
+    std::string queued;
+    fields >> slot >> local >> remote >> state >> queued;
+    const bool open = state == "01" || state == "08" || state == "0A";
+    if (open && after_colon(local) == port && after_colon(queued) != 0)
+      return false;
+  }
+  return true;
+}
+
 void KillAndWait(pid_t pid) {
   if (pid == 0)
     return;
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -24,6 +24,24 @@
 pid_t Spawn(const std::vector<std::string>& arguments,
             const std::string& log_path);
 
+// The same, for a program that may open at most `descriptors` files and
+// sockets.
+pid_t SpawnWithDescriptors(const std::vector<std::string>& arguments,
+                           const std::string& log_path,
+                           std::uint64_t descriptors);
+
+// What a process has used, from /proc; 0 once it has ended.
+struct process_usage {
+  // The highest resident memory since its start.
+  std::uint64_t peak_resident_kb = 0;
+  std::uint64_t descriptors = 0;
+};
+process_usage UsageOf(pid_t pid);
+
+// True if the program that listens on the port has accepted all connections and
+// read all bytes that have arrived (/proc/net/tcp).
+bool HasReadAll(std::uint16_t port);
+
 // Sends SIGKILL to the process and reaps it. Does nothing for pid 0.
 void KillAndWait(pid_t pid);
 
--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -13,8 +13,6 @@
 #include <stdexcept>
 #include <utility>
 
-#include "support/child_process.h"
-
 namespace parsleyhitch::test {
 
 namespace {
@@ -186,6 +184,20 @@
              .status == 200;
 }
 
+std::string platform_site::CallersAddress(std::uint32_t entry) const {
+  return EntryAddress(entry, port::kCallers);
+}
+
+process_usage platform_site::Usage(std::uint32_t entry) const {
+  return UsageOf(entries_.at(entry));
+}
+
+bool platform_site::HasReadAll(std::uint32_t entry) const {
+  const std::string address = CallersAddress(entry);
+  return test::HasReadAll(static_cast<std::uint16_t>(
+      std::stoul(address.substr(address.rfind(':') + 1))));
+}
+
 std::uint64_t platform_site::MetricOf(std::uint32_t entry,
                                       const std::string& name) const {
   const std::string text =
@@ -229,9 +241,13 @@
   const std::string name = "entry-" + std::to_string(entry);
   const std::string path = (directory_ / (name + ".yaml")).string();
   std::ofstream(path) << EntrySettings(entry);
-  entries_.at(entry) = Spawn(
-      {BinaryPath("source/parsleyhitchd/parsleyhitchd"), "--config", path},
-      (directory_ / (name + ".log")).string());
+  const std::vector<std::string> command{
+      BinaryPath("source/parsleyhitchd/parsleyhitchd"), "--config", path};
+  const std::string log = (directory_ / (name + ".log")).string();
+  entries_.at(entry) =
+      options_.descriptors == 0
+          ? Spawn(command, log)
+          : SpawnWithDescriptors(command, log, options_.descriptors);
 }
 
 int platform_site::AwaitExit(std::uint32_t entry) {
--- a/tests/support/platform_site.h
+++ b/tests/support/platform_site.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "stand_ins/site_journal.h"
+#include "support/child_process.h"
 #include "wire/http_exchange.h"
 
 namespace parsleyhitch::test {
@@ -27,6 +28,8 @@
   // `workers_per_core` of the entries' limits; 0 for the default. Entries have
   // one core.
   std::uint32_t workers_per_core = 0;
+  // Files and sockets that each entry may open; 0 for as many as the test.
+  std::uint32_t descriptors = 0;
 };
 
 // A reply to a caller; status 0 if no complete answer arrived.
@@ -71,6 +74,12 @@
                   const std::string& job,
                   const std::string& state) const;
   bool IsReady(std::uint32_t entry) const;
+  // "ip:port" at which the entry serves callers.
+  std::string CallersAddress(std::uint32_t entry) const;
+  // What the entry's process has used.
+  process_usage Usage(std::uint32_t entry) const;
+  // The entry has accepted all callers and read what they sent.
+  bool HasReadAll(std::uint32_t entry) const;
   // Returns a metric that the entry exposes; 0 if it does not expose it.
   std::uint64_t MetricOf(std::uint32_t entry, const std::string& name) const;
 
