Clients share a memory budget, and requests are held until they are whole

Change: sockets that RESTinio reads from collect each request with http_parser and pass on whole requests only, with the body in one chunk and no trailers. A new reducer, source/intake, decides by limits on the head, the body and the times of both, a memory budget of a quarter of memory_mb, and a number of connections of half of the descriptors beyond 200. When memory or connections are short, those are closed that hold most for longest, or made no progress for longest, never one whose request was passed on. Refusals state that the request was not run. The published limits (maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs) replace the settings' defaults.

The test that renders the settings' template states the two figures that the template now asks for.

--- a/source/platform/catalog_codec.cc
+++ b/source/platform/catalog_codec.cc
@@ -50,6 +50,13 @@
               tenant.Object("guaranteed").Number("gpu"))};
 }
 
+work::client_limits DecodeLimits(const json_fields& limits) {
+  return {.max_header_bytes = limits.Number("maxHeaderBytes"),
+          .max_body_bytes = limits.Number("maxBodyBytes"),
+          .header_timeout = work::duration(limits.Number("headerTimeoutMs")),
+          .idle_timeout = work::duration(limits.Number("idleTimeoutMs"))};
+}
+
 }  // namespace
 
 wire::result<work::published_catalog> DecodeCatalog(const std::string& text) {
@@ -74,13 +81,15 @@
         workspaces.push_back(DecodeWorkspace({element, place, findings}));
       });
   const std::uint64_t version = root.Number("version");
+  const work::client_limits limits = DecodeLimits(root.Object("limits"));
   if (!findings.empty())
     return boost::leaf::new_error(std::move(findings));
   return work::published_catalog{
       .content = {.version = version,
                   .queues = std::move(queues),
                   .services = std::move(services),
-                  .workspaces = std::move(workspaces)},
+                  .workspaces = std::move(workspaces),
+                  .limits = limits},
       .encoded = text};
 }
 
--- a/source/runtime/dispatch_process.cc
+++ b/source/runtime/dispatch_process.cc
@@ -21,6 +21,8 @@
 #include "platform/worker_calls.h"
 #include "report/metrics.h"
 #include "report/time_account.h"
+#include "runtime/client_gate.h"
+#include "runtime/client_limits.h"
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
 #include "runtime/json_log.h"
@@ -40,8 +42,6 @@
 constexpr std::chrono::seconds kSettingsPollInterval{3};
 // Interval at which a busy process logs what it spends its time on.
 constexpr std::chrono::seconds kTimeReportInterval{1};
-// Health probes and metrics scrapes have no bodies.
-constexpr std::uint32_t kMaxProbeBodyBytes = 1024;
 
 work::platform_bounds BoundsOf(const settings::dispatch_settings& settings) {
   constexpr double kPermille = 1000.0;
@@ -89,6 +89,7 @@
         read_settings_(std::move(read_settings)),
         environment_(
             std::make_unique<dispatch::environment>(EnvironmentOf(settings))),
+        gate_(std::make_shared<client_gate>(io_, GateHooks())),
         client_(io_),
         peers_(io_,
                settings.peers_listen,
@@ -96,17 +97,20 @@
         caller_server_(std::in_place,
                        io_,
                        settings.callers_listen,
-                       settings.max_body_bytes,
+                       gate_,
+                       intake::listener::kCallers,
                        CallerHandlers()),
         probe_server_(std::in_place,
                       io_,
                       settings.probes_listen,
-                      kMaxProbeBodyBytes,
+                      gate_,
+                      intake::listener::kOperators,
                       ProbeHandlers()),
         metrics_server_(std::in_place,
                         io_,
                         settings.metrics_listen,
-                        kMaxProbeBodyBytes,
+                        gate_,
+                        intake::listener::kOperators,
                         MetricsHandlers()),
         wake_timer_(io_),
         settings_timer_(io_),
@@ -124,6 +128,7 @@
                                        now.time_since_epoch().count()),
                                    .seed = std::random_device()()});
     io_.run();
+    gate_->Stop();
   }
 
  private:
@@ -169,6 +174,22 @@
     time_reported_at_ = now;
   }
 
+  gate_hooks GateHooks() {
+    return {.limits =
+                [this] {
+                  const work::published_catalog* published =
+                      loop_.state().in_force.Get();
+                  return ClientLimits(*settings_,
+                                      published == nullptr
+                                          ? work::client_limits()
+                                          : published->content.limits,
+                                      descriptor_limit_);
+                },
+            .clock = [this] { return clock_.Now(); },
+            .count = [this](const work::count_metric& each) { Execute(each); },
+            .log = [this](const work::write_log& each) { Execute(each); }};
+  }
+
   http_handlers CallerHandlers() {
     return {.call =
                 [this](const wire::http_call& call, std::uint64_t connection,
@@ -434,7 +455,9 @@
   const settings_reader read_settings_;
   std::unique_ptr<const dispatch::environment> environment_;
   const monotonic_clock clock_;
+  const std::uint64_t descriptor_limit_ = DescriptorLimit();
   asio::io_context io_{1};
+  const std::shared_ptr<client_gate> gate_;
   http_client client_;
   peer_socket peers_;
   std::optional<http_server> caller_server_;
--- a/source/runtime/entry_process.cc
+++ b/source/runtime/entry_process.cc
@@ -15,6 +15,7 @@
 
 #include "report/burn.h"
 #include "report/metrics.h"
+#include "runtime/client_gate.h"
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
 #include "runtime/json_log.h"
@@ -57,6 +58,7 @@
                 const std::string& recording_path)
       : settings_(settings),
         environment_(EnvironmentOf(settings)),
+        gate_(std::make_shared<client_gate>(io_, GateHooks())),
         client_(io_),
         peers_(io_,
                settings.peer_listen,
@@ -64,7 +66,8 @@
         server_(std::in_place,
                 io_,
                 settings.http_listen,
-                settings.max_body_bytes,
+                gate_,
+                intake::listener::kCallers,
                 http_handlers{.call =
                                   [this](const wire::http_call& call,
                                          std::uint64_t connection,
@@ -102,6 +105,7 @@
                                     .incarnation = effect_context_.incarnation,
                                     .seed = seed});
     io_.run();
+    gate_->Stop();
   }
 
  private:
@@ -133,6 +137,21 @@
     return hooks;
   }
 
+  gate_hooks GateHooks() {
+    return {
+        .limits =
+            [this] {
+              return intake::limits{.max_body_bytes = settings_.max_body_bytes};
+            },
+        .clock = [this] { return clock_.Now(); },
+        .count =
+            [this](const work::count_metric& each) {
+              Execute(model::count_metric{.name = each.name,
+                                          .increment = each.increment});
+            },
+        .log = [](const work::write_log& each) { WriteJsonLog(each); }};
+  }
+
   // Effects that leave the process.
   template <typename Effect>
   void Execute(const Effect& effect) {
@@ -260,6 +279,7 @@
   const scheduler::environment environment_;
   const monotonic_clock clock_;
   asio::io_context io_{1};
+  const std::shared_ptr<client_gate> gate_;
   http_client client_;
   peer_socket peers_;
   std::optional<http_server> server_;
--- a/source/runtime/http_server.cc
+++ b/source/runtime/http_server.cc
@@ -1,47 +1,271 @@
 // The only file that includes RESTinio, whose headers are slow to compile.
+//
+// RESTinio stores what arrives before it has a whole request, and bounds
+// neither the number of fields and chunks nor the sum over its connections. Its
+// sockets are therefore replaced: they read into a request_reader, report to
+// the gate, and pass on whole requests only.
 
 #include "runtime/http_server.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <chrono>
+#include <cstring>
+#include <limits>
 #include <map>
+#include <optional>
 #include <restinio/all.hpp>
 #include <utility>
 
+#include "runtime/monotonic_clock.h"
+#include "runtime/request_reader.h"
+
 namespace parsleyhitch::runtime {
 
 namespace detail {
 
 namespace {
 
-// Reports closed connections, so that abandoned calls are detected.
-class connection_close_listener {
+// A connection that RESTinio has just accepted, for the socket that it then
+// reads from: RESTinio constructs sockets without a way to pass anything on.
+struct accepted_connection {
+  std::shared_ptr<client_gate> gate;
+  intake::listener kind = intake::listener::kCallers;
+  intake::connection_id id;
+  std::string address;
+};
+
+// One for each event loop.
+class accept_service : public asio::execution_context::service {
  public:
-  explicit connection_close_listener(std::function<void(std::uint64_t)> closed)
-      : on_closed_(std::move(closed)) {}
+  using key_type = accept_service;
+  static inline asio::execution_context::id id;
+
+  explicit accept_service(asio::execution_context& owner)
+      : asio::execution_context::service(owner) {}
+
+  std::optional<accepted_connection> accepted;
+  // Bytes are copied out of it before the event loop runs on.
+  std::array<char, 16384> scratch{};
+
+ private:
+  void shutdown() override { accepted.reset(); }
+};
+
+// Reports opened connections to the socket that was accepted, and closed ones
+// to the gate and to the owner of the server, so that abandoned calls are
+// detected.
+class connection_listener {
+ public:
+  struct hooks {
+    std::function<void(std::uint64_t connection, const std::string& address)>
+        opened;
+    std::function<void(std::uint64_t connection)> closed;
+  };
+
+  explicit connection_listener(hooks behaviour)
+      : hooks_(std::move(behaviour)) {}
 
   void state_changed(
       const restinio::connection_state::notice_t& notice) noexcept {
+    if (std::holds_alternative<restinio::connection_state::accepted_t>(
+            notice.cause())) {
+      hooks_.opened(notice.connection_id(),
+                    notice.remote_endpoint().address().to_string());
+    }
     if (std::holds_alternative<restinio::connection_state::closed_t>(
             notice.cause()))
-      on_closed_(notice.connection_id());
+      hooks_.closed(notice.connection_id());
   }
 
  private:
-  std::function<void(std::uint64_t)> on_closed_;
+  const hooks hooks_;
+};
+
+std::string RefusalBytes(const intake::refuse_request& refusal) {
+  const std::string body = "{\"error\":\"" + refusal.reason + "\"}";
+  return "HTTP/1.1 " + std::to_string(refusal.status) +
+         " Refused\r\nContent-Type: application/json\r\n"
+         "Connection: close\r\nRetry-After: 1\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A socket that RESTinio reads whole requests from.
+class gated_socket : public asio::ip::tcp::socket {
+ public:
+  using read_handler =
+      std::function<void(const asio::error_code&, std::size_t)>;
+
+  explicit gated_socket(asio::io_context& io)
+      : asio::ip::tcp::socket(io),
+        service_(&asio::use_service<accept_service>(io)) {}
+  gated_socket(gated_socket&&) = default;
+  gated_socket& operator=(gated_socket&&) = default;
+  ~gated_socket() {
+    if (link_)
+      ReportClosed();
+  }
+
+  // `done` owns the connection, and with it this socket.
+  template <typename Handler>
+  void async_read_some(const asio::mutable_buffer& buffer, Handler done) {
+    Start({.buffer = buffer, .done = std::move(done)});
+  }
+
+ private:
+  struct pending_read {
+    asio::mutable_buffer buffer;
+    read_handler done;
+  };
+
+  struct link {
+    std::shared_ptr<client_gate> gate;
+    intake::connection_id id;
+    request_reader reader;
+    // The request that is passed on, and how much of it was.
+    std::string request;
+    std::size_t passed_bytes = 0;
+    bool passing = false;
+    bool refused = false;
+    bool closed = false;
+  };
+
+  void Start(const pending_read& read) {
+    if (!link_) {
+      Register();
+    } else if (link_->passing && link_->request.empty()) {
+      // RESTinio reads on once it has written the reply.
+      link_->passing = false;
+      link_->gate->Post(intake::request_awaited{.at = link_->gate->Now(),
+                                                .connection = link_->id});
+      Receive({});
+    }
+    Continue(read);
+  }
+
+  void Register() {
+    accepted_connection accepted =
+        *std::exchange(service_->accepted, std::nullopt);
+    link_ = std::make_unique<link>();
+    link_->gate = std::move(accepted.gate);
+    link_->id = accepted.id;
+    asio::error_code ignored;
+    non_blocking(true, ignored);
+    link_->gate->Open(
+        link_->id, accepted.kind, accepted.address,
+        {.refuse =
+             [this](const intake::refuse_request& refusal) { Refuse(refusal); },
+         .close = [this] { CloseNow(); }});
+  }
+
+  void Continue(const pending_read& read) {
+    if (link_->closed) {
+      asio::post(get_executor(),
+                 [read] { read.done(asio::error::connection_reset, 0); });
+      return;
+    }
+    if (!link_->request.empty()) {
+      PassOn(read);
+      return;
+    }
+    async_wait(wait_read, [this, read](const asio::error_code& error) {
+      OnReadable(read, error);
+    });
+  }
+
+  void OnReadable(const pending_read& read, const asio::error_code& error) {
+    if (link_->closed || error) {
+      read.done(link_->closed ? asio::error::connection_reset : error, 0);
+      return;
+    }
+    asio::error_code failure;
+    const std::size_t bytes =
+        read_some(asio::buffer(service_->scratch), failure);
+    if (failure && failure != asio::error::would_block) {
+      read.done(failure, 0);
+      return;
+    }
+    if (!failure && !link_->refused)
+      Receive(std::string_view(service_->scratch.data(), bytes));
+    Continue(read);
+  }
+
+  void Receive(std::string_view bytes) {
+    const request_progress progress = link_->reader.Read(bytes);
+    if (bytes.empty() && progress.phase == intake::reading::kEmpty)
+      return;
+    link_->gate->Post(intake::request_read{.at = link_->gate->Now(),
+                                           .connection = link_->id,
+                                           .phase = progress.phase,
+                                           .head_bytes = progress.head_bytes,
+                                           .fields = progress.fields,
+                                           .body_bytes = progress.body_bytes,
+                                           .held_bytes = progress.held_bytes});
+    if (link_->closed || link_->refused) {
+      link_->reader.Clear();
+      return;
+    }
+    if (progress.phase != intake::reading::kComplete)
+      return;
+    link_->request = link_->reader.Take();
+    link_->passing = true;
+  }
+
+  void PassOn(const pending_read& read) {
+    const std::size_t bytes = std::min(
+        read.buffer.size(), link_->request.size() - link_->passed_bytes);
+    std::memcpy(read.buffer.data(), link_->request.data() + link_->passed_bytes,
+                bytes);
+    link_->passed_bytes += bytes;
+    if (link_->passed_bytes == link_->request.size()) {
+      link_->request = std::string();
+      link_->passed_bytes = 0;
+    }
+    asio::post(get_executor(), [read, bytes] { read.done({}, bytes); });
+  }
+
+  // The client may read the refusal until the gate closes the connection: a
+  // close with unread bytes would reset it.
+  void Refuse(const intake::refuse_request& refusal) {
+    link_->refused = true;
+    asio::error_code ignored;
+    write_some(asio::buffer(RefusalBytes(refusal)), ignored);
+    shutdown(shutdown_send, ignored);
+  }
+
+  // RESTinio learns of it from the read that ends.
+  void CloseNow() {
+    link_->closed = true;
+    asio::error_code ignored;
+    close(ignored);
+  }
+
+  void ReportClosed() {
+    link_->gate->Post(intake::connection_closed{.at = link_->gate->Now(),
+                                                .connection = link_->id});
+  }
+
+  accept_service* service_;
+  std::unique_ptr<link> link_;
 };
 
 struct server_traits : public restinio::default_single_thread_traits_t {
   using request_handler_t = std::function<restinio::request_handling_status_t(
       restinio::request_handle_t)>;
-  using connection_state_listener_t = connection_close_listener;
+  using connection_state_listener_t = connection_listener;
+  using stream_socket_t = gated_socket;
 };
 
 using server = restinio::http_server_t<server_traits>;
 
 constexpr std::chrono::hours kRequestTimeout{1};
-constexpr std::chrono::seconds kConnectionIdleTimeout{60};
+constexpr std::chrono::seconds kWriteTimeout{60};
+// The gate ends waits for requests.
+constexpr std::chrono::hours kReadTimeout{24};
+// The kernel would let each connection fill several megabytes that are not read
+// while a request is handled (tcp(7), tcp_rmem).
+constexpr int kReceiveBufferBytes = 65536;
 
 }  // namespace
 
@@ -50,6 +274,8 @@
   std::uint64_t pending_replies = 0;
   bool closing = false;
   std::function<void()> on_written;
+  std::shared_ptr<client_gate> gate;
+  std::uint32_t number = 0;
   std::unique_ptr<server> http;
 };
 
@@ -97,6 +323,11 @@
     response.append_header(name, value);
   if (state->closing)
     response.connection_close();
+  state->gate->Post(
+      intake::reply_ready{.at = state->gate->Now(),
+                          .connection = {.server = state->number,
+                                         .number = request->connection_id()},
+                          .bytes = reply.body.size()});
   response.set_body(reply.body);
   ++state->pending_replies;
   response.done([state](const auto&) { OnReplyWritten(state); });
@@ -112,35 +343,74 @@
   return restinio::request_accepted();
 }
 
+gate_hooks TrustingHooks(std::uint32_t max_body_bytes) {
+  constexpr std::uint64_t kNoBound = std::numeric_limits<std::int64_t>::max();
+  return {.limits =
+              [max_body_bytes] {
+                return intake::limits{
+                    .max_body_bytes = max_body_bytes,
+                    .memory_bytes = kNoBound,
+                    .max_caller_connections =
+                        std::numeric_limits<std::uint32_t>::max()};
+              },
+          .clock = [clock = monotonic_clock()] { return clock.Now(); },
+          .count = [](const work::count_metric&) {},
+          .log = [](const work::write_log&) {}};
+}
+
 }  // namespace
 
 }  // namespace detail
 
 http_server::http_server(asio::io_context& io,
                          const std::string& address,
-                         std::uint32_t max_body_bytes,
+                         std::shared_ptr<client_gate> gate,
+                         intake::listener kind,
                          http_handlers handlers)
     : state_(std::make_shared<detail::server_state>()) {
   state_->handlers = std::move(handlers);
+  state_->gate = std::move(gate);
+  state_->number = state_->gate->AddServer();
   const std::size_t colon = address.rfind(':');
   const auto port =
       static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)));
   const std::weak_ptr<detail::server_state> weak = state_;
-  auto listener = std::make_shared<detail::connection_close_listener>(
-      [weak](std::uint64_t connection) {
-        if (const auto state = weak.lock())
-          state->handlers.closed(connection);
-      });
+  auto listener = std::make_shared<detail::connection_listener>(
+      detail::connection_listener::hooks{
+          .opened =
+              [weak, kind, &io](std::uint64_t connection,
+                                const std::string& client) {
+                const auto state = weak.lock();
+                if (!state)
+                  return;
+                asio::use_service<detail::accept_service>(io).accepted = {
+                    .gate = state->gate,
+                    .kind = kind,
+                    .id = {.server = state->number, .number = connection},
+                    .address = client};
+              },
+          .closed =
+              [weak](std::uint64_t connection) {
+                const auto state = weak.lock();
+                if (!state)
+                  return;
+                state->gate->Post(intake::connection_closed{
+                    .at = state->gate->Now(),
+                    .connection = {.server = state->number,
+                                   .number = connection}});
+                state->handlers.closed(connection);
+              }});
   state_->http = std::make_unique<detail::server>(
       restinio::external_io_context(io), [&](auto& settings) {
         settings.address(address.substr(0, colon))
             .port(port)
             .handle_request_timeout(detail::kRequestTimeout)
-            .write_http_response_timelimit(detail::kConnectionIdleTimeout)
-            .read_next_http_message_timelimit(detail::kConnectionIdleTimeout)
-            .incoming_http_msg_limits(
-                restinio::incoming_http_msg_limits_t().max_body_size(
-                    max_body_bytes))
+            .write_http_response_timelimit(detail::kWriteTimeout)
+            .read_next_http_message_timelimit(detail::kReadTimeout)
+            .acceptor_options_setter([](auto& options) {
+              options.set_option(asio::socket_base::receive_buffer_size(
+                  detail::kReceiveBufferBytes));
+            })
             .connection_state_listener(listener)
             .request_handler([weak](const restinio::request_handle_t& request) {
               const auto state = weak.lock();
@@ -151,6 +421,18 @@
   state_->http->open_sync();
 }
 
+http_server::http_server(asio::io_context& io,
+                         const std::string& address,
+                         std::uint32_t max_body_bytes,
+                         http_handlers handlers)
+    : http_server(
+          io,
+          address,
+          std::make_shared<client_gate>(io,
+                                        detail::TrustingHooks(max_body_bytes)),
+          intake::listener::kCallers,
+          std::move(handlers)) {}
+
 http_server::~http_server() {
   state_->http->close_sync();
 }
--- a/source/runtime/http_server.h
+++ b/source/runtime/http_server.h
@@ -9,6 +9,8 @@
 #include <memory>
 #include <string>
 
+#include "intake/limits.h"
+#include "runtime/client_gate.h"
 #include "wire/api.h"
 
 namespace parsleyhitch::runtime {
@@ -34,6 +36,13 @@
 class http_server {
  public:
   // Listens on "ip:port". Throws std::exception if the address can't be bound.
+  // `gate` decides what clients may send.
+  http_server(asio::io_context& io,
+              const std::string& address,
+              std::shared_ptr<client_gate> gate,
+              intake::listener kind,
+              http_handlers handlers);
+  // For clients that can be trusted: bounds only the size of a body.
   http_server(asio::io_context& io,
               const std::string& address,
               std::uint32_t max_body_bytes,
--- /dev/null
+++ b/source/runtime/request_reader.h
@@ -0,0 +1,56 @@
+// Reads HTTP requests piece by piece with http_parser and holds each until it
+// is complete, so that RESTinio, which bounds neither fields, chunks nor
+// trailers in all, receives only whole requests of a known size.
+
+#ifndef PARSLEYHITCH_RUNTIME_REQUEST_READER_H_
+#define PARSLEYHITCH_RUNTIME_REQUEST_READER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "intake/event.h"
+
+namespace parsleyhitch::runtime {
+
+namespace detail {
+struct reader_state;
+}
+
+// How much of a request has arrived; see intake::request_read.
+struct request_progress {
+  const intake::reading phase = intake::reading::kEmpty;
+  const std::uint64_t head_bytes = 0;
+  const std::uint64_t fields = 0;
+  const std::uint64_t body_bytes = 0;
+  const std::uint64_t held_bytes = 0;
+
+  bool operator==(const request_progress&) const = default;
+};
+
+class request_reader {
+ public:
+  request_reader();
+  ~request_reader();
+  request_reader(const request_reader&) = delete;
+  request_reader& operator=(const request_reader&) = delete;
+
+  // Takes the next bytes of the connection. What follows a complete request is
+  // kept for the next one.
+  request_progress Read(std::string_view bytes);
+
+  // Returns the complete request with its body in one chunk if it was chunked,
+  // and without trailers, which nothing here uses. Starts the next request.
+  std::string Take();
+
+  // Releases what is held. Nothing may be read after that.
+  void Clear();
+
+ private:
+  std::unique_ptr<detail::reader_state> state_;
+};
+
+}  // namespace parsleyhitch::runtime
+
+#endif  // PARSLEYHITCH_RUNTIME_REQUEST_READER_H_
--- a/source/settings/dispatch_settings.cc
+++ b/source/settings/dispatch_settings.cc
@@ -31,7 +31,15 @@
                       job_state_kept_s,
                       checkpoint_interval_s,
                       checkpoint_restore,
-                      remote_slowdown)
+                      remote_slowdown,
+                      memory_mb,
+                      max_descriptors,
+                      max_header_bytes,
+                      header_timeout,
+                      idle_timeout,
+                      max_client_connections,
+                      max_operator_connections,
+                      max_connections_per_address)
 
 namespace {
 
@@ -148,6 +156,33 @@
   CheckLimits(findings, settings);
 }
 
+// Enough for one body of the largest size that is handled.
+constexpr std::uint32_t kMinMemoryMb = 64;
+// Those left to files, and as many again.
+constexpr std::uint32_t kMinDescriptors = 400;
+constexpr std::uint32_t kMinHeaderBytes = 1024;
+constexpr std::uint32_t kMaxHeaderBytes = 1048576;
+
+void CheckClientLimits(model::findings& findings,
+                       const dispatch_settings& settings) {
+  Require(findings, settings.memory_mb >= kMinMemoryMb, "/memory_mb",
+          "must be at least 64");
+  Require(findings,
+          settings.max_descriptors == 0 ||
+              settings.max_descriptors >= kMinDescriptors,
+          "/max_descriptors", "must be 0 or at least 400");
+  Require(findings,
+          settings.max_header_bytes >= kMinHeaderBytes &&
+              settings.max_header_bytes <= kMaxHeaderBytes,
+          "/max_header_bytes", "must be from 1024 to 1048576");
+  Require(findings, settings.header_timeout > model::duration(0),
+          "/header_timeout_ms", "must be above 0");
+  Require(findings, settings.idle_timeout > model::duration(0),
+          "/idle_timeout_ms", "must be above 0");
+  Require(findings, settings.max_operator_connections > 0,
+          "/max_operator_connections", "must be above 0");
+}
+
 }  // namespace
 
 wire::result<dispatch_settings> ParseDispatchSettings(const std::string& text) {
@@ -160,6 +195,7 @@
   dispatch_settings parsed =
       wire::detail::DecodeJson<dispatch_settings>(content, "", findings);
   CheckSettings(findings, parsed);
+  CheckClientLimits(findings, parsed);
   if (!findings.empty())
     return boost::leaf::new_error(LocateFindings(source, findings));
   return parsed;
--- a/source/settings/dispatch_settings.h
+++ b/source/settings/dispatch_settings.h
@@ -46,6 +46,25 @@
   const model::duration checkpoint_restore{250};
   // How many times as long a task takes away from its data or rack.
   const double remote_slowdown = 3.0;
+  // Memory of the machine; by default that of the smallest that runs an entry.
+  // A quarter of it is for connections of clients.
+  const std::uint32_t memory_mb = 120;
+  // Files and sockets that the machine allows; 0 for the process's own limit,
+  // which bounds it in any case.
+  const std::uint32_t max_descriptors = 0;
+  // What clients may send, unless the published configuration states it. Heads
+  // of up to 80 KB and waits of 60 s were always allowed.
+  const std::uint32_t max_header_bytes = 81920;
+  const model::duration header_timeout{60000};
+  const model::duration idle_timeout{60000};
+  // Open connections of callers; 0 for half of the descriptors that are not
+  // left to files, which bounds it in any case.
+  const std::uint32_t max_client_connections = 0;
+  // Open connections of probes and metrics scrapers.
+  const std::uint32_t max_operator_connections = 64;
+  // Open connections of one client address; 0 for no limit, as a load balancer
+  // forwards many callers from few addresses.
+  const std::uint32_t max_connections_per_address = 0;
 
   bool operator==(const dispatch_settings&) const = default;
 };
--- a/source/work/catalog.h
+++ b/source/work/catalog.h
@@ -60,11 +60,22 @@
   bool operator==(const workspace&) const = default;
 };
 
+// What operators let clients send to an entry; 0 where they state nothing.
+struct client_limits {
+  const std::uint64_t max_header_bytes = 0;
+  const std::uint64_t max_body_bytes = 0;
+  const duration header_timeout{0};
+  const duration idle_timeout{0};
+
+  bool operator==(const client_limits&) const = default;
+};
+
 struct catalog {
   const std::uint64_t version = 0;
   const std::vector<queue> queues{};
   const std::vector<worker_service> services{};
   const std::vector<workspace> workspaces{};
+  const client_limits limits{};
 
   bool operator==(const catalog&) const = default;
 };
--- a/tests/settings/dispatch_settings_test.cc
+++ b/tests/settings/dispatch_settings_test.cc
@@ -96,6 +96,8 @@
         {"platform.recordBytes", "262144"},
         {"platform.callBytes", "2097152"},
         {"limits.cpuShare", bounds.cpu_share},
+        {"limits.memoryMb", "120"},
+        {"limits.maxFds", "3075"},
         {"bounds.graceS", "6"},
         {"bounds.holdMaxMs", std::to_string(bounds.hold_max_ms)},
         {"bounds.stopMs", std::to_string(bounds.stop_ms)},
