Published limits of clients take effect at once, and are logged

The limits in force are logged as client_limits_in_force when they change. A submission of more than 100,000 JSON values is refused before it is parsed: a value of 2 bytes takes up to 70 once parsed, which a larger maxBodyBytes would multiply. ZeroMQ's listening socket takes messages of at most 8 MB, which it allocates when their length arrives, and ends a handshake after 5 s.

--- a/source/platform/client_codec.cc
+++ b/source/platform/client_codec.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,6 +27,11 @@
 // Of all steps and occurrences together. A leader holds them all in memory.
 constexpr std::uint64_t kMaxJobTasks = 100000;
 
+// Of a submission's JSON, which needs at most 70 bytes a value once parsed. The
+// largest valid submission, 200 steps that each name all earlier ones, has
+// fewer than 30,000.
+constexpr std::ptrdiff_t kMaxValues = 100000;
+
 constexpr char kJson[] = "application/json";
 
 std::string HeaderValue(const wire::http_call& call, const char* name) {
@@ -139,7 +145,30 @@
           .faults = std::move(findings)};
 }
 
+// An upper bound that needs no parsing: outside of strings, a list or object
+// starts with a bracket, and each of its members but the first follows a comma.
+std::ptrdiff_t CountValues(const std::string& text) {
+  std::ptrdiff_t values = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char letter = text[i];
+    if (in_string && letter == '\\') {
+      ++i;
+    } else if (letter == '"') {
+      in_string = !in_string;
+    } else if (!in_string &&
+               (letter == ',' || letter == '[' || letter == '{')) {
+      ++values;
+    }
+  }
+  return values;
+}
+
 work::client_call DecodeSubmission(const wire::http_call& call) {
+  if (CountValues(call.body) > kMaxValues) {
+    return MakeCall(call, work::call_verb::kSubmit, {},
+                    model::OneFinding("", "must have at most 100000 values"));
+  }
   const nlohmann::json source = ParseJson(call.body);
   if (source.is_discarded()) {
     return MakeCall(call, work::call_verb::kSubmit, {},
--- a/source/runtime/client_limits.cc
+++ b/source/runtime/client_limits.cc
@@ -14,7 +14,7 @@
 // The other parts are for the process's own state, and for what the allocator
 // and the kernel's sockets add to what is counted.
 constexpr std::uint64_t kMemoryParts = 4;
-// The platform leaves them to files.
+// The platform leaves them to files; with few descriptors, at most half.
 constexpr std::uint64_t kFileDescriptors = 200;
 // Half of what remains is for the store, workers and peers.
 constexpr std::uint64_t kDescriptorParts = 2;
@@ -33,7 +33,7 @@
           ? descriptors
           : std::min<std::uint64_t>(settings.max_descriptors, descriptors);
   const std::uint64_t derived =
-      (usable - std::min(usable, kFileDescriptors)) / kDescriptorParts;
+      (usable - std::min(usable / 2, kFileDescriptors)) / kDescriptorParts;
   const std::uint64_t stated = settings.max_client_connections == 0
                                    ? derived
                                    : settings.max_client_connections;
--- a/source/runtime/dispatch_process.cc
+++ b/source/runtime/dispatch_process.cc
@@ -174,17 +174,41 @@
     time_reported_at_ = now;
   }
 
+  intake::limits LimitsOfClients() const {
+    const work::published_catalog* published = loop_.state().in_force.Get();
+    return ClientLimits(*settings_,
+                        published == nullptr ? work::client_limits()
+                                             : published->content.limits,
+                        descriptor_limit_);
+  }
+
+  // Logs the limits of clients that differ from those logged before.
+  void ReportLimitsOfClients() {
+    const intake::limits limits = LimitsOfClients();
+    if (reported_limits_ && *reported_limits_ == limits)
+      return;
+    reported_limits_.emplace(limits);
+    const auto field = [](const char* name, std::uint64_t value) {
+      return work::log_field{.name = name, .value = std::to_string(value)};
+    };
+    const auto time = [](const char* name, model::duration value) {
+      return work::log_field{.name = name,
+                             .value = std::to_string(value.count())};
+    };
+    Execute(work::write_log{
+        .decision = "client_limits_in_force",
+        .subject = settings_->entry.value(),
+        .fields = {
+            field("max_header_bytes", limits.max_header_bytes),
+            field("max_body_bytes", limits.max_body_bytes),
+            time("header_timeout_ms", limits.header_timeout),
+            time("idle_timeout_ms", limits.idle_timeout),
+            field("memory_bytes", limits.memory_bytes),
+            field("max_client_connections", limits.max_caller_connections)}});
+  }
+
   gate_hooks GateHooks() {
-    return {.limits =
-                [this] {
-                  const work::published_catalog* published =
-                      loop_.state().in_force.Get();
-                  return ClientLimits(*settings_,
-                                      published == nullptr
-                                          ? work::client_limits()
-                                          : published->content.limits,
-                                      descriptor_limit_);
-                },
+    return {.limits = [this] { return LimitsOfClients(); },
             .clock = [this] { return clock_.Now(); },
             .count = [this](const work::count_metric& each) { Execute(each); },
             .log = [this](const work::write_log& each) { Execute(each); }};
@@ -407,6 +431,7 @@
       if (error)
         return;
       Reload("timer");
+      ReportLimitsOfClients();
       PollSettings();
     });
   }
@@ -456,6 +481,7 @@
   std::unique_ptr<const dispatch::environment> environment_;
   const monotonic_clock clock_;
   const std::uint64_t descriptor_limit_ = DescriptorLimit();
+  std::optional<intake::limits> reported_limits_;
   asio::io_context io_{1};
   const std::shared_ptr<client_gate> gate_;
   http_client client_;
--- a/source/runtime/peer_socket.cc
+++ b/source/runtime/peer_socket.cc
@@ -5,6 +5,7 @@
 
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
+#include <cstdint>
 #include <map>
 #include <utility>
 #include <zmq.hpp>
@@ -33,6 +34,11 @@
 constexpr int kPingIntervalMs = 500;
 constexpr int kPingTimeoutMs = 1500;
 constexpr int kConnectTimeoutMs = 1000;
+// What may be sent from anywhere to the listening socket: ZeroMQ allocates a
+// message when its length arrives, and by default waits 30 s for a handshake.
+// The largest messages carry a configuration or a record of up to 256 KB.
+constexpr std::int64_t kMaxMessageBytes = 8388608;
+constexpr int kHandshakeTimeoutMs = 5000;
 constexpr int kReconnectMinMs = 100;
 constexpr int kReconnectMaxMs = 500;
 
@@ -70,6 +76,9 @@
     : state_(std::make_shared<detail::peer_socket_state>(io)) {
   state_->on_message = std::move(on_message);
   detail::EnableHeartbeat(state_->incoming);
+  state_->incoming.set(zmq::sockopt::maxmsgsize, detail::kMaxMessageBytes);
+  state_->incoming.set(zmq::sockopt::handshake_ivl,
+                       detail::kHandshakeTimeoutMs);
   state_->incoming.bind("tcp://" + listen);
   state_->incoming_descriptor.assign(state_->incoming.get(zmq::sockopt::fd));
   detail::WaitForMessages(state_);
--- a/source/settings/dispatch_settings.cc
+++ b/source/settings/dispatch_settings.cc
@@ -156,21 +156,20 @@
   CheckLimits(findings, settings);
 }
 
-// Enough for one body of the largest size that is handled.
-constexpr std::uint32_t kMinMemoryMb = 64;
-// Those left to files, and as many again.
-constexpr std::uint32_t kMinDescriptors = 400;
+// An entry needs about 20 MB before it serves anyone.
+constexpr std::uint32_t kMinMemoryMb = 32;
+constexpr std::uint32_t kMinDescriptors = 64;
 constexpr std::uint32_t kMinHeaderBytes = 1024;
 constexpr std::uint32_t kMaxHeaderBytes = 1048576;
 
 void CheckClientLimits(model::findings& findings,
                        const dispatch_settings& settings) {
   Require(findings, settings.memory_mb >= kMinMemoryMb, "/memory_mb",
-          "must be at least 64");
+          "must be at least 32");
   Require(findings,
           settings.max_descriptors == 0 ||
               settings.max_descriptors >= kMinDescriptors,
-          "/max_descriptors", "must be 0 or at least 400");
+          "/max_descriptors", "must be 0 or at least 64");
   Require(findings,
           settings.max_header_bytes >= kMinHeaderBytes &&
               settings.max_header_bytes <= kMaxHeaderBytes,
--- a/tests/hostile/hostile_clients_test.cc
+++ b/tests/hostile/hostile_clients_test.cc
@@ -155,3 +155,15 @@
   fixture.Add(kIdle / 2, {});
   fixture.ExpectServiceWithinBounds();
 }
+
+// Guards against servers for operators that have no limits of their own.
+Test(hostile_clients, at_the_ports_of_operators_leave_the_entry_serving) {
+  hostile_fixture fixture;
+  for (const std::string& address :
+       {fixture.site.ProbesAddress(0), fixture.site.MetricsAddress(0)}) {
+    fixture.crowd.Add(address, kHeads, EndlessHead());
+    fixture.crowd.Add(address, kSmallChunkBodies, SmallChunks());
+  }
+  fixture.ExpectServiceWithinBounds();
+  cr_expect(fixture.site.IsReady(0));
+}
--- a/tests/platform/client_codec_test.cc
+++ b/tests/platform/client_codec_test.cc
@@ -74,6 +74,20 @@
   cr_assert(call_fixture::FindingPlaces("{") == places{""});
 }
 
+// Guards against JSON that takes many times its size once parsed.
+Test(submission, with_very_many_values_is_refused_before_it_is_parsed) {
+  std::string list = "[0";
+  for (int i = 0; i < 200000; ++i)
+    list += ",0";
+  const std::string step = R"({"spec":"x","phases":[{"count":1}],"more":)";
+  const auto call = call_fixture::Submit(step + list + "]}");
+  cr_assert_eq(call.faults.size(), 1U);
+  cr_assert_eq(call.faults[0].message, "must have at most 100000 values");
+  const std::string text(200000, ',');
+  cr_assert(
+      call_fixture::Submit(step + "\"\\\"" + text + "\"}").faults.empty());
+}
+
 Test(submission, with_unknown_fields_is_accepted) {
   cr_assert(call_fixture::FindingPlaces(
                 R"({"phases":[{"count":1,"new":1}],"also":2})")
--- a/tests/platform/store_calls_test.cc
+++ b/tests/platform/store_calls_test.cc
@@ -229,6 +229,23 @@
   cr_assert_eq(published.encoded, config);
 }
 
+Test(catalog, published_with_limits_of_clients_has_them) {
+  const std::string config =
+      R"({"version":7,"limits":{"maxHeaderBytes":9000,"maxBodyBytes":70000,
+      "headerTimeoutMs":1500,"idleTimeoutMs":20000}})";
+  const auto decoded = store_fixture::DecodeRead(
+      work::feed::kCatalog, EncodeOffset(4) + EncodeOffset(0) +
+                                platform::EncodeKeyedRecord("config", config));
+  const auto& read = std::get<work::feed_read>(decoded.event);
+  const work::client_limits limits =
+      std::get<work::published_catalog>(*read.items[0].value).content.limits;
+  const work::client_limits expected{.max_header_bytes = 9000,
+                                     .max_body_bytes = 70000,
+                                     .header_timeout = work::duration(1500),
+                                     .idle_timeout = work::duration(20000)};
+  cr_assert(limits == expected);
+}
+
 // Guards against the end of an evacuation that is taken for an unused key.
 Test(read, of_evacuations_tells_which_domain_and_whether_it_ended) {
   const std::string body =
--- a/tests/settings/dispatch_settings_test.cc
+++ b/tests/settings/dispatch_settings_test.cc
@@ -235,3 +235,28 @@
   cr_assert_eq(findings.size(), 1U);
   cr_assert_eq(findings[0].place, "/job_state_kept_s");
 }
+
+// Guards against limits with which an entry serves nobody.
+Test(dispatch_settings, with_limits_of_clients_that_serve_nobody_are_rejected) {
+  const auto findings = settings_fixture::Findings(
+      std::string(kValidSettings) +
+      "memory_mb: 8\nmax_descriptors: 10\nmax_header_bytes: 10\n"
+      "header_timeout_ms: 0\nidle_timeout_ms: 0\n"
+      "max_operator_connections: 0\n");
+  cr_assert_eq(findings.size(), 6U);
+  cr_assert_eq(findings[0].place, "/memory_mb");
+  cr_assert_eq(findings[1].place, "/max_descriptors");
+  cr_assert_eq(findings[2].place, "/max_header_bytes");
+  cr_assert_eq(findings[3].place, "/header_timeout_ms");
+  cr_assert_eq(findings[4].place, "/idle_timeout_ms");
+  cr_assert_eq(findings[5].place, "/max_operator_connections");
+}
+
+// Guards against figures of a machine that do not reach the settings.
+Test(dispatch_settings, rendered_have_the_memory_and_descriptors) {
+  const std::string text = settings_fixture::Render(kDeployments[0]);
+  const auto parsed =
+      wire::ValueOf([&] { return settings::ParseDispatchSettings(text); });
+  cr_assert_eq(parsed->memory_mb, 120);
+  cr_assert_eq(parsed->max_descriptors, 3075);
+}
--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -121,7 +121,8 @@
 }
 
 void platform_site::Publish(std::uint32_t version,
-                            const std::string& queue) const {
+                            const std::string& queue,
+                            const std::string& limits) const {
   const json tenant{
       {"name", "team"}, {"apiKeys", {kApiKey}}, {"guaranteed", {{"gpu", 16}}}};
   const json configuration{{"version", version},
@@ -129,7 +130,8 @@
                             {QueueJson("urgent", 0), QueueJson(queue, 1),
                              QueueJson("background", 2)}},
                            {"services", {json{{"name", "pool"}}}},
-                           {"tenants", {tenant}}};
+                           {"tenants", {tenant}},
+                           {"limits", json::parse(limits)}};
   Call("POST", Address(kControlIndex), "/operator", configuration.dump());
 }
 
@@ -159,6 +161,12 @@
   return Send(SubmitRequest(entry, job, step));
 }
 
+site_reply platform_site::Post(std::uint32_t entry,
+                               const std::string& job,
+                               const std::string& body) const {
+  return Call("POST", CallersAddress(entry), "/normal/" + job, body);
+}
+
 site_reply platform_site::Cancel(std::uint32_t entry,
                                  const std::string& job) const {
   return Send(JobRequest("DELETE", entry, job));
@@ -188,6 +196,14 @@
   return EntryAddress(entry, port::kCallers);
 }
 
+std::string platform_site::ProbesAddress(std::uint32_t entry) const {
+  return EntryAddress(entry, port::kProbes);
+}
+
+std::string platform_site::MetricsAddress(std::uint32_t entry) const {
+  return EntryAddress(entry, port::kMetrics);
+}
+
 process_usage platform_site::Usage(std::uint32_t entry) const {
   return UsageOf(entries_.at(entry));
 }
--- a/tests/support/platform_site.h
+++ b/tests/support/platform_site.h
@@ -76,6 +76,9 @@
   bool IsReady(std::uint32_t entry) const;
   // "ip:port" at which the entry serves callers.
   std::string CallersAddress(std::uint32_t entry) const;
+  // The same for probes, and for metrics.
+  std::string ProbesAddress(std::uint32_t entry) const;
+  std::string MetricsAddress(std::uint32_t entry) const;
   // What the entry's process has used.
   process_usage Usage(std::uint32_t entry) const;
   // The entry has accepted all callers and read what they sent.
@@ -93,8 +96,15 @@
   std::uint32_t workers() const { return options_.workers; }
   // Writes an entry to the registry of workers, as another program does.
   void Register(const std::string& entry) const;
-  // Publishes a configuration whose queue of normal priority has this name.
-  void Publish(std::uint32_t version, const std::string& queue) const;
+  // Publishes a configuration whose queue of normal priority has this name,
+  // with `limits` of clients as JSON.
+  void Publish(std::uint32_t version,
+               const std::string& queue,
+               const std::string& limits = "{}") const;
+  // Sends a POST request with this body to the queue of normal priority.
+  site_reply Post(std::uint32_t entry,
+                  const std::string& job,
+                  const std::string& body) const;
   stand_ins::site_journal Journal() const;
   // Returns the first breach of the platform's rules; empty if there is none.
   std::string FirstBreach() const;
