--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -13,8 +13,6 @@
 #include <stdexcept>
 #include <utility>
 
-#include "support/child_process.h"
-
 namespace parsleyhitch::test {
 
 namespace {
@@ -123,7 +121,8 @@
 }
 
 void platform_site::Publish(std::uint32_t version,
-                            const std::string& queue) const {
+                            const std::string& queue,
+                            const std::string& limits) const {
   const json tenant{
       {"name", "team"}, {"apiKeys", {kApiKey}}, {"guaranteed", {{"gpu", 16}}}};
   const json configuration{{"version", version},
@@ -131,7 +130,8 @@
                             {QueueJson("urgent", 0), QueueJson(queue, 1),
                              QueueJson("background", 2)}},
                            {"services", {json{{"name", "pool"}}}},
-                           {"tenants", {tenant}}};
+                           {"tenants", {tenant}},
+                           {"limits", json::parse(limits)}};
   Call("POST", Address(kControlIndex), "/operator", configuration.dump());
 }
 
@@ -161,6 +161,12 @@
   return Send(SubmitRequest(entry, job, step));
 }
 
+site_reply platform_site::Post(std::uint32_t entry,
+                               const std::string& job,
+                               const std::string& body) const {
+  return Call("POST", CallersAddress(entry), "/normal/" + job, body);
+}
+
 site_reply platform_site::Cancel(std::uint32_t entry,
                                  const std::string& job) const {
   return Send(JobRequest("DELETE", entry, job));
@@ -186,6 +192,28 @@
              .status == 200;
 }
 
+std::string platform_site::CallersAddress(std::uint32_t entry) const {
+  return EntryAddress(entry, port::kCallers);
+}
+
+std::string platform_site::ProbesAddress(std::uint32_t entry) const {
+  return EntryAddress(entry, port::kProbes);
+}
+
+std::string platform_site::MetricsAddress(std::uint32_t entry) const {
+  return EntryAddress(entry, port::kMetrics);
+}
+
+process_usage platform_site::Usage(std::uint32_t entry) const {
+  return UsageOf(entries_.at(entry));
+}
+
+bool platform_site::HasReadAll(std::uint32_t entry) const {
+  const std::string address = CallersAddress(entry);
+  return test::HasReadAll(static_cast<std::uint16_t>(
+      std::stoul(address.substr(address.rfind(':') + 1))));
+}
+
 std::uint64_t platform_site::MetricOf(std::uint32_t entry,
                                       const std::string& name) const {
   const std::string text =
@@ -229,9 +257,13 @@
   const std::string name = "entry-" + std::to_string(entry);
   const std::string path = (directory_ / (name + ".yaml")).string();
   std::ofstream(path) << EntrySettings(entry);
-  entries_.at(entry) = Spawn(
-      {BinaryPath("source/parsleyhitchd/parsleyhitchd"), "--config", path},
-      (directory_ / (name + ".log")).string());
+  const std::vector<std::string> command{
+      BinaryPath("source/parsleyhitchd/parsleyhitchd"), "--config", path};
+  const std::string log = (directory_ / (name + ".log")).string();
+  entries_.at(entry) =
+      options_.descriptors == 0
+          ? Spawn(command, log)
+          : SpawnWithDescriptors(command, log, options_.descriptors);
 }
 
 int platform_site::AwaitExit(std::uint32_t entry) {
