The cost of a stop follows the platform's bounds and the expected end

A checkpointed unit now costs the time to stop and to restore it, as the platform bounds them; any other all that it ran. A unit that ends soon costs up to four times as much, each earlier stop of a unit doubles its cost, and each stop adds a fixed amount. The search for victims lets one large victim or one gang take the place of several that cost no less.

--- a/source/dispatch/fleet/departures.cc
+++ b/source/dispatch/fleet/departures.cc
@@ -9,7 +9,7 @@
 #include "dispatch/fleet/fleet.h"
 #include "dispatch/fleet/loads.h"
 #include "dispatch/jobs/jobs.h"
-#include "dispatch/jobs/steps.h"
+#include "dispatch/jobs/remaining_time.h"
 #include "dispatch/orders/orders.h"
 
 namespace parsleyhitch::dispatch {
@@ -24,27 +24,6 @@
 // time that the stop takes.
 constexpr duration kStopReserve{500};
 
-// The longest that one of the unit's tasks is expected to run on.
-duration ExpectedRemaining(const context& ctx,
-                           const work::unit_id& id,
-                           const unit& each,
-                           const work::step_spec& step) {
-  const policy::run_progress unobserved{.started = each.since,
-                                        .estimate = step.estimate};
-  duration longest{0};
-  for (std::uint32_t i = 0; i < each.members.size(); ++i) {
-    if (each.members[i].state == member_state::kEnded)
-      continue;
-    const task_observation* seen =
-        ctx.state.leader.observed.tasks.Find(TaskOf(id, i));
-    const bool same_attempt = seen != nullptr && seen->attempt == each.attempt;
-    longest = std::max(
-        longest, policy::ExpectedRemaining(
-                     same_attempt ? seen->progress : unobserved, ctx.now()));
-  }
-  return longest;
-}
-
 bool MustStop(const context& ctx,
               const work::unit_id& id,
               timestamp leaves_at) {
@@ -53,9 +32,8 @@
   if (each == nullptr || job == nullptr || each->phase != unit_phase::kPlaced)
     return false;
   const work::step_spec& step = StepOf(*job, id);
-  const bool ends_in_time =
-      !step.endless &&
-      ctx.now() + ExpectedRemaining(ctx, id, *each, step) <= leaves_at;
+  const auto remaining = RemainingTime(ctx, id, *each, step);
+  const bool ends_in_time = remaining && ctx.now() + *remaining <= leaves_at;
   if (ends_in_time)
     return false;
   const duration stop_time = ctx.env.bounds.task_stop + kStopReserve;
--- a/source/dispatch/hooks.cc
+++ b/source/dispatch/hooks.cc
@@ -9,13 +9,6 @@
 
 namespace {
 
-// Work that a checkpointed task loses on average when it is stopped: half of
-// its checkpoint interval, which users state as 2 s.
-constexpr work::duration kCheckpointLoss{500};
-
-// Time lost by stopping and starting again, on top of the lost work.
-constexpr work::duration kRestartLoss{500};
-
 // Users price an accelerator like eight cores.
 constexpr std::int64_t kAcceleratorCpuMillis = 8000;
 
@@ -23,6 +16,23 @@
 // four times a background one.
 constexpr std::uint64_t kUrgentCostFactor = 4;
 
+constexpr std::uint64_t kPermille = 1000;
+constexpr std::uint64_t kMillisPerSecond = 1000;
+
+// Bounds how much more a stop near the end costs: a unit with three quarters of
+// its run behind it counts four times, and no unit counts more.
+constexpr std::uint64_t kMaxNearEndPermille = 3000;
+
+// What each stop costs beyond the lost work: a caller's unit waits and starts
+// again, counted like 5 s of a core. Of two choices that lose about as much
+// work, the one with fewer stops is cheaper.
+constexpr std::uint64_t kCostOfEachStop = 5000;
+
+// The cost doubles with each earlier stop of the unit, so that others are
+// chosen before it. Five doublings outweigh all differences between units of
+// one class.
+constexpr std::uint32_t kMaxDoublings = 5;
+
 bool ByRankThenSubmission(const waiting_unit& a, const waiting_unit& b) {
   return std::tie(a.importance, a.accepted, a.unit) <
          std::tie(b.importance, b.accepted, b.unit);
@@ -32,17 +42,39 @@
   return std::tie(a.accepted, a.unit) < std::tie(b.accepted, b.unit);
 }
 
-std::uint64_t StopCost(const running_unit& unit) {
-  const work::duration lost =
-      unit.checkpointed ? std::min(unit.ran, kCheckpointLoss) : unit.ran;
+// The time of which each member is deprived by a stop. A stop takes a
+// checkpoint, so a unit with checkpoints loses no work by it.
+work::duration TimeLost(const work::platform_bounds& bounds,
+                        const running_unit& unit) {
+  return bounds.task_stop +
+         (unit.checkpointed ? bounds.checkpoint_restore : unit.ran);
+}
+
+// How much more a stop costs near the end of the unit, in thousandths: its room
+// comes free by itself soon.
+std::uint64_t NearEndPermille(const running_unit& unit) {
+  if (!unit.remaining)
+    return kPermille;
+  const std::int64_t remaining =
+      std::max<std::int64_t>(unit.remaining->count(), 1);
+  const auto done_per_remaining =
+      static_cast<std::uint64_t>(unit.ran.count() * kPermille / remaining);
+  return kPermille + std::min(done_per_remaining, kMaxNearEndPermille);
+}
+
+std::uint64_t StopCost(const work::platform_bounds& bounds,
+                       const running_unit& unit) {
   const std::int64_t millis_per_member =
       unit.cpu_millis + unit.accelerators * kAcceleratorCpuMillis;
   const auto total_millis =
       static_cast<std::uint64_t>(millis_per_member) * unit.members;
+  const auto lost = static_cast<std::uint64_t>(TimeLost(bounds, unit).count());
   const std::uint64_t factor =
       unit.importance <= rank::kUrgent ? kUrgentCostFactor : 1;
-  return factor * total_millis *
-         static_cast<std::uint64_t>((lost + kRestartLoss).count()) / 1000;
+  const std::uint64_t work_lost = total_millis * lost / kMillisPerSecond;
+  return (work_lost * NearEndPermille(unit) / kPermille + kCostOfEachStop) *
+             factor
+         << std::min(unit.preemptions, kMaxDoublings);
 }
 
 std::uint64_t NoBytes(const work::record&) {
@@ -51,9 +83,9 @@
 
 }  // namespace
 
-hooks DefaultHooks() {
+hooks DefaultHooks(const work::platform_bounds& bounds) {
   return {.goes_first = ByRankThenSubmission,
-          .stop_cost = StopCost,
+          .stop_cost = std::bind_front(StopCost, bounds),
           .may_preempt =
               [](rank waiting, rank running) {
                 return waiting <= rank::kUrgent && waiting < running;
@@ -61,9 +93,9 @@
           .record_bytes = NoBytes};
 }
 
-hooks BaselineHooks() {
+hooks BaselineHooks(const work::platform_bounds& bounds) {
   return {.goes_first = BySubmission,
-          .stop_cost = StopCost,
+          .stop_cost = std::bind_front(StopCost, bounds),
           .may_preempt = [](rank, rank) { return false; },
           .record_bytes = NoBytes};
 }
--- a/source/dispatch/hooks.h
+++ b/source/dispatch/hooks.h
@@ -7,7 +7,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
+#include "work/bounds.h"
 #include "work/record.h"
 
 namespace parsleyhitch::dispatch {
@@ -41,6 +43,10 @@
   std::int64_t cpu_millis = 0;
   std::int64_t accelerators = 0;
   work::duration ran{0};
+  // How long it is expected to run on; nothing for an endless one.
+  std::optional<work::duration> remaining;
+  // How often it was stopped in favour of more important work.
+  std::uint32_t preemptions = 0;
   bool checkpointed = false;
   rank importance = rank::kBackground;
 };
@@ -60,12 +66,12 @@
   std::function<std::uint64_t(const work::record&)> record_bytes;
 };
 
-// The default policy.
-hooks DefaultHooks();
+// The default policy, for a platform with these bounds.
+hooks DefaultHooks(const work::platform_bounds& bounds = {});
 
 // First come, first served, without preemption: the baseline against which the
 // default policy is measured.
-hooks BaselineHooks();
+hooks BaselineHooks(const work::platform_bounds& bounds = {});
 
 }  // namespace parsleyhitch::dispatch
 
--- a/source/dispatch/planning/demands.cc
+++ b/source/dispatch/planning/demands.cc
@@ -12,6 +12,7 @@
 #include "dispatch/fleet/fleet.h"
 #include "dispatch/fleet/loads.h"
 #include "dispatch/jobs/jobs.h"
+#include "dispatch/jobs/remaining_time.h"
 #include "dispatch/jobs/steps.h"
 #include "dispatch/orders/orders.h"
 #include "dispatch/planning/planning.h"
@@ -220,6 +221,8 @@
          .cpu_millis = step.need.cpu_millis,
          .accelerators = step.need.accelerators,
          .ran = ctx.now() - each.since,
+         .remaining = RemainingTime(ctx, id, each, step),
+         .preemptions = each.preemptions,
          .checkpointed = step.checkpointed,
          .importance = theirs});
     victims.push_back(std::move(found));
--- a/source/placement/preempt.cc
+++ b/source/placement/preempt.cc
@@ -1,7 +1,8 @@
 // Greedy search: within each placement scope the members are assigned one by
 // one to the slot where the next member costs least; the cheapest scope wins.
 // Capacity that is already being freed is used before further units are
-// stopped.
+// stopped. A gang counts for a slot with its share, as its stop makes room for
+// several members of the demand; scopes are compared by the full costs.
 
 #include "placement/preempt.h"
 
@@ -18,14 +19,22 @@
 
 constexpr std::uint64_t kImpossible = std::numeric_limits<std::uint64_t>::max();
 
+// What a gang counts in the choice of the next slot.
+enum class gang_cost : std::uint8_t { kFull, kPerMember };
+
 // The search within one placement scope.
 class preemption_search {
  public:
   preemption_search(const capacity_map& capacity,
                     const demand& wanted,
                     const victim_set& victims,
-                    const slot_range& range)
-      : capacity_(capacity), wanted_(wanted), victims_(victims), range_(range) {
+                    const slot_range& range,
+                    gang_cost counts)
+      : capacity_(capacity),
+        wanted_(wanted),
+        victims_(victims),
+        range_(range),
+        counts_(counts) {
     for (std::uint32_t i = range.first; i < range.last; ++i) {
       const worker_capacity& each = capacity.slots()[i];
       states_.push_back(
@@ -37,15 +46,14 @@
   }
 
   // Assigns the next member to its cheapest slot. False when no slot fits, or
-  // when the total cost would reach `limit`.
+  // when the total cost reaches `limit`.
   bool PlaceOne(std::uint64_t limit) {
     const auto best =
         std::ranges::min_element(states_, {}, &slot_state::next_cost);
-    if (best == states_.end() || best->next_cost == kImpossible ||
-        cost_ + best->next_cost >= limit)
+    if (best == states_.end() || best->next_cost == kImpossible)
       return false;
     PlaceOn(range_.first + static_cast<std::uint32_t>(best - states_.begin()));
-    return true;
+    return cost_ < limit;
   }
 
   std::uint64_t cost() const { return cost_; }
@@ -76,6 +84,46 @@
 
   using allocations = std::vector<const victim_set::allocation*>;
 
+  // What the victim counts in the choice of a slot.
+  std::uint64_t CountedCost(std::uint32_t victim) const {
+    const std::uint64_t cost = victims_.Get(victim).cost;
+    if (counts_ == gang_cost::kFull)
+      return cost;
+    const std::size_t slots = victims_.SlotsOf(victim).size();
+    return cost / std::clamp<std::uint64_t>(slots, 1, wanted_.members);
+  }
+
+  std::uint64_t CountedCost(const allocations& to_stop) const {
+    std::uint64_t sum = 0;
+    for (const victim_set::allocation* each : to_stop)
+      sum += CountedCost(each->victim);
+    return sum;
+  }
+
+  bool IsRunning(std::uint32_t victim) const {
+    return !victims_.IsStopped(victim) && !stopped_.contains(victim);
+  }
+
+  // Replaces the victims by a single one that makes enough room and counts no
+  // more than all of them.
+  void PreferSingleVictim(std::uint32_t slot, allocations& to_stop) const {
+    if (to_stop.empty())
+      return;
+    const work::resources free = states_[slot - range_.first].free;
+    const victim_set::allocation* single = nullptr;
+    std::uint64_t limit = CountedCost(to_stop);
+    for (const victim_set::allocation& each : victims_.AllocationsOn(slot)) {
+      const std::uint64_t counted = CountedCost(each.victim);
+      if (counted > limit || !Fits(wanted_.need, free + each.held) ||
+          !IsRunning(each.victim))
+        continue;
+      single = &each;
+      limit = counted;
+    }
+    if (single != nullptr)
+      to_stop.assign(1, single);
+  }
+
   // Collects the victims to stop so that one more member fits: adds the
   // cheapest first until it fits, then drops those it fits without, the most
   // expensive first. False when it does not fit even without any of the
@@ -86,7 +134,7 @@
     for (const victim_set::allocation& each : victims_.AllocationsOn(slot)) {
       if (Fits(wanted_.need, free))
         break;
-      if (victims_.IsStopped(each.victim) || stopped_.contains(each.victim))
+      if (!IsRunning(each.victim))
         continue;
       free = free + each.held;
       to_stop.push_back(&each);
@@ -100,6 +148,7 @@
       free = without;
       to_stop.erase(to_stop.begin() + static_cast<std::ptrdiff_t>(i));
     }
+    PreferSingleVictim(slot, to_stop);
     return true;
   }
 
@@ -109,18 +158,16 @@
       here.next_cost = kImpossible;
       return;
     }
-    here.next_cost = 0;
-    for (const victim_set::allocation* each : scratch_)
-      here.next_cost += victims_.Get(each->victim).cost;
+    here.next_cost = CountedCost(scratch_);
   }
 
   void PlaceOn(std::uint32_t slot) {
     allocations to_stop;
     FindVictimsOn(slot, to_stop);
-    cost_ += StateOf(slot).next_cost;
     std::set<std::uint32_t> changed{slot};
     for (const victim_set::allocation* each : to_stop) {
       stopped_.insert(each->victim);
+      cost_ += victims_.Get(each->victim).cost;
       for (const std::uint32_t freed : victims_.SlotsOf(each->victim)) {
         if (freed < range_.first || freed >= range_.last)
           continue;
@@ -140,6 +187,7 @@
   const demand& wanted_;
   const victim_set& victims_;
   const slot_range range_;
+  const gang_cost counts_;
   std::vector<slot_state> states_;
   allocations scratch_;
   std::set<std::uint32_t> stopped_;
@@ -191,19 +239,27 @@
                                       const demand& wanted,
                                       const victim_set& victims) {
   std::optional<preemption> best;
+  slot_range best_range;
   std::uint64_t best_cost = kImpossible;
-  for (const placement_scope& each : ScopesFor(capacity, wanted)) {
-    if (!Fits(wanted.need, victims.MaxFreeWithoutVictims(capacity, each.slots)))
-      continue;
-    preemption_search search(capacity, wanted, victims, each.slots);
+  const auto search_in = [&](const slot_range& range, gang_cost counts) {
+    preemption_search search(capacity, wanted, victims, range, counts);
     std::uint32_t placed = 0;
     while (placed < wanted.members && search.PlaceOne(best_cost))
       ++placed;
     if (placed < wanted.members)
-      continue;
+      return;
     best = search.Result();
+    best_range = range;
     best_cost = search.cost();
+  };
+  for (const placement_scope& each : ScopesFor(capacity, wanted)) {
+    if (Fits(wanted.need, victims.MaxFreeWithoutVictims(capacity, each.slots)))
+      search_in(each.slots, gang_cost::kPerMember);
+    if (best_cost == 0)
+      return best;
   }
+  if (best && wanted.members > 1)
+    search_in(best_range, gang_cost::kFull);
   return best;
 }
 
--- a/source/runtime/dispatch_process.cc
+++ b/source/runtime/dispatch_process.cc
@@ -55,7 +55,7 @@
 
 dispatch::environment EnvironmentOf(
     const settings::dispatch_settings& settings) {
-  dispatch::hooks behaviour = dispatch::DefaultHooks();
+  dispatch::hooks behaviour = dispatch::DefaultHooks(BoundsOf(settings));
   behaviour.record_bytes = platform::EncodedBytes;
   return {.self = settings.entry,
           .peer_address = settings.peers_listen,
