Urgent units wait for room that progress shows to come free in time

A planning pass stopped victims for an urgent unit at once, also where running units were about to end by themselves.

That room is reserved in the pass, in the order of ranks, so that lower units do not take it piece by piece. A run that outlasts what its progress shows is no longer waited for.

--- a/source/dispatch/hooks.cc
+++ b/source/dispatch/hooks.cc
@@ -90,6 +90,7 @@
               [](rank waiting, rank running) {
                 return waiting <= rank::kUrgent && waiting < running;
               },
+          .allowed_wait = policy::AllowedWait,
           .record_bytes = NoBytes};
 }
 
@@ -97,6 +98,8 @@
   return {.goes_first = BySubmission,
           .stop_cost = std::bind_front(StopCost, bounds),
           .may_preempt = [](rank, rank) { return false; },
+          .allowed_wait =
+              [](const policy::unit_in_need&) { return work::duration(0); },
           .record_bytes = NoBytes};
 }
 
--- a/source/dispatch/hooks.h
+++ b/source/dispatch/hooks.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 
+#include "policy/reservation.h"
 #include "work/bounds.h"
 #include "work/record.h"
 
@@ -61,6 +62,10 @@
   // True when a unit of rank `waiting` may preempt one of rank `running`.
   std::function<bool(rank waiting, rank running)> may_preempt;
 
+  // The longest time for which the unit waits for room instead of preempting
+  // others now.
+  std::function<work::duration(const policy::unit_in_need&)> allowed_wait;
+
   // The most bytes that the record takes in an append. The default counts none,
   // for a store without limits.
   std::function<std::uint64_t(const work::record&)> record_bytes;
--- a/source/dispatch/jobs/remaining_time.h
+++ b/source/dispatch/jobs/remaining_time.h
@@ -17,6 +17,13 @@
                                       const unit& each,
                                       const work::step_spec& step);
 
+// The same by progress alone. Nothing while one of the tasks has shown none, or
+// has outlasted what it showed.
+std::optional<duration> ShownRemainingTime(const context& ctx,
+                                           const work::unit_id& id,
+                                           const unit& each,
+                                           const work::step_spec& step);
+
 }  // namespace parsleyhitch::dispatch
 
 #endif  // PARSLEYHITCH_DISPATCH_JOBS_REMAINING_TIME_H_
--- a/source/dispatch/observations.h
+++ b/source/dispatch/observations.h
@@ -5,6 +5,7 @@
 #define PARSLEYHITCH_DISPATCH_OBSERVATIONS_H_
 
 #include <cstdint>
+#include <map>
 
 #include "model/value_table.h"
 #include "policy/expected_end.h"
@@ -21,9 +22,21 @@
   bool operator==(const task_observation&) const = default;
 };
 
+// A unit that waits for room that is expected to come free.
+struct room_wait {
+  model::timestamp since;
+  model::timestamp expected_at;
+  // Others were stopped for it after all, and it waits for their ends.
+  bool after_stop = false;
+
+  bool operator==(const room_wait&) const = default;
+};
+
 struct observations {
   // Tasks that run, as far as they were listed.
   model::value_table<work::task_id, task_observation> tasks;
+  // As of the latest planning pass.
+  std::map<work::unit_id, room_wait> room_waits;
 
   bool operator==(const observations&) const = default;
 };
--- a/source/dispatch/planning/demands.cc
+++ b/source/dispatch/planning/demands.cc
@@ -77,6 +77,13 @@
   return ctx.now() - each.since < pause;
 }
 
+// The time that the unit has spent of its objective. Earlier steps of its job
+// have had their own share.
+duration AgeOf(const waiting_unit& waiting, const work::step_spec& step) {
+  return step.after.empty() ? std::max(waiting.waited, waiting.idle)
+                            : waiting.idle;
+}
+
 }  // namespace
 
 job_ranks RankJobs(const context& ctx) {
@@ -230,6 +237,42 @@
   return victims;
 }
 
+policy::unit_in_need NeedOfRoom(const context& ctx,
+                                const waiting_unit& waiting) {
+  const active_job& job = *ctx.state.leader.jobs.Find(waiting.unit.job);
+  const work::step_spec& step = StepOf(job, waiting.unit);
+  return {.slack = SlackOf(*job.content.Get(), step),
+          .age = AgeOf(waiting, step),
+          .task_stop = ctx.env.bounds.task_stop,
+          .guaranteed = waiting.importance == rank::kGuaranteed};
+}
+
+std::vector<placement::ending_unit> EndingUnits(const context& ctx,
+                                                duration longest) {
+  std::vector<placement::ending_unit> ending;
+  for (const auto& [id, each] : ctx.state.leader.units) {
+    if (each.phase != unit_phase::kPlaced)
+      continue;
+    const work::step_spec& step =
+        StepOf(*ctx.state.leader.jobs.Find(id.job), id);
+    const auto remaining = ShownRemainingTime(ctx, id, each, step);
+    if (!remaining || policy::WithMargin(*remaining) > longest)
+      continue;
+    placement::ending_unit found{.unit = id,
+                                 .need = NeedOf(step),
+                                 .ends_in = policy::WithMargin(*remaining)};
+    bool stopping = false;
+    for (const member& one : each.members) {
+      stopping = stopping || one.stopping;
+      if (one.state != member_state::kEnded)
+        found.workers.push_back(one.worker);
+    }
+    if (!stopping)
+      ending.push_back(std::move(found));
+  }
+  return ending;
+}
+
 placement::capacity_map FreeCapacity(const context& ctx,
                                      const quarantine& kept) {
   std::vector<placement::worker_capacity> workers;
--- a/source/dispatch/planning/demands.h
+++ b/source/dispatch/planning/demands.h
@@ -10,6 +10,7 @@
 #include "dispatch/fleet/losses.h"
 #include "dispatch/hooks.h"
 #include "placement/capacity_map.h"
+#include "placement/expected_room.h"
 #include "placement/preempt.h"
 
 namespace parsleyhitch::dispatch {
@@ -35,6 +36,14 @@
                                           const job_ranks& ranked,
                                           rank importance);
 
+// What decides how long the unit waits for room.
+policy::unit_in_need NeedOfRoom(const context& ctx,
+                                const waiting_unit& waiting);
+
+// The placed units whose progress shows that they end within `longest`.
+std::vector<placement::ending_unit> EndingUnits(const context& ctx,
+                                                duration longest);
+
 // The free capacity of every schedulable worker that is not in quarantine.
 placement::capacity_map FreeCapacity(const context& ctx,
                                      const quarantine& kept);
--- a/source/dispatch/planning/planning.cc
+++ b/source/dispatch/planning/planning.cc
@@ -3,6 +3,7 @@
 // so a demand that could not be met is not tried again in the same pass.
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -19,6 +20,10 @@
 
 namespace {
 
+// Ends further ahead are not looked at: no unit that may preempt others waits
+// longer.
+constexpr duration kLongestHorizon{2000};
+
 class planning_pass {
  public:
   planning_pass(const context& ctx, const job_ranks& ranked)
@@ -43,16 +48,25 @@
           Quarantine(*workers, demand.service);
         PlaceUnit(ctx_, waiting.unit, *workers);
         started_ += workers->size();
+        NoteRoomCame(waiting.unit);
         return;
       }
       unplaceable_demands_.insert(demand);
     }
     const bool urgent =
         ctx_.env.behaviour.may_preempt(waiting.importance, rank::kBackground);
-    if (urgent)
+    if (urgent && !WaitForRoom(waiting, demand))
       Preempt(waiting, demand);
   }
 
+  // The units that wait for room, after the pass; those that were not
+  // considered because the pass `was_cut` go on waiting.
+  std::map<work::unit_id, room_wait> TakeRoomWaits(bool was_cut) {
+    if (was_cut)
+      room_waits_.insert(EarlierWaits().begin(), EarlierWaits().end());
+    return std::move(room_waits_);
+  }
+
  private:
   void ReserveCapacity(const std::vector<work::worker_id>& workers,
                        const work::resources& need) {
@@ -71,6 +85,73 @@
     }
   }
 
+  const std::map<work::unit_id, room_wait>& EarlierWaits() const {
+    return ctx_.state.leader.observed.room_waits;
+  }
+
+  const room_wait* FindEarlierWait(const work::unit_id& id) const {
+    const auto found = EarlierWaits().find(id);
+    return found == EarlierWaits().end() ? nullptr : &found->second;
+  }
+
+  placement::ending_units& Ending() {
+    if (!ending_)
+      ending_.emplace(capacity_, EndingUnits(ctx_, kLongestHorizon));
+    return *ending_;
+  }
+
+  // Reserves room that is expected to come free in time without a stop, if
+  // there is any, so that units later in the order don't take it. The same room
+  // is found again in the next pass, or better one.
+  bool WaitForRoom(const waiting_unit& waiting,
+                   const placement::demand& demand) {
+    const policy::unit_in_need need = NeedOfRoom(ctx_, waiting);
+    const duration allowed =
+        std::min(ctx_.env.behaviour.allowed_wait(need), kLongestHorizon);
+    if (allowed <= duration(0))
+      return false;
+    const auto room = placement::FindExpectedRoom(capacity_, demand, Ending(),
+                                                  need.task_stop, allowed);
+    if (!room)
+      return false;
+    ReserveCapacity(room->workers, demand.need);
+    const room_wait* earlier = FindEarlierWait(waiting.unit);
+    if (earlier == nullptr) {
+      ctx_.Log("unit_waits_for_room", NameOf(waiting.unit),
+               {Field("expected", room->wait), Field("allowed", allowed),
+                Field("waited", waiting.waited)});
+      ctx_.Count("units_waiting_for_room");
+    }
+    KeepWaiting(waiting.unit, room->wait, false);
+    return true;
+  }
+
+  void KeepWaiting(const work::unit_id& id, duration wait, bool after_stop) {
+    const room_wait* earlier = FindEarlierWait(id);
+    room_waits_[id] = {
+        .since = earlier == nullptr ? ctx_.now() : earlier->since,
+        .expected_at = ctx_.now() + wait,
+        .after_stop =
+            after_stop || (earlier != nullptr && earlier->after_stop)};
+  }
+
+  void NoteRoomCame(const work::unit_id& id) {
+    const room_wait* earlier = FindEarlierWait(id);
+    if (earlier != nullptr && !earlier->after_stop)
+      ctx_.Count("preemptions_avoided");
+  }
+
+  // Others are stopped for the unit, which may have waited for room in vain.
+  void NoteStops(const work::unit_id& id) {
+    const room_wait* earlier = FindEarlierWait(id);
+    if (earlier != nullptr && !earlier->after_stop) {
+      ctx_.Log("room_did_not_come", NameOf(id),
+               {Field("waited", ctx_.now() - earlier->since)});
+      ctx_.Count("room_waits_failed");
+    }
+    KeepWaiting(id, ctx_.env.bounds.task_stop, true);
+  }
+
   placement::victim_set& VictimsOf(rank importance) {
     if (!victims_ || victims_for_ != importance) {
       victims_.emplace(capacity_, VictimsFor(ctx_, ranked_, importance));
@@ -91,6 +172,10 @@
       demands_without_victims_.insert(key);
       return;
     }
+    if (!chosen->stopped.empty())
+      NoteStops(waiting.unit);
+    else if (FindEarlierWait(waiting.unit) != nullptr)
+      KeepWaiting(waiting.unit, ctx_.env.bounds.task_stop, false);
     for (const std::uint32_t index : chosen->stopped)
       Stop(victims, index, waiting);
     ReserveCapacity(chosen->workers, demand.need);
@@ -109,6 +194,8 @@
     for (const work::worker_id& worker : each.workers)
       capacity_.AddLeaving(worker, each.need);
     victims.MarkStopped(index);
+    if (ending_)
+      ending_->MarkStopped(each.unit);
   }
 
   void CountPreemption(const work::unit_id& id) {
@@ -127,6 +214,8 @@
   // considered in the order of their ranks.
   std::optional<placement::victim_set> victims_;
   rank victims_for_ = rank::kBackground;
+  std::optional<placement::ending_units> ending_;
+  std::map<work::unit_id, room_wait> room_waits_;
   std::set<placement::demand> unplaceable_demands_;
   std::set<std::pair<rank, placement::demand>> demands_without_victims_;
 };
@@ -178,17 +267,22 @@
   const job_ranks ranked = RankJobs(ctx);
   const std::vector<waiting_unit> waiting = WaitingUnits(ctx, ranked);
   leader.next_plan_at = ctx.now() + PlanningPause(ctx, waiting.size());
-  if (waiting.empty())
+  if (waiting.empty()) {
+    leader.observed.room_waits.clear();
     return;
+  }
   const std::size_t allowance = StartAllowance(ctx);
   planning_pass pass(ctx, ranked);
+  bool was_cut = false;
   for (const waiting_unit& each : waiting) {
     if (pass.started() >= allowance) {
       leader.plan_due = true;
+      was_cut = true;
       break;
     }
     pass.Consider(each);
   }
+  leader.observed.room_waits = pass.TakeRoomWaits(was_cut);
   leader.starts_take_until += pass.started() * TimeOfStart(ctx);
 }
 
--- a/source/policy/expected_end.h
+++ b/source/policy/expected_end.h
@@ -38,6 +38,10 @@
 
 duration ExpectedRemaining(const run_progress& run, timestamp now);
 
+// The same as far as progress shows it: nothing before two samples do, nor for
+// a run that has outlasted what they show.
+std::optional<duration> ShownRemaining(const run_progress& run, timestamp now);
+
 }  // namespace parsleyhitch::policy
 
 #endif  // PARSLEYHITCH_POLICY_EXPECTED_END_H_
--- a/tests/policy/expected_end_test.cc
+++ b/tests/policy/expected_end_test.cc
@@ -59,3 +59,25 @@
   fixture.Show(3000, 90);
   cr_assert_eq(fixture.RemainingAt(9000), 0);
 }
+
+// Guards against waits for an end that only the caller's estimate promises.
+Test(shown_end, of_a_run_without_samples_is_unknown) {
+  const run_fixture fixture;
+  cr_assert_not(policy::ShownRemaining(fixture.run, At(2000)).has_value());
+}
+
+Test(shown_end, of_a_run_with_progress_follows_it) {
+  run_fixture fixture;
+  fixture.Show(2000, 20);
+  fixture.Show(3000, 60);
+  cr_assert_eq(policy::ShownRemaining(fixture.run, At(3500))->count(), 500);
+}
+
+// Guards against waits for a run that hangs shortly before its end.
+Test(shown_end, of_a_run_that_outlasted_it_is_unknown) {
+  run_fixture fixture;
+  fixture.Show(2000, 20);
+  fixture.Show(3000, 60);
+  cr_assert_eq(policy::ShownRemaining(fixture.run, At(4300))->count(), 0);
+  cr_assert_not(policy::ShownRemaining(fixture.run, At(4301)).has_value());
+}
