Lower units leave room free that urgent ones are about to claim

Where urgent work arrives at a full service, lower units were started into each room that came free, and stopped for the next urgent gang a second later.

The leader now learns for each service what urgent units ask for, as a sum that decays over 10 s, and how many units were stopped for them. Lower units leave free what is expected to be asked for within a second: at most 8 % of the service, nothing without recent stops or while less than half of the service is in use, and no unit is held back for longer than 1.5 s while there is room.

--- a/source/dispatch/hooks.cc
+++ b/source/dispatch/hooks.cc
@@ -91,6 +91,7 @@
                 return waiting <= rank::kUrgent && waiting < running;
               },
           .allowed_wait = policy::AllowedWait,
+          .reserve_for_urgent = policy::ReserveFor,
           .record_bytes = NoBytes};
 }
 
@@ -100,6 +101,9 @@
           .may_preempt = [](rank, rank) { return false; },
           .allowed_wait =
               [](const policy::unit_in_need&) { return work::duration(0); },
+          .reserve_for_urgent =
+              [](const policy::urgent_load&, const work::resources&,
+                 work::timestamp) { return work::resources(); },
           .record_bytes = NoBytes};
 }
 
--- a/source/dispatch/hooks.h
+++ b/source/dispatch/hooks.h
@@ -66,6 +66,13 @@
   // others now.
   std::function<work::duration(const policy::unit_in_need&)> allowed_wait;
 
+  // How much of a service's capacity units that may not preempt others leave
+  // free for those that may.
+  std::function<work::resources(const policy::urgent_load& load,
+                                const work::resources& capacity,
+                                work::timestamp now)>
+      reserve_for_urgent;
+
   // The most bytes that the record takes in an append. The default counts none,
   // for a store without limits.
   std::function<std::uint64_t(const work::record&)> record_bytes;
--- a/source/dispatch/jobs/jobs.cc
+++ b/source/dispatch/jobs/jobs.cc
@@ -8,6 +8,7 @@
 #include "dispatch/jobs/steps.h"
 #include "dispatch/names.h"
 #include "dispatch/orders/orders.h"
+#include "dispatch/planning/urgent_reserve.h"
 #include "dispatch/store/store.h"
 
 namespace parsleyhitch::dispatch {
@@ -59,6 +60,7 @@
       if (job.opened.contains(key) || !DependenciesDone(job, key))
         continue;
       CreateUnits(ctx, id, key, steps[i]);
+      NoteReadyUnits(ctx, job, steps[i]);
       job.opened.insert(key);
       opened = true;
     }
--- a/source/dispatch/leadership/load_report.cc
+++ b/source/dispatch/leadership/load_report.cc
@@ -63,12 +63,21 @@
     units_waiting += each.phase == unit_phase::kWaiting ? 1 : 0;
     units_placed += each.phase == unit_phase::kPlaced ? 1 : 0;
   }
+  work::resources reserved;
+  for (const auto& [service, each] : leader.observed.reserves)
+    reserved = reserved + each;
   const duration unsaved_for =
       leader.unsaved_since ? ctx.now() - *leader.unsaved_since : duration(0);
   return {
       {.name = "jobs", .value = leader.jobs.size()},
       {.name = "units_waiting", .value = units_waiting},
       {.name = "units_placed", .value = units_placed},
+      {.name = "units_waiting_for_room",
+       .value = leader.observed.room_waits.size()},
+      {.name = "reserved_cpu_millis",
+       .value = static_cast<std::uint64_t>(reserved.cpu_millis)},
+      {.name = "reserved_accelerators",
+       .value = static_cast<std::uint64_t>(reserved.accelerators)},
       {.name = "workers_listed", .value = workers_listed},
       {.name = "workers_silent", .value = workers_silent},
       {.name = "orders_in_flight", .value = leader.orders.size()},
--- a/source/dispatch/observations.h
+++ b/source/dispatch/observations.h
@@ -9,6 +9,7 @@
 
 #include "model/value_table.h"
 #include "policy/expected_end.h"
+#include "policy/reservation.h"
 #include "work/worker.h"
 
 namespace parsleyhitch::dispatch {
@@ -37,6 +38,11 @@
   model::value_table<work::task_id, task_observation> tasks;
   // As of the latest planning pass.
   std::map<work::unit_id, room_wait> room_waits;
+  std::map<work::service_id, policy::urgent_load> urgent_loads;
+  // Waiting units that have left room free for urgent ones, and since when.
+  std::map<work::unit_id, model::timestamp> held_back;
+  // What was left free in the latest planning pass.
+  std::map<work::service_id, work::resources> reserves;
 
   bool operator==(const observations&) const = default;
 };
--- a/source/dispatch/planning/planning.cc
+++ b/source/dispatch/planning/planning.cc
@@ -14,6 +14,7 @@
 #include "dispatch/orders/orders.h"
 #include "dispatch/planning/demands.h"
 #include "dispatch/planning/planning.h"
+#include "dispatch/planning/urgent_reserve.h"
 #include "placement/room.h"
 
 namespace parsleyhitch::dispatch {
@@ -31,7 +32,11 @@
         ranked_(ranked),
         half_idle_(HalfIdleServices(ctx)),
         quarantine_(QuarantineOf(ctx)),
-        capacity_(FreeCapacity(ctx, quarantine_)) {}
+        capacity_(FreeCapacity(ctx, quarantine_)),
+        reserve_(ctx, capacity_, half_idle_) {}
+
+  planning_pass(const planning_pass&) = delete;
+  planning_pass& operator=(const planning_pass&) = delete;
 
   // The number of tasks that the pass has started.
   std::size_t started() const { return started_; }
@@ -43,7 +48,10 @@
     if (!unplaceable_demands_.contains(demand)) {
       const auto workers = placement::FindPlacement(capacity_, demand);
       if (workers) {
+        const bool held_back = reserve_.HoldsBack(waiting, demand);
         ReserveCapacity(*workers, demand.need);
+        if (held_back)
+          return;
         if (demand.alone)
           Quarantine(*workers, demand.service);
         PlaceUnit(ctx_, waiting.unit, *workers);
@@ -59,12 +67,13 @@
       Preempt(waiting, demand);
   }
 
-  // The units that wait for room, after the pass; those that were not
-  // considered because the pass `was_cut` go on waiting.
-  std::map<work::unit_id, room_wait> TakeRoomWaits(bool was_cut) {
+  // Stores what the next pass goes on from. The units that were not considered
+  // because the pass `was_cut` go on waiting for room.
+  void Finish(bool was_cut) {
     if (was_cut)
       room_waits_.insert(EarlierWaits().begin(), EarlierWaits().end());
-    return std::move(room_waits_);
+    ctx_.state.leader.observed.room_waits = std::move(room_waits_);
+    reserve_.Finish();
   }
 
  private:
@@ -177,19 +186,21 @@
     else if (FindEarlierWait(waiting.unit) != nullptr)
       KeepWaiting(waiting.unit, ctx_.env.bounds.task_stop, false);
     for (const std::uint32_t index : chosen->stopped)
-      Stop(victims, index, waiting);
+      Stop(victims, index, waiting, demand.service);
     ReserveCapacity(chosen->workers, demand.need);
   }
 
   void Stop(placement::victim_set& victims,
             std::uint32_t index,
-            const waiting_unit& waiting) {
+            const waiting_unit& waiting,
+            const work::service_id& service) {
     const placement::victim& each = victims.Get(index);
     ctx_.Log("unit_preempted", NameOf(each.unit),
              {Field("for", waiting.unit.job.value()),
               Field("waited", waiting.waited)});
     ctx_.Count("units_preempted");
     CountPreemption(each.unit);
+    NotePreemption(ctx_, service);
     StopUnit(ctx_, each.unit, "preempted");
     for (const work::worker_id& worker : each.workers)
       capacity_.AddLeaving(worker, each.need);
@@ -209,6 +220,7 @@
   const std::set<work::service_id> half_idle_;
   quarantine quarantine_;
   placement::capacity_map capacity_;
+  urgent_reserve reserve_;
   std::size_t started_ = 0;
   // Victims for the rank `victims_for_`. One set suffices, as units are
   // considered in the order of their ranks.
@@ -269,6 +281,8 @@
   leader.next_plan_at = ctx.now() + PlanningPause(ctx, waiting.size());
   if (waiting.empty()) {
     leader.observed.room_waits.clear();
+    leader.observed.held_back.clear();
+    leader.observed.reserves.clear();
     return;
   }
   const std::size_t allowance = StartAllowance(ctx);
@@ -282,7 +296,7 @@
     }
     pass.Consider(each);
   }
-  leader.observed.room_waits = pass.TakeRoomWaits(was_cut);
+  pass.Finish(was_cut);
   leader.starts_take_until += pass.started() * TimeOfStart(ctx);
 }
 
--- a/source/policy/reservation.h
+++ b/source/policy/reservation.h
@@ -1,14 +1,16 @@
 // When a unit waits for room that is expected to come free instead of having
-// others stopped.
+// others stopped, and how much room lower units leave free for urgent ones.
 
 #ifndef PARSLEYHITCH_POLICY_RESERVATION_H_
 #define PARSLEYHITCH_POLICY_RESERVATION_H_
 
 #include "model/time.h"
+#include "work/resources.h"
 
 namespace parsleyhitch::policy {
 
 using model::duration;
+using model::timestamp;
 
 // A unit that may have others stopped.
 struct unit_in_need {
@@ -34,6 +36,34 @@
 // counted on.
 duration WithMargin(duration expected);
 
+// What urgent units of one service asked for lately, and how often others were
+// stopped for them: sums that decay, as of `at`.
+struct urgent_load {
+  timestamp at;
+  double cpu_millis = 0;
+  double memory_mb = 0;
+  double accelerators = 0;
+  double stops = 0;
+
+  bool operator==(const urgent_load&) const = default;
+};
+
+// After urgent units that need so much together have become ready.
+urgent_load WithArrival(const urgent_load& before,
+                        const work::resources& asked,
+                        timestamp now);
+
+// After a unit was stopped for an urgent one.
+urgent_load WithStop(const urgent_load& before, timestamp now);
+
+// How much of the service's capacity lower units that are about to start leave
+// free: what urgent units are expected to ask for within about a second, but a
+// small share of the capacity at most, and nothing unless others were stopped
+// for them lately.
+work::resources ReserveFor(const urgent_load& load,
+                           const work::resources& capacity,
+                           timestamp now);
+
 }  // namespace parsleyhitch::policy
 
 #endif  // PARSLEYHITCH_POLICY_RESERVATION_H_
--- a/tests/policy/reservation_test.cc
+++ b/tests/policy/reservation_test.cc
@@ -5,7 +5,10 @@
 
 #include <criterion/criterion.h>
 
+#include <string>
+
 namespace policy = parsleyhitch::policy;
+namespace work = parsleyhitch::work;
 using policy::duration;
 
 namespace {
@@ -21,6 +24,28 @@
   }
 };
 
+// Urgent jobs of five tasks with four accelerators each, each with a stop.
+struct reserve_fixture {
+  work::resources capacity{.cpu_millis = 11200000,
+                           .memory_mb = 22400000,
+                           .accelerators = 2800};
+  policy::urgent_load load;
+
+  void Load(int jobs_per_second, int seconds, bool with_stops) {
+    for (int i = 0; i < jobs_per_second * seconds; ++i) {
+      const policy::timestamp at = load.at + duration(1000) / jobs_per_second;
+      load = policy::WithArrival(
+          load, {.cpu_millis = 18500, .memory_mb = 40000, .accelerators = 20},
+          at);
+      if (with_stops)
+        load = policy::WithStop(load, at);
+    }
+  }
+  work::resources ReserveAfter(std::int64_t ms) const {
+    return policy::ReserveFor(load, capacity, load.at + duration(ms));
+  }
+};
+
 }  // namespace
 
 Test(allowed_wait, of_an_urgent_unit_leaves_time_for_a_stop) {
@@ -61,3 +86,35 @@
 Test(expected_room, is_counted_on_only_after_a_margin) {
   cr_assert_eq(policy::WithMargin(duration(400)).count(), 500);
 }
+
+Test(reserve, follows_the_rate_of_urgent_work) {
+  reserve_fixture fixture;
+  fixture.Load(4, 30, true);
+  const std::int64_t usual = fixture.ReserveAfter(0).accelerators;
+  cr_assert(usual > 60 && usual <= 80, "%s", std::to_string(usual).c_str());
+  fixture.Load(9, 30, true);
+  cr_assert_gt(fixture.ReserveAfter(0).accelerators, 3 * usual / 2);
+}
+
+// Guards against a reserve that keeps a large share of a service idle.
+Test(reserve, in_a_crest_is_a_small_share_of_the_capacity) {
+  reserve_fixture fixture;
+  fixture.Load(100, 30, true);
+  cr_assert_eq(fixture.ReserveAfter(0).accelerators, 224);
+  cr_assert_leq(fixture.ReserveAfter(0).cpu_millis, 896000);
+}
+
+// Guards against room left free where urgent work finds enough anyway.
+Test(reserve, without_recent_stops_is_zero) {
+  reserve_fixture fixture;
+  fixture.Load(9, 30, false);
+  cr_assert(fixture.ReserveAfter(0) == work::resources());
+}
+
+Test(reserve, after_the_last_urgent_job_decays_to_zero) {
+  reserve_fixture fixture;
+  fixture.Load(4, 30, true);
+  cr_assert_lt(fixture.ReserveAfter(10000).accelerators,
+               fixture.ReserveAfter(0).accelerators);
+  cr_assert(fixture.ReserveAfter(60000) == work::resources());
+}
