--- a/source/dispatch/hooks.h
+++ b/source/dispatch/hooks.h
@@ -7,7 +7,10 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
+#include "policy/reservation.h"
+#include "work/bounds.h"
 #include "work/record.h"
 
 namespace parsleyhitch::dispatch {
@@ -41,6 +44,10 @@
   std::int64_t cpu_millis = 0;
   std::int64_t accelerators = 0;
   work::duration ran{0};
+  // How long it is expected to run on; nothing for an endless one.
+  std::optional<work::duration> remaining;
+  // How often it was stopped in favour of more important work.
+  std::uint32_t preemptions = 0;
   bool checkpointed = false;
   rank importance = rank::kBackground;
 };
@@ -55,17 +62,28 @@
   // True when a unit of rank `waiting` may preempt one of rank `running`.
   std::function<bool(rank waiting, rank running)> may_preempt;
 
+  // The longest time for which the unit waits for room instead of preempting
+  // others now.
+  std::function<work::duration(const policy::unit_in_need&)> allowed_wait;
+
+  // How much of a service's capacity units that may not preempt others leave
+  // free for those that may.
+  std::function<work::resources(const policy::urgent_load& load,
+                                const work::resources& capacity,
+                                work::timestamp now)>
+      reserve_for_urgent;
+
   // The most bytes that the record takes in an append. The default counts none,
   // for a store without limits.
   std::function<std::uint64_t(const work::record&)> record_bytes;
 };
 
-// The default policy.
-hooks DefaultHooks();
+// The default policy, for a platform with these bounds.
+hooks DefaultHooks(const work::platform_bounds& bounds = {});
 
 // First come, first served, without preemption: the baseline against which the
 // default policy is measured.
-hooks BaselineHooks();
+hooks BaselineHooks(const work::platform_bounds& bounds = {});
 
 }  // namespace parsleyhitch::dispatch
 
