Placement orders workers by run time in coarse steps

A unit was placed by room alone. FindPlacement takes a function of the relative run time; all workers are equal by default, so that the order by room stays as it was. Units that are to finish first use finer steps, and choose the rack by their slowest member; others only avoid much slower workers, and leave the fastest ones free.

--- a/source/dispatch/hooks.h
+++ b/source/dispatch/hooks.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 
+#include "placement/room.h"
 #include "work/record.h"
 
 namespace parsleyhitch::dispatch {
@@ -55,6 +56,10 @@
   // True when a unit of rank `waiting` may preempt one of rank `running`.
   std::function<bool(rank waiting, rank running)> may_preempt;
 
+  // What the run time of a unit's tasks on a worker is multiplied with, beside
+  // the worker's speed, in thousandths. The default is 1000 for all.
+  placement::run_time_function relative_run_time = placement::UsualRunTime;
+
   // The most bytes that the record takes in an append. The default counts none,
   // for a store without limits.
   std::function<std::uint64_t(const work::record&)> record_bytes;
--- a/source/placement/capacity_map.cc
+++ b/source/placement/capacity_map.cc
@@ -97,6 +97,8 @@
   if (!wanted.accepts_shunned &&
       (slot.shunned || wanted.avoided.contains(slot.worker)))
     return false;
+  if (slot.hung && !wanted.accepts_hung)
+    return false;
   return wanted.required_label.empty() ||
          std::ranges::find(slot.labels, wanted.required_label) !=
              slot.labels.end();
--- a/source/placement/capacity_map.h
+++ b/source/placement/capacity_map.h
@@ -31,6 +31,10 @@
   bool shunned = false;
   // Nothing runs on it.
   bool idle = true;
+  // Its tasks stand still; it is used only for demands that accept it.
+  bool hung = false;
+  // Run time of a task on it, in thousandths of that on a usual worker.
+  std::uint32_t run_time_permille = 1000;
 };
 
 // Contiguous slots from `first` up to, but not including, `last`. A slot is an
@@ -100,6 +104,10 @@
   std::set<work::worker_id> avoided;
   // 0 for no bound.
   std::uint32_t max_per_worker = 0;
+  // Workers whose tasks stand still are acceptable.
+  bool accepts_hung = false;
+  // The run time decides where it is placed, rather than what is left free.
+  bool finish_first = false;
   // Number of tasks of the same step that each worker already has.
   std::map<work::worker_id, std::uint32_t> same_step_tasks;
 
--- a/source/placement/room.cc
+++ b/source/placement/room.cc
@@ -1,22 +1,40 @@
 // Best fit: within a scope the workers with the least free capacity are filled
-// first; among racks, the one with room for the fewest members is chosen.
+// first; among racks, the one with room for the fewest members is chosen. Run
+// times go before that, in steps that are wider than the noise of what is
+// learned, so that equal workers are still filled in the order of their room.
 
 #include "placement/room.h"
 
 #include <algorithm>
+#include <map>
 #include <tuple>
+#include <utility>
 
 namespace parsleyhitch::placement {
 
 namespace {
 
+// Width of a step of run times, in thousandths. Both put 1000 into the middle
+// of a step. The wider one only avoids workers that are much slower, and leaves
+// the fastest ones to units that are to finish first.
+constexpr std::uint32_t kFineStep = 200;
+constexpr std::uint32_t kWideStep = 500;
+
 struct candidate {
   std::uint32_t slot = 0;
   std::uint32_t fits = 0;
+  // The step of its run time.
+  std::uint32_t step = 0;
 };
 
+std::uint32_t StepOf(const demand& wanted, std::uint32_t run_time) {
+  const std::uint32_t width = wanted.finish_first ? kFineStep : kWideStep;
+  return (run_time + width / 2) / width;
+}
+
 std::vector<candidate> CandidatesIn(const capacity_map& capacity,
                                     const demand& wanted,
+                                    const run_time_function& relative_run_time,
                                     const slot_range& range) {
   std::vector<candidate> found;
   for (std::uint32_t i = range.first; i < range.last; ++i) {
@@ -24,8 +42,12 @@
     if (!Fits(wanted.need, each.free) || !IsEligible(wanted, each))
       continue;
     const std::uint32_t fits = CountFits(wanted, each, each.free);
-    if (fits > 0)
-      found.push_back({.slot = i, .fits = fits});
+    if (fits > 0) {
+      found.push_back(
+          {.slot = i,
+           .fits = fits,
+           .step = StepOf(wanted, relative_run_time(wanted, each))});
+    }
   }
   return found;
 }
@@ -37,15 +59,32 @@
   return count;
 }
 
+// The step of the slowest member if the fastest candidates are filled first.
+std::uint32_t SlowestStep(const std::vector<candidate>& candidates,
+                          std::uint32_t members) {
+  std::map<std::uint32_t, std::uint64_t> fits;
+  for (const candidate& each : candidates)
+    fits[each.step] += each.fits;
+  std::uint64_t placed = 0;
+  std::uint32_t slowest = 0;
+  for (const auto& [step, count] : fits) {
+    if (placed >= members)
+      break;
+    placed += count;
+    slowest = step;
+  }
+  return slowest;
+}
+
 std::vector<work::worker_id> AssignTightest(const capacity_map& capacity,
                                             std::vector<candidate> candidates,
                                             std::uint32_t members) {
   const auto tighter = [&](const candidate& a, const candidate& b) {
     const worker_capacity& one = capacity.slots()[a.slot];
     const worker_capacity& other = capacity.slots()[b.slot];
-    return std::tie(one.free.accelerators, one.free.cpu_millis, one.worker) <
-           std::tie(other.free.accelerators, other.free.cpu_millis,
-                    other.worker);
+    return std::tie(a.step, one.free.accelerators, one.free.cpu_millis,
+                    one.worker) < std::tie(b.step, other.free.accelerators,
+                                           other.free.cpu_millis, other.worker);
   };
   // Each candidate takes at least one member, so only this many need sorting.
   const auto used = static_cast<std::ptrdiff_t>(
@@ -97,24 +136,35 @@
   return found;
 }
 
+std::uint32_t UsualRunTime(const demand&, const worker_capacity&) {
+  return kUsualRunTime;
+}
+
 std::optional<std::vector<work::worker_id>> FindPlacement(
     const capacity_map& capacity,
-    const demand& wanted) {
+    const demand& wanted,
+    const run_time_function& relative_run_time) {
   if (!Fits(wanted.need, capacity.MaxFree(wanted.service)))
     return {};
   std::vector<candidate> best;
-  std::uint64_t best_count = 0;
+  // The step of the slowest member, if that decides, and the room.
+  std::pair<std::uint32_t, std::uint64_t> best_rating;
   bool best_is_one_rack = false;
   for (const placement_scope& each : ScopesFor(capacity, wanted)) {
     if (!best.empty() && best_is_one_rack && !each.is_one_rack)
       break;
     std::vector<candidate> candidates =
-        CandidatesIn(capacity, wanted, each.slots);
+        CandidatesIn(capacity, wanted, relative_run_time, each.slots);
     const std::uint64_t count = CountMembers(candidates);
-    if (count < wanted.members || (!best.empty() && count >= best_count))
+    if (count < wanted.members)
+      continue;
+    const std::pair rating(
+        wanted.finish_first ? SlowestStep(candidates, wanted.members) : 0U,
+        count);
+    if (!best.empty() && rating >= best_rating)
       continue;
     best = std::move(candidates);
-    best_count = count;
+    best_rating = rating;
     best_is_one_rack = each.is_one_rack;
     if (each.is_at_data)
       break;
--- a/source/placement/room.h
+++ b/source/placement/room.h
@@ -3,6 +3,8 @@
 #ifndef PARSLEYHITCH_PLACEMENT_ROOM_H_
 #define PARSLEYHITCH_PLACEMENT_ROOM_H_
 
+#include <cstdint>
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -23,12 +25,25 @@
 std::vector<placement_scope> ScopesFor(const capacity_map& capacity,
                                        const demand& wanted);
 
+// The run time of the demand's tasks on the worker, in thousandths of the usual
+// one.
+using run_time_function =
+    std::function<std::uint32_t(const demand&, const worker_capacity&)>;
+
+inline constexpr std::uint32_t kUsualRunTime = 1000;
+
+// All workers are equal.
+std::uint32_t UsualRunTime(const demand& wanted, const worker_capacity& slot);
+
 // One worker for each member, or nothing when no acceptable placement fits the
-// free capacity. Best fit: workers with the least free capacity are filled
-// first, so that empty workers remain for large tasks.
+// free capacity. Workers with a shorter run time are filled first, in steps.
+// Within a step best fit: those with the least free capacity first, so that
+// empty workers remain for large tasks. For a demand that is to finish first
+// the steps are finer, and the slowest member decides between racks.
 std::optional<std::vector<work::worker_id>> FindPlacement(
     const capacity_map& capacity,
-    const demand& wanted);
+    const demand& wanted,
+    const run_time_function& relative_run_time = UsualRunTime);
 
 }  // namespace parsleyhitch::placement
 
