Slow and hung workers are avoided, and units on them are moved

The leader learned nothing from a task that stood still or a worker of half the speed. Tasks of gangs and tasks away from their data are no evidence, and endless tasks are not moved.

--- a/source/dispatch/observations.cc
+++ b/source/dispatch/observations.cc
@@ -26,8 +26,35 @@
   return before;
 }
 
+observations ObservePace(observations before,
+                         const work::running_task& task,
+                         task_pace seen,
+                         std::uint64_t life,
+                         const work::unit_id& step,
+                         model::timestamp at) {
+  const policy::progress_sample sample{.at = at, .percent = task.percent};
+  const task_pace* known = before.paces.Find(task.task);
+  const bool same_run = known != nullptr && known->worker == seen.worker &&
+                        known->attempt == seen.attempt;
+  if (!same_run) {
+    seen.window = policy::FirstWindow(sample);
+    before.paces.Put(task.task, std::move(seen));
+    return before;
+  }
+  const policy::pace_step next =
+      policy::Advance(known->window, sample, seen.expected);
+  if (next.sample && seen.shows_speed) {
+    before.speeds = policy::Learn(std::move(before.speeds), seen.worker, life,
+                                  step, *next.sample, at);
+  }
+  seen.window = next.window;
+  before.paces.Put(task.task, std::move(seen));
+  return before;
+}
+
 observations ForgetTask(observations before, const work::task_id& task) {
   before.tasks.Erase(task);
+  before.paces.Erase(task);
   return before;
 }
 
--- a/source/dispatch/observations.h
+++ b/source/dispatch/observations.h
@@ -5,9 +5,12 @@
 #define PARSLEYHITCH_DISPATCH_OBSERVATIONS_H_
 
 #include <cstdint>
+#include <map>
+#include <set>
 
 #include "model/value_table.h"
 #include "policy/expected_end.h"
+#include "policy/worker_speed.h"
 #include "work/worker.h"
 
 namespace parsleyhitch::dispatch {
@@ -21,9 +24,39 @@
   bool operator==(const task_observation&) const = default;
 };
 
+// The pace of one attempt of a task.
+struct task_pace {
+  work::worker_id worker;
+  std::uint64_t attempt = 0;
+  model::duration expected{0};
+  // False when something else than the worker may set the pace.
+  bool shows_speed = false;
+  policy::pace_window window;
+
+  bool operator==(const task_pace&) const = default;
+};
+
+// What the observed paces say of one process of a worker.
+struct worker_judgement {
+  std::uint64_t life = 0;
+  policy::relative_speed speed;
+  // Its tasks stood still; it is avoided until then.
+  model::timestamp hung_until;
+
+  bool operator==(const worker_judgement&) const = default;
+};
+
 struct observations {
   // Tasks that run, as far as they were listed.
   model::value_table<work::task_id, task_observation> tasks;
+  model::value_table<work::task_id, task_pace> paces;
+  policy::learned_speeds speeds;
+  // Of the workers that are not as usual, as of the latest evaluation.
+  std::map<work::worker_id, worker_judgement> judgements;
+  model::timestamp next_judgement_at;
+  model::timestamp next_move_at;
+  // Units that were stopped as their worker is slow or hangs, until they are.
+  std::set<work::unit_id> moving;
 
   bool operator==(const observations&) const = default;
 };
@@ -35,6 +68,15 @@
                          model::duration estimate,
                          model::timestamp at);
 
+// The same for the pace of the task, which is one of the step of which `step`
+// is the unit with index 0. `seen` holds no window yet.
+observations ObservePace(observations before,
+                         const work::running_task& task,
+                         task_pace seen,
+                         std::uint64_t life,
+                         const work::unit_id& step,
+                         model::timestamp at);
+
 // After the task has ended, however it did.
 observations ForgetTask(observations before, const work::task_id& task);
 
--- a/source/dispatch/orders/ends.cc
+++ b/source/dispatch/orders/ends.cc
@@ -8,6 +8,7 @@
 
 #include "dispatch/fleet/fleet.h"
 #include "dispatch/fleet/loads.h"
+#include "dispatch/fleet/speeds.h"
 #include "dispatch/jobs/jobs.h"
 #include "dispatch/jobs/steps.h"
 #include "dispatch/names.h"
@@ -291,6 +292,7 @@
       MarkRunning(ctx, id, *index, task);
       leader.observed = ObserveTask(std::move(leader.observed), worker, task,
                                     step.estimate, ctx.now());
+      ObserveSpeed(ctx, worker, task, step);
       StopIfDone(ctx, id);
       return;
     }
--- a/source/dispatch/planning/demands.cc
+++ b/source/dispatch/planning/demands.cc
@@ -11,6 +11,7 @@
 #include "dispatch/backoff.h"
 #include "dispatch/fleet/fleet.h"
 #include "dispatch/fleet/loads.h"
+#include "dispatch/fleet/speeds.h"
 #include "dispatch/jobs/jobs.h"
 #include "dispatch/jobs/steps.h"
 #include "dispatch/orders/orders.h"
@@ -65,6 +66,17 @@
   return step.estimate * beyond / 1000 + content.target_latency;
 }
 
+// A unit takes a worker whose tasks stand still only after this long, or if it
+// is guaranteed like any shunned one: it would hardly end there.
+constexpr duration kHungPatience{10000};
+
+bool AcceptsHung(const context& ctx, const waiting_unit& waiting) {
+  const duration patience = waiting.importance == rank::kGuaranteed
+                                ? ctx.limits().shun_patience
+                                : kHungPatience;
+  return waiting.idle >= patience;
+}
+
 // A preempted background unit backs off before it starts again, so that a burst
 // of urgent work does not stop it again and again.
 bool IsBackingOff(const context& ctx, const unit& each, rank importance) {
@@ -177,7 +189,10 @@
       .accepts_shunned = waiting.idle >= ctx.limits().shun_patience,
       .alone = IsSuspect(unit) && waiting.idle < ctx.limits().shun_patience,
       .avoided = unit.failed_on,
-      .max_per_worker = step.max_per_worker};
+      .max_per_worker = step.max_per_worker,
+      .accepts_hung = AcceptsHung(ctx, waiting),
+      .finish_first =
+          waiting.importance <= rank::kUrgent || waiting.members > 1};
   if (step.max_per_worker == 0)
     return demand;
   ForUnits(ctx, waiting.unit.job,
@@ -237,14 +252,19 @@
         IsEvacuated(ctx, row.listed().failure_domain))
       continue;
     const worker_load& carried = LoadOf(ctx, worker);
-    workers.push_back({.worker = worker,
-                       .service = row.listed().service,
-                       .rack = row.listed().rack,
-                       .labels = row.listed().labels,
-                       .free = row.listed().capacity - carried.used,
-                       .leaving = carried.leaving,
-                       .shunned = ctx.now() < row.shunned_until,
-                       .idle = carried.tasks.empty()});
+    const worker_judgement judged = JudgementOf(ctx, worker, row);
+    const bool hung = ctx.now() < judged.hung_until;
+    workers.push_back(
+        {.worker = worker,
+         .service = row.listed().service,
+         .rack = row.listed().rack,
+         .labels = row.listed().labels,
+         .free = row.listed().capacity - carried.used,
+         .leaving = carried.leaving,
+         .shunned = ctx.now() < row.shunned_until || judged.speed.slow || hung,
+         .idle = carried.tasks.empty(),
+         .hung = hung,
+         .run_time_permille = judged.speed.run_time_permille});
   }
   placement::capacity_map capacity(std::move(workers));
   for (const auto& [id, each] : ctx.state.leader.orphan_tasks)
--- a/source/dispatch/planning/planning.cc
+++ b/source/dispatch/planning/planning.cc
@@ -13,6 +13,7 @@
 #include "dispatch/orders/orders.h"
 #include "dispatch/planning/demands.h"
 #include "dispatch/planning/planning.h"
+#include "dispatch/planning/run_time.h"
 #include "placement/room.h"
 
 namespace parsleyhitch::dispatch {
@@ -26,7 +27,8 @@
         ranked_(ranked),
         half_idle_(HalfIdleServices(ctx)),
         quarantine_(QuarantineOf(ctx)),
-        capacity_(FreeCapacity(ctx, quarantine_)) {}
+        capacity_(FreeCapacity(ctx, quarantine_)),
+        run_time_(RelativeRunTime(ctx)) {}
 
   // The number of tasks that the pass has started.
   std::size_t started() const { return started_; }
@@ -36,7 +38,8 @@
     if (demand.alone && quarantine_.left[demand.service] < demand.members)
       return;
     if (!unplaceable_demands_.contains(demand)) {
-      const auto workers = placement::FindPlacement(capacity_, demand);
+      const auto workers =
+          placement::FindPlacement(capacity_, demand, run_time_);
       if (workers) {
         ReserveCapacity(*workers, demand.need);
         if (demand.alone)
@@ -122,6 +125,7 @@
   const std::set<work::service_id> half_idle_;
   quarantine quarantine_;
   placement::capacity_map capacity_;
+  const placement::run_time_function run_time_;
   std::size_t started_ = 0;
   // Victims for the rank `victims_for_`. One set suffices, as units are
   // considered in the order of their ranks.
--- a/source/dispatch/reduce.cc
+++ b/source/dispatch/reduce.cc
@@ -8,9 +8,11 @@
 
 #include "dispatch/callers/callers.h"
 #include "dispatch/fleet/fleet.h"
+#include "dispatch/fleet/speeds.h"
 #include "dispatch/jobs/jobs.h"
 #include "dispatch/leadership/leadership.h"
 #include "dispatch/orders/orders.h"
+#include "dispatch/planning/moves.h"
 #include "dispatch/planning/planning.h"
 #include "dispatch/store/store.h"
 
@@ -114,6 +116,8 @@
     OpenDueSteps(ctx);
     AdvanceWorkers(ctx);
     AdvanceOrders(ctx);
+    AdvanceSpeeds(ctx);
+    MoveFromSlowWorkers(ctx);
     // The longer a unit waits, the more placements it accepts.
     s.leader.plan_due = true;
   }
--- a/tests/support/simulated_worker.cc
+++ b/tests/support/simulated_worker.cc
@@ -131,14 +131,18 @@
       .life = life, .running = std::move(running), .ended = std::move(ended)};
 }
 
+work::duration simulated_worker::WorkedBy(const simulated_run& run) const {
+  return advanced_to_ - run.working_since -
+         work::duration(static_cast<std::int64_t>(run.behind));
+}
+
 std::uint32_t simulated_worker::PercentOf(const work::task_id& task,
                                           const simulated_run& run) const {
   constexpr std::int64_t kAllPercent = 100;
   if (!run.working)
     return 0;
   const work::duration duration = duration_of(task);
-  const work::duration worked =
-      std::min(advanced_to_ - run.working_since, duration);
+  const work::duration worked = std::min(WorkedBy(run), duration);
   return static_cast<std::uint32_t>(worked * kAllPercent / duration);
 }
 
@@ -173,12 +177,15 @@
   if (!alive)
     return;
   std::vector<std::pair<work::task_id, work::run_end_kind>> due;
+  const work::duration passed = now - advanced_to_;
   advanced_to_ = now;
   const bool lease_expired = Clock(now) >= lease_until_;
   if (lease_expired)
     ended_at_.clear();
   const bool tasks_expire = !running_.empty() && lease_expired;
   for (auto& [task, run] : running_) {
+    if (run.working)
+      run.behind += (1.0 - speed) * static_cast<double>(passed.count());
     const bool present = is_gang_present(task, run.attempt);
     if (present && !run.working) {
       run.working = true;
@@ -190,7 +197,7 @@
       due.emplace_back(task, work::run_end_kind::kStopped);
     else if (run.working && fails_all_tasks)
       due.emplace_back(task, work::run_end_kind::kFailed);
-    else if (run.working && now - run.working_since >= duration_of(task))
+    else if (run.working && WorkedBy(run) >= duration_of(task))
       due.emplace_back(task, work::run_end_kind::kDone);
     else if (!run.working && now - run.started >= kGangTimeout)
       due.emplace_back(task, work::run_end_kind::kGangIncomplete);
--- a/tests/support/simulated_worker.h
+++ b/tests/support/simulated_worker.h
@@ -24,6 +24,8 @@
   bool working = false;
   work::duration stops_at{0};
   bool stopping = false;
+  // Milliseconds of work that it is behind a worker of the usual speed.
+  double behind = 0;
 };
 
 class simulated_worker {
@@ -60,6 +62,8 @@
   std::optional<work::order_outcome> refuses_stops_with;
   std::optional<work::order_outcome> refuses_holds_with;
   bool fails_all_tasks = false;
+  // Of its tasks, relative to their run time; at 0 they stand still.
+  double speed = 1.0;
   // After it crashed: when it starts again under its name, if it does.
   std::optional<work::duration> restarts_at;
   // Speed of the worker's clock relative to simulated time.
@@ -114,6 +118,8 @@
   // Returns false if a newer token was seen.
   bool AcceptToken(std::uint64_t token);
   work::resources Used() const;
+  // How much of its work the task has done.
+  work::duration WorkedBy(const simulated_run& run) const;
   // The completed share of the task's work.
   std::uint32_t PercentOf(const work::task_id& task,
                           const simulated_run& run) const;
