--- a/source/dispatch/hooks.h
+++ b/source/dispatch/hooks.h
@@ -11,6 +11,7 @@
 
 #include "policy/reservation.h"
 #include "work/bounds.h"
+#include "placement/room.h"
 #include "work/record.h"
 
 namespace parsleyhitch::dispatch {
@@ -73,6 +74,10 @@
                                 work::timestamp now)>
       reserve_for_urgent;
 
+  // What the run time of a unit's tasks on a worker is multiplied with, beside
+  // the worker's speed, in thousandths. The default is 1000 for all.
+  placement::run_time_function relative_run_time = placement::UsualRunTime;
+
   // The most bytes that the record takes in an append. The default counts none,
   // for a store without limits.
   std::function<std::uint64_t(const work::record&)> record_bytes;
--- a/source/dispatch/planning/planning.cc
+++ b/source/dispatch/planning/planning.cc
@@ -15,6 +15,7 @@
 #include "dispatch/planning/demands.h"
 #include "dispatch/planning/planning.h"
 #include "dispatch/planning/urgent_reserve.h"
+#include "dispatch/planning/run_time.h"
 #include "placement/room.h"
 
 namespace parsleyhitch::dispatch {
@@ -33,7 +34,8 @@
         half_idle_(HalfIdleServices(ctx)),
         quarantine_(QuarantineOf(ctx)),
         capacity_(FreeCapacity(ctx, quarantine_)),
-        reserve_(ctx, capacity_, half_idle_) {}
+        reserve_(ctx, capacity_, half_idle_),
+        run_time_(RelativeRunTime(ctx)) {}
 
   planning_pass(const planning_pass&) = delete;
   planning_pass& operator=(const planning_pass&) = delete;
@@ -46,7 +48,8 @@
     if (demand.alone && quarantine_.left[demand.service] < demand.members)
       return;
     if (!unplaceable_demands_.contains(demand)) {
-      const auto workers = placement::FindPlacement(capacity_, demand);
+      const auto workers =
+          placement::FindPlacement(capacity_, demand, run_time_);
       if (workers) {
         const bool held_back = reserve_.HoldsBack(waiting, demand);
         ReserveCapacity(*workers, demand.need);
@@ -221,6 +224,7 @@
   quarantine quarantine_;
   placement::capacity_map capacity_;
   urgent_reserve reserve_;
+  const placement::run_time_function run_time_;
   std::size_t started_ = 0;
   // Victims for the rank `victims_for_`. One set suffices, as units are
   // considered in the order of their ranks.
