Workspaces share capacity that does not suffice for all

Cause: units of a rank were placed in the order of submission, so that a workspace waited behind all that another one had submitted before, and large units were passed by smaller ones for as long as there were any.

Change: where a service has not room for all waiting units, or more tasks wait than the leader may start, units within a rank are ordered by dominant resource fairness (policy/fair_share, hook `share_order`); shares follow from the placed units. An overdue unit of a workspace that holds less than an equal part goes first in its rank, and room is kept for one overdue unit of each service (placement/held_room), for intervals that alternate with pauses.

--- a/source/dispatch/hooks.cc
+++ b/source/dispatch/hooks.cc
@@ -3,6 +3,7 @@
 #include "dispatch/hooks.h"
 
 #include <algorithm>
+#include <numeric>
 #include <tuple>
 
 namespace parsleyhitch::dispatch {
@@ -32,6 +33,14 @@
   return std::tie(a.accepted, a.unit) < std::tie(b.accepted, b.unit);
 }
 
+std::vector<std::size_t> AsSorted(
+    const std::vector<policy::share_claim>& claims,
+    const policy::share_state&) {
+  std::vector<std::size_t> order(claims.size());
+  std::iota(order.begin(), order.end(), std::size_t{0});
+  return order;
+}
+
 std::uint64_t StopCost(const running_unit& unit) {
   const work::duration lost =
       unit.checkpointed ? std::min(unit.ran, kCheckpointLoss) : unit.ran;
@@ -53,6 +62,7 @@
 
 hooks DefaultHooks() {
   return {.goes_first = ByRankThenSubmission,
+          .share_order = policy::FairOrder,
           .stop_cost = StopCost,
           .may_preempt =
               [](rank waiting, rank running) {
@@ -63,6 +73,7 @@
 
 hooks BaselineHooks() {
   return {.goes_first = BySubmission,
+          .share_order = AsSorted,
           .stop_cost = StopCost,
           .may_preempt = [](rank, rank) { return false; },
           .record_bytes = NoBytes};
--- a/source/dispatch/hooks.h
+++ b/source/dispatch/hooks.h
@@ -1,13 +1,17 @@
-// Hooks of the dispatcher. Policy: the order of waiting units, the cost of
-// stopping a unit, and which ranks may preempt which. Encoding: the size of a
+// Hooks of the dispatcher. Policy: the order of waiting units, also where
+// capacity is short, the cost of stopping a unit, and which ranks may preempt
+// which. Encoding: the size of a
 // record.
 
 #ifndef PARSLEYHITCH_DISPATCH_HOOKS_H_
 #define PARSLEYHITCH_DISPATCH_HOOKS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <vector>
 
+#include "policy/fair_share.h"
 #include "work/record.h"
 
 namespace parsleyhitch::dispatch {
@@ -32,6 +36,11 @@
   work::duration waited{0};
   // Time since it last ran or became ready.
   work::duration idle{0};
+  // Its objective is nearly lost, and its service has not room for all: room is
+  // kept for it.
+  bool overdue = false;
+  // It is placed before a unit of its rank that was submitted earlier.
+  bool passes_earlier = false;
 };
 
 // A running unit, as seen by `stop_cost`.
@@ -49,6 +58,13 @@
   // True when `a` is placed before `b`. Must be a strict weak order.
   std::function<bool(const waiting_unit& a, const waiting_unit& b)> goes_first;
 
+  // The order in which claims on capacity that does not suffice for all are
+  // served, as indexes of the claims, which are sorted by `goes_first`.
+  std::function<std::vector<std::size_t>(
+      const std::vector<policy::share_claim>& claims,
+      const policy::share_state& state)>
+      share_order;
+
   // Cost of stopping the unit now, in core-milliseconds of lost work.
   std::function<std::uint64_t(const running_unit&)> stop_cost;
 
--- a/source/dispatch/planning/planning.cc
+++ b/source/dispatch/planning/planning.cc
@@ -3,6 +3,7 @@
 // so a demand that could not be met is not tried again in the same pass.
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -13,6 +14,8 @@
 #include "dispatch/orders/orders.h"
 #include "dispatch/planning/demands.h"
 #include "dispatch/planning/planning.h"
+#include "dispatch/planning/shares.h"
+#include "placement/held_room.h"
 #include "placement/room.h"
 
 namespace parsleyhitch::dispatch {
@@ -43,14 +46,23 @@
           Quarantine(*workers, demand.service);
         PlaceUnit(ctx_, waiting.unit, *workers);
         started_ += workers->size();
+        if (waiting.passes_earlier)
+          ctx_.Count("units_placed_out_of_order");
         return;
       }
       unplaceable_demands_.insert(demand);
     }
     const bool urgent =
         ctx_.env.behaviour.may_preempt(waiting.importance, rank::kBackground);
-    if (urgent)
-      Preempt(waiting, demand);
+    if (urgent && Preempt(waiting, demand))
+      return;
+    if (waiting.overdue && !demand.alone)
+      KeepRoom(waiting, demand);
+  }
+
+  // The units for which room is kept, by their services.
+  const std::map<work::service_id, work::unit_id>& rooms_kept() const {
+    return rooms_kept_;
   }
 
  private:
@@ -79,21 +91,46 @@
     return *victims_;
   }
 
+  // Keeps free capacity for a unit that does not fit yet, so that units later
+  // in the order don't take it. For one unit of each service at a time.
+  void KeepRoom(const waiting_unit& waiting, const placement::demand& demand) {
+    if (rooms_kept_.contains(demand.service))
+      return;
+    const std::vector<placement::held_part> parts = placement::FindHeldRoom(
+        capacity_, demand, [this](const work::worker_id& worker) {
+          return ctx_.state.leader.workers.Find(worker)->listed().capacity;
+        });
+    if (parts.empty())
+      return;
+    for (const placement::held_part& each : parts)
+      capacity_.Take(each.worker, each.amount);
+    rooms_kept_[demand.service] = waiting.unit;
+    const auto& before = ctx_.state.leader.rooms_kept;
+    const auto known = before.find(demand.service);
+    if (known != before.end() && known->second == waiting.unit)
+      return;
+    ctx_.Log("room_kept", NameOf(waiting.unit),
+             {Field("service", demand.service.value()),
+              Field("waited", waiting.waited), Field("parts", parts.size())});
+    ctx_.Count("rooms_kept");
+  }
+
   // Preempts victims for the unit and reserves their capacity, so that units
-  // later in the order don't take it.
-  void Preempt(const waiting_unit& waiting, const placement::demand& demand) {
+  // later in the order don't take it. False when there are none.
+  bool Preempt(const waiting_unit& waiting, const placement::demand& demand) {
     const std::pair<rank, placement::demand> key(waiting.importance, demand);
     if (demands_without_victims_.contains(key))
-      return;
+      return false;
     placement::victim_set& victims = VictimsOf(waiting.importance);
     const auto chosen = placement::FindVictims(capacity_, demand, victims);
     if (!chosen) {
       demands_without_victims_.insert(key);
-      return;
+      return false;
     }
     for (const std::uint32_t index : chosen->stopped)
       Stop(victims, index, waiting);
     ReserveCapacity(chosen->workers, demand.need);
+    return true;
   }
 
   void Stop(placement::victim_set& victims,
@@ -129,6 +166,7 @@
   rank victims_for_ = rank::kBackground;
   std::set<placement::demand> unplaceable_demands_;
   std::set<std::pair<rank, placement::demand>> demands_without_victims_;
+  std::map<work::service_id, work::unit_id> rooms_kept_;
 };
 
 // A pass takes longer with a longer queue, and with more units and workers to
@@ -176,11 +214,12 @@
     return;
   leader.plan_due = false;
   const job_ranks ranked = RankJobs(ctx);
-  const std::vector<waiting_unit> waiting = WaitingUnits(ctx, ranked);
+  std::vector<waiting_unit> waiting = WaitingUnits(ctx, ranked);
   leader.next_plan_at = ctx.now() + PlanningPause(ctx, waiting.size());
   if (waiting.empty())
     return;
   const std::size_t allowance = StartAllowance(ctx);
+  waiting = ShareFairly(ctx, ranked, std::move(waiting), allowance);
   planning_pass pass(ctx, ranked);
   for (const waiting_unit& each : waiting) {
     if (pass.started() >= allowance) {
@@ -189,6 +228,7 @@
     }
     pass.Consider(each);
   }
+  leader.rooms_kept = pass.rooms_kept();
   leader.starts_take_until += pass.started() * TimeOfStart(ctx);
 }
 
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -564,6 +564,9 @@
   // The tick before the latest.
   timestamp previous_tick_at;
   dispatch::observations observed;
+  // The unit of each service for which the latest planning pass kept room.
+  std::map<work::service_id, work::unit_id> rooms_kept;
+  timestamp next_share_report_at;
   bool plan_due = false;
   timestamp next_plan_at;
   // Starts are paced: those so far take the leader until this time.
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -18,7 +18,22 @@
 constexpr char kHost[] = "jobs.example";
 constexpr char kApiKey[] = "key-1";
 
-work::catalog DefaultCatalog(std::uint32_t max_attempts) {
+std::string KeyOf(const std::string& workspace) {
+  return "key-of-" + workspace;
+}
+
+std::vector<work::workspace> Workspaces(
+    const std::vector<std::string>& others) {
+  std::vector<work::workspace> all{{.id = work::workspace_id("team"),
+                                    .keys = {kApiKey},
+                                    .guaranteed_accelerators = 16}};
+  for (const std::string& each : others)
+    all.push_back({.id = work::workspace_id(each), .keys = {KeyOf(each)}});
+  return all;
+}
+
+work::catalog DefaultCatalog(std::uint32_t max_attempts,
+                             const std::vector<std::string>& others) {
   const auto queue = [&](const char* name, std::uint32_t priority) {
     return work::queue{.id = work::queue_id(name),
                        .host = kHost,
@@ -33,9 +48,7 @@
           .queues = {queue("urgent", 0), queue("normal", 1),
                      queue("background", 2)},
           .services = {{.id = work::service_id("pool")}},
-          .workspaces = {{.id = work::workspace_id("team"),
-                          .keys = {kApiKey},
-                          .guaranteed_accelerators = 16}}};
+          .workspaces = Workspaces(others)};
 }
 
 work::published_catalog ToPublishedCatalog(const work::catalog& catalog) {
@@ -90,7 +103,7 @@
       task_duration_spread_(options.task_duration_spread),
       monitor_(workers_, MonitorHooks()) {
   store_.limits = options.store;
-  Publish(DefaultCatalog(options.max_attempts));
+  Publish(DefaultCatalog(options.max_attempts, options.other_workspaces));
   workers_.resize(options.workers);
   missed_heartbeats_.resize(options.workers);
   AdvanceWorkers();
@@ -643,12 +656,13 @@
     work::call_verb verb,
     const std::string& job,
     std::optional<work::job_request> request,
-    const std::string& queue) {
+    const std::string& queue,
+    const std::string& key) {
   const std::uint64_t number = ++last_call_;
   work::client_call content{.verb = verb,
                             .host = kHost,
                             .path = "/" + queue + "/" + job,
-                            .key = kApiKey,
+                            .key = key,
                             .patience = work::duration(3000),
                             .request = std::move(request)};
   calls_.emplace(number, simulated_call{.content = content});
@@ -670,17 +684,30 @@
     const std::string& queue) {
   steps_.emplace(job, steps);
   return CallEntry(entry, work::call_verb::kSubmit, job,
-                   work::job_request{.spec = "work", .steps = steps}, queue);
+                   work::job_request{.spec = "work", .steps = steps}, queue,
+                   kApiKey);
+}
+
+std::uint64_t platform_simulation::SubmitAs(
+    const std::string& workspace,
+    std::uint32_t entry,
+    const std::string& job,
+    const std::vector<work::step_spec>& steps,
+    const std::string& queue) {
+  steps_.emplace(job, steps);
+  return CallEntry(entry, work::call_verb::kSubmit, job,
+                   work::job_request{.spec = "work", .steps = steps}, queue,
+                   KeyOf(workspace));
 }
 
 std::uint64_t platform_simulation::Read(std::uint32_t entry,
                                         const std::string& job) {
-  return CallEntry(entry, work::call_verb::kRead, job, {}, "normal");
+  return CallEntry(entry, work::call_verb::kRead, job, {}, "normal", kApiKey);
 }
 
 std::uint64_t platform_simulation::Cancel(std::uint32_t entry,
                                           const std::string& job) {
-  return CallEntry(entry, work::call_verb::kCancel, job, {}, "normal");
+  return CallEntry(entry, work::call_verb::kCancel, job, {}, "normal", kApiKey);
 }
 
 void platform_simulation::GiveUp(std::uint32_t entry, std::uint64_t call) {
--- a/tests/support/platform_simulation.h
+++ b/tests/support/platform_simulation.h
@@ -54,6 +54,8 @@
   std::uint32_t workers_per_core = 1000000;
   // Of each queue.
   std::uint32_t max_attempts = 3;
+  // Workspaces besides the default one, without a guarantee.
+  std::vector<std::string> other_workspaces;
   // Jobs whose tasks crash the workers that start them.
   std::set<std::string> deadly_jobs;
   // How long after that a worker starts again under its name; never if zero.
@@ -124,6 +126,12 @@
                        const std::string& job,
                        const std::vector<work::step_spec>& steps,
                        const std::string& queue = "normal");
+  // The same by a caller of another workspace.
+  std::uint64_t SubmitAs(const std::string& workspace,
+                         std::uint32_t entry,
+                         const std::string& job,
+                         const std::vector<work::step_spec>& steps,
+                         const std::string& queue = "normal");
   std::uint64_t Read(std::uint32_t entry, const std::string& job);
   std::uint64_t Cancel(std::uint32_t entry, const std::string& job);
   // The caller closes its connection before it is answered.
@@ -168,6 +176,11 @@
   std::uint64_t holds() const { return holds_; }
   // The number of stop orders that reached a worker.
   std::uint64_t stops() const { return stops_; }
+  // The sum of a counter over all entries.
+  std::uint64_t CounterOf(const std::string& name) const {
+    const auto found = counters_.find(name);
+    return found == counters_.end() ? 0 : found->second;
+  }
 
  private:
   struct scheduled {
@@ -200,7 +213,9 @@
   void Apply(std::uint32_t entry, const work::answer_client& effect);
   void Apply(std::uint32_t entry, const work::wake_at& effect);
   void Apply(std::uint32_t entry, const work::write_log& line);
-  void Apply(std::uint32_t, const work::count_metric&) {}
+  void Apply(std::uint32_t, const work::count_metric& effect) {
+    counters_[effect.name] += effect.increment;
+  }
   void Apply(std::uint32_t, const work::set_gauge&) {}
   void Apply(std::uint32_t, const work::observe_latency&) {}
   void Apply(std::uint32_t entry, const work::stop_process&);
@@ -231,7 +246,8 @@
                           work::call_verb verb,
                           const std::string& job,
                           std::optional<work::job_request> request,
-                          const std::string& queue);
+                          const std::string& queue,
+                          const std::string& key);
   // Writes the worker to the registry.
   void PublishWorker(std::uint32_t worker);
   void SendHeartbeat(std::uint32_t worker);
@@ -258,6 +274,7 @@
   std::uint64_t last_call_ = 0;
   std::uint64_t holds_ = 0;
   std::uint64_t stops_ = 0;
+  std::map<std::string, std::uint64_t> counters_;
   // Jobs with a submission that is unanswered or was not refused.
   std::set<std::string> possibly_accepted_;
   std::set<std::string> submitted_;
