--- a/source/dispatch/hooks.cc
+++ b/source/dispatch/hooks.cc
@@ -3,6 +3,7 @@
 #include "dispatch/hooks.h"
 
 #include <algorithm>
+#include <numeric>
 #include <tuple>
 
 namespace parsleyhitch::dispatch {
@@ -42,6 +43,14 @@
   return std::tie(a.accepted, a.unit) < std::tie(b.accepted, b.unit);
 }
 
+std::vector<std::size_t> AsSorted(
+    const std::vector<policy::share_claim>& claims,
+    const policy::share_state&) {
+  std::vector<std::size_t> order(claims.size());
+  std::iota(order.begin(), order.end(), std::size_t{0});
+  return order;
+}
+
 // The time of which each member is deprived by a stop. A stop takes a
 // checkpoint, so a unit with checkpoints loses no work by it.
 work::duration TimeLost(const work::platform_bounds& bounds,
@@ -85,6 +94,7 @@
 
 hooks DefaultHooks(const work::platform_bounds& bounds) {
   return {.goes_first = ByRankThenSubmission,
+          .share_order = policy::FairOrder,
           .stop_cost = std::bind_front(StopCost, bounds),
           .may_preempt =
               [](rank waiting, rank running) {
@@ -97,6 +107,7 @@
 
 hooks BaselineHooks(const work::platform_bounds& bounds) {
   return {.goes_first = BySubmission,
+          .share_order = AsSorted,
           .stop_cost = std::bind_front(StopCost, bounds),
           .may_preempt = [](rank, rank) { return false; },
           .allowed_wait =
