--- a/source/dispatch/hooks.cc
+++ b/source/dispatch/hooks.cc
@@ -72,9 +72,9 @@
   const std::uint64_t factor =
       unit.importance <= rank::kUrgent ? kUrgentCostFactor : 1;
   const std::uint64_t work_lost = total_millis * lost / kMillisPerSecond;
-  return (work_lost * NearEndPermille(unit) / kPermille + kCostOfEachStop) *
-             factor
-         << std::min(unit.preemptions, kMaxDoublings);
+  const std::uint64_t cost =
+      work_lost * NearEndPermille(unit) / kPermille + kCostOfEachStop;
+  return (cost * factor) << std::min(unit.preemptions, kMaxDoublings);
 }
 
 std::uint64_t NoBytes(const work::record&) {
--- a/tests/dispatch/preemption_test.cc
+++ b/tests/dispatch/preemption_test.cc
@@ -28,9 +28,10 @@
 // Every worker runs a task of a background job, all started about now.
 struct full_service_fixture : simulation_fixture {
   explicit full_service_fixture(work::duration spread = work::duration(0),
-                                bool checkpointed = false)
+                                bool checkpointed = false,
+                                work::duration run = kRun)
       : simulation_fixture({.workers = kWorkers,
-                            .task_duration = kRun,
+                            .task_duration = run,
                             .task_duration_spread = spread}) {
     simulation.Submit(0, kLowerJob, {LowerStep(kWorkers, checkpointed)},
                       "background");
@@ -181,6 +182,22 @@
   cr_assert(fixture.Violation().empty(), "%s", fixture.Violation().c_str());
 }
 
+// Guards against a choice that falls on the unit that has just started again,
+// as it has the most of its run still to come.
+Test(unit, that_was_stopped_is_not_the_next_to_be_stopped) {
+  constexpr std::uint32_t kRounds = 4;
+  full_service_fixture fixture{work::duration(0), true, work::duration(20000)};
+  for (std::uint32_t i = 0; i < kRounds; ++i) {
+    const std::string urgent = "00000000000002" + std::to_string(10 + i);
+    fixture.SubmitUrgent(urgent, 1);
+    cr_assert(fixture.Runs(urgent, work::duration(1500)));
+    fixture.simulation.Cancel(fixture.Follower(), urgent);
+    cr_assert(fixture.Starts(kLowerJob, kWorkers, work::duration(3000)));
+  }
+  cr_assert_eq(fixture.Preemptions(), kRounds);
+  cr_assert_eq(fixture.MostStopsOfOneUnit(), 1U);
+}
+
 // Guards against a reservation that is lost with its leader: a successor knows
 // of no progress and has others stopped, so that the unit still starts.
 Test(successor, of_a_leader_with_a_unit_that_waits_for_room_starts_it) {
