--- a/source/dispatch/planning/planning.cc
+++ b/source/dispatch/planning/planning.cc
@@ -129,7 +129,7 @@
       ctx_.Log("unit_waits_for_room", NameOf(waiting.unit),
                {Field("expected", room->wait), Field("allowed", allowed),
                 Field("waited", waiting.waited)});
-      ctx_.Count("units_waiting_for_room");
+      ctx_.Count("room_waits");
     }
     KeepWaiting(waiting.unit, room->wait, false);
     return true;
