Units wait near their data or run elsewhere by their expected end

It now compares the expected wait for room near, from the progress of what runs there, with the longer run time elsewhere, by its objective. Urgent units first preempt others near. The share of the slack decides only where no forecast is made.

--- a/source/dispatch/observations.h
+++ b/source/dispatch/observations.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <vector>
 
 #include "model/value_table.h"
 #include "policy/expected_end.h"
@@ -46,6 +47,14 @@
   bool operator==(const worker_judgement&) const = default;
 };
 
+// Resources of a running task, and when it is expected to end.
+struct expected_room {
+  model::timestamp at;
+  work::resources amount;
+
+  bool operator==(const expected_room&) const = default;
+};
+
 struct observations {
   // Tasks that run, as far as they were listed.
   model::value_table<work::task_id, task_observation> tasks;
@@ -55,6 +64,10 @@
   std::map<work::worker_id, worker_judgement> judgements;
   model::timestamp next_judgement_at;
   model::timestamp next_move_at;
+  // What becomes free on each worker, as of the latest forecast. It is made
+  // when a unit needs it.
+  std::map<work::worker_id, std::vector<expected_room>> coming_room;
+  model::timestamp next_forecast_at;
   // Units that were stopped as their worker is slow or hangs, until they are.
   std::set<work::unit_id> moving;
 
--- a/source/dispatch/planning/demands.cc
+++ b/source/dispatch/planning/demands.cc
@@ -59,13 +59,6 @@
   return found;
 }
 
-// The time that the objective leaves beyond the estimated run time.
-duration SlackOf(const work::submission& content, const work::step_spec& step) {
-  const std::int64_t beyond =
-      std::max<std::int64_t>(0, std::int64_t{content.stretch_permille} - 1000);
-  return step.estimate * beyond / 1000 + content.target_latency;
-}
-
 // A unit takes a worker whose tasks stand still only after this long, or if it
 // is guaranteed like any shunned one: it would hardly end there.
 constexpr duration kHungPatience{10000};
@@ -167,14 +160,18 @@
   return half_idle;
 }
 
+duration SlackOf(const work::submission& content, const work::step_spec& step) {
+  const std::int64_t beyond =
+      std::max<std::int64_t>(0, std::int64_t{content.stretch_permille} - 1000);
+  return step.estimate * beyond / 1000 + content.target_latency;
+}
+
 placement::demand DemandOf(const context& ctx,
                            const waiting_unit& waiting,
                            const std::set<work::service_id>& half_idle) {
   const active_job& job = *ctx.state.leader.jobs.Find(waiting.unit.job);
   const work::step_spec& step = StepOf(job, waiting.unit);
   const dispatch::unit& unit = *ctx.state.leader.units.Find(waiting.unit);
-  const duration patience = SlackOf(*job.content.Get(), step) *
-                            ctx.limits().near_patience_permille / 1000;
   // No objective lets work wait for a rack while most of the service is idle.
   const bool waits_idly = half_idle.contains(job.content.Get()->service) &&
                           waiting.idle >= ctx.limits().shun_patience;
@@ -185,7 +182,7 @@
       .required_label = step.required_label,
       .same_rack = step.same_rack,
       .data_rack = step.data_rack,
-      .accepts_remote = waiting.waited >= patience || waits_idly,
+      .accepts_remote = waits_idly,
       .accepts_shunned = waiting.idle >= ctx.limits().shun_patience,
       .alone = IsSuspect(unit) && waiting.idle < ctx.limits().shun_patience,
       .avoided = unit.failed_on,
--- a/source/dispatch/planning/demands.h
+++ b/source/dispatch/planning/demands.h
@@ -26,6 +26,11 @@
 // The services of which less than half of each resource is in use.
 std::set<work::service_id> HalfIdleServices(const context& ctx);
 
+// The time that the objective leaves beyond the estimated run time.
+duration SlackOf(const work::submission& content, const work::step_spec& step);
+
+// A unit that needs one rack, or that of its data, does not accept another one
+// unless most of its service is idle; `near_room` decides besides.
 placement::demand DemandOf(const context& ctx,
                            const waiting_unit& waiting,
                            const std::set<work::service_id>& half_idle);
--- a/source/dispatch/planning/planning.cc
+++ b/source/dispatch/planning/planning.cc
@@ -12,6 +12,7 @@
 #include "dispatch/names.h"
 #include "dispatch/orders/orders.h"
 #include "dispatch/planning/demands.h"
+#include "dispatch/planning/near_room.h"
 #include "dispatch/planning/planning.h"
 #include "dispatch/planning/run_time.h"
 #include "placement/room.h"
@@ -28,35 +29,78 @@
         half_idle_(HalfIdleServices(ctx)),
         quarantine_(QuarantineOf(ctx)),
         capacity_(FreeCapacity(ctx, quarantine_)),
-        run_time_(RelativeRunTime(ctx)) {}
+        run_time_(RelativeRunTime(ctx)),
+        near_room_(ctx) {}
 
   // The number of tasks that the pass has started.
   std::size_t started() const { return started_; }
 
   void Consider(const waiting_unit& waiting) {
-    const placement::demand demand = DemandOf(ctx_, waiting, half_idle_);
+    placement::demand demand = DemandOf(ctx_, waiting, half_idle_);
     if (demand.alone && quarantine_.left[demand.service] < demand.members)
       return;
-    if (!unplaceable_demands_.contains(demand)) {
-      const auto workers =
-          placement::FindPlacement(capacity_, demand, run_time_);
-      if (workers) {
-        ReserveCapacity(*workers, demand.need);
-        if (demand.alone)
-          Quarantine(*workers, demand.service);
-        PlaceUnit(ctx_, waiting.unit, *workers);
-        started_ += workers->size();
-        return;
-      }
-      unplaceable_demands_.insert(demand);
+    if (const auto workers = FindWorkers(demand)) {
+      Place(waiting, demand, *workers);
+      return;
     }
     const bool urgent =
         ctx_.env.behaviour.may_preempt(waiting.importance, rank::kBackground);
+    if (!demand.accepts_remote && IsBoundToRack(demand)) {
+      if (urgent && near_room_.PreemptsNear(waiting) &&
+          Preempt(waiting, demand))
+        return;
+      if (TryElsewhere(waiting, demand, urgent))
+        return;
+    }
     if (urgent)
       Preempt(waiting, demand);
   }
 
  private:
+  // Places a unit without room near elsewhere if it is to run there. Otherwise
+  // `demand` accepts places elsewhere if others may be preempted there.
+  bool TryElsewhere(const waiting_unit& waiting,
+                    placement::demand& demand,
+                    bool urgent) {
+    demand.accepts_remote = true;
+    const auto workers = FindWorkers(demand);
+    demand.accepts_remote = false;
+    if (!workers && !urgent)
+      return false;
+    const locality_decision decided =
+        near_room_.Decide(waiting, demand, capacity_);
+    demand.accepts_remote = decided.runs_elsewhere;
+    if (!workers || !decided.runs_elsewhere)
+      return false;
+    ctx_.Log("unit_elsewhere", NameOf(waiting.unit),
+             {Field("waited", waiting.waited),
+              decided.near_wait ? Field("near_wait", *decided.near_wait)
+                                : Field("near_wait_ms", std::string())});
+    ctx_.Count("units_elsewhere");
+    Place(waiting, demand, *workers);
+    return true;
+  }
+
+  std::optional<std::vector<work::worker_id>> FindWorkers(
+      const placement::demand& demand) {
+    if (unplaceable_demands_.contains(demand))
+      return {};
+    auto workers = placement::FindPlacement(capacity_, demand, run_time_);
+    if (!workers)
+      unplaceable_demands_.insert(demand);
+    return workers;
+  }
+
+  void Place(const waiting_unit& waiting,
+             const placement::demand& demand,
+             const std::vector<work::worker_id>& workers) {
+    ReserveCapacity(workers, demand.need);
+    if (demand.alone)
+      Quarantine(workers, demand.service);
+    PlaceUnit(ctx_, waiting.unit, workers);
+    started_ += workers.size();
+  }
+
   void ReserveCapacity(const std::vector<work::worker_id>& workers,
                        const work::resources& need) {
     for (const work::worker_id& worker : workers)
@@ -83,20 +127,21 @@
   }
 
   // Preempts victims for the unit and reserves their capacity, so that units
-  // later in the order don't take it.
-  void Preempt(const waiting_unit& waiting, const placement::demand& demand) {
+  // later in the order don't take it. False if there are not enough.
+  bool Preempt(const waiting_unit& waiting, const placement::demand& demand) {
     const std::pair<rank, placement::demand> key(waiting.importance, demand);
     if (demands_without_victims_.contains(key))
-      return;
+      return false;
     placement::victim_set& victims = VictimsOf(waiting.importance);
     const auto chosen = placement::FindVictims(capacity_, demand, victims);
     if (!chosen) {
       demands_without_victims_.insert(key);
-      return;
+      return false;
     }
     for (const std::uint32_t index : chosen->stopped)
       Stop(victims, index, waiting);
     ReserveCapacity(chosen->workers, demand.need);
+    return true;
   }
 
   void Stop(placement::victim_set& victims,
@@ -126,6 +171,7 @@
   quarantine quarantine_;
   placement::capacity_map capacity_;
   const placement::run_time_function run_time_;
+  near_room near_room_;
   std::size_t started_ = 0;
   // Victims for the rank `victims_for_`. One set suffices, as units are
   // considered in the order of their ranks.
