--- a/tests/dispatch/locality_test.cc
+++ b/tests/dispatch/locality_test.cc
@@ -141,3 +141,28 @@
       [&] { return fixture.TasksOf(kJob) == 2; }, work::duration(2700)));
   cr_assert_str_eq(fixture.Violation().c_str(), "");
 }
+
+// Guards against a successor that knows of no room near and runs everything
+// elsewhere.
+Test(successor, of_a_leader_has_units_wait_for_room_near) {
+  busy_racks_fixture fixture(work::duration(10000), {3, 3, 2, 0}, "normal");
+  const std::uint32_t former = fixture.Leader();
+  fixture.simulation.Kill(former);
+  fixture.AwaitSuccessorOf(former);
+  fixture.simulation.RunFor(work::duration(2000));
+  fixture.simulation.Submit(
+      fixture.Leader(), kJob,
+      {busy_racks_fixture::Near(0, 1, work::duration(10000))});
+  cr_assert(fixture.Runs(kJob, work::duration(15000)));
+  cr_assert(fixture.RacksOf(kJob) == std::set<std::string>{"r-0"});
+}
+
+Test(unit, whose_rack_is_lost_runs_elsewhere) {
+  busy_racks_fixture fixture(std::chrono::minutes(1), {0, 3, 3, 1}, "normal");
+  for (std::uint32_t i = 0; i < kWorkersPerRack; ++i)
+    fixture.simulation.worker(i).Crash();
+  fixture.simulation.RunFor(work::duration(10000));
+  fixture.simulation.Submit(fixture.Follower(), kJob,
+                            {busy_racks_fixture::Near(0, 1, kShortRun)});
+  cr_assert(fixture.Runs(kJob, work::duration(1000)));
+}
--- a/tests/dispatch/worker_speed_test.cc
+++ b/tests/dispatch/worker_speed_test.cc
@@ -217,3 +217,34 @@
   cr_assert_not(fixture.LinesOf("unit_moved").empty());
   cr_assert_str_eq(fixture.Violation().c_str(), "");
 }
+
+// Guards against moves that need the store.
+Test(unit, on_a_worker_that_hangs_is_moved_while_the_store_is_away) {
+  uneven_fixture fixture(1);
+  fixture.Submit(kJob, uneven_fixture::Tasks(kWorkers * 2 * 2));
+  cr_assert(fixture.Runs(kJob, work::duration(3000)));
+  fixture.simulation.store().down = true;
+  fixture.simulation.worker(kUneven).speed = 0;
+  cr_assert(fixture.simulation.RunUntil(
+      [&] { return !fixture.LinesOf("unit_moved").empty(); },
+      work::duration(20000)));
+  fixture.simulation.store().down = false;
+  cr_assert(
+      fixture.Ends(kJob, work::job_phase::kCompleted, std::chrono::minutes(1)));
+  cr_assert_str_eq(fixture.Violation().c_str(), "");
+}
+
+// Guards against a task that counts as moved although its worker goes on with
+// it, and runs twice.
+Test(unit, on_a_worker_that_hangs_and_refuses_stops_is_not_started_elsewhere) {
+  uneven_fixture fixture(0);
+  fixture.simulation.worker(kUneven).refuses_stops_with =
+      work::order_outcome::kUnknown;
+  fixture.Submit(kJob, uneven_fixture::Tasks(kWorkers * 2));
+  cr_assert(fixture.simulation.RunUntil(
+      [&] { return !fixture.LinesOf("unit_moved").empty(); },
+      work::duration(30000)));
+  fixture.simulation.RunFor(work::duration(10000));
+  cr_assert(fixture.RunsOn(kUneven, kJob));
+  cr_assert_str_eq(fixture.Violation().c_str(), "");
+}
