A worker counts as slow from 2.5 times the usual run time on

In a model of 350 workers, with 3 % stragglers and estimates 20 to 50 % off, 1.9 % of healthy workers counted as slow at 2.2 times, and 0.5 % at 2.5 times. Workers at 0.16 of the usual speed were found in both.

--- a/source/policy/worker_speed.cc
+++ b/source/policy/worker_speed.cc
@@ -41,9 +41,10 @@
 constexpr std::size_t kLeastKnown = 3;
 
 // A worker is slow when its tasks take this many times as long as usual. Speeds
-// of healthy workers reach from 0.55 to 1.3. The tasks of a slow worker run
-// long and count as one each, so that two of them have to do.
-const double kSlowLog = std::log(2.2);
+// of healthy workers reach from 0.55 to 1.3; at 2.2 times, stragglers made one
+// in 50 of them count as slow in a model, at 2.5 one in 200. The tasks of a
+// slow worker run long and count as one each, so that two of them have to do.
+const double kSlowLog = std::log(2.5);
 constexpr double kSlowWeight = 1.5;
 
 // A straggler takes 7 times as long, on a slow worker up to 8 times that, and
