Submissions far behind a backlog are refused at once

Cause: a job that could end only long after its caller has use for the result was accepted all the same, and its caller learned so by waiting.

Change: once a second the leader estimates how long further jobs of each workspace with waiting jobs would wait at least (policy/admission, hook `admit`), and heartbeats carry the longest waits to all entries. An entry refuses a job only if it would end after three times its objective even if the work before it took half of its estimates, if none of its tasks may fit the free capacity, and if it is beyond the guarantee of its workspace. Without a measurement or a recent heartbeat everything is accepted, and so is a relayed call.

--- a/source/dispatch/callers/clients.cc
+++ b/source/dispatch/callers/clients.cc
@@ -163,6 +163,60 @@
     Relay(ctx, incoming.call, *ctx.state.calls.Find(incoming.call));
 }
 
+// The expected waits as the leader knows them, or as its latest heartbeat told;
+// none when the leader has been silent.
+std::vector<work::expected_wait> KnownWaits(const context& ctx) {
+  const leadership_state& leadership = ctx.state.leadership;
+  if (leadership.current_role == role::kLeader)
+    return ctx.state.leader.waits;
+  const bool heard =
+      ctx.now() - leadership.leader_heard_at < ctx.limits().leader_silent;
+  return heard ? leadership.leader_waits : std::vector<work::expected_wait>();
+}
+
+// True for a job that fits its workspace's guarantee, which is served at once.
+bool IsWithinGuarantee(const context& ctx, const work::submission& content) {
+  if (content.priority != 0)
+    return false;
+  std::int64_t needed = 0;
+  for (const work::step_spec& step : content.request.steps) {
+    needed = std::max(needed, step.need.accelerators * step.tasks);
+  }
+  return std::ranges::any_of(ctx.state.in_force.Get()->content.workspaces,
+                             [&](const work::workspace& each) {
+                               return each.id == content.owner &&
+                                      each.guaranteed_accelerators > 0 &&
+                                      each.guaranteed_accelerators >= needed;
+                             });
+}
+
+// Answers a submission that can't be served in time by a wide margin, and
+// returns true then. A relayed one was accepted by the entry that took it.
+bool RefuseForBacklog(const context& ctx,
+                      const incoming_call& incoming,
+                      const work::submission& content) {
+  if (!incoming.relayed_by.empty() || ctx.state.in_force.Get() == nullptr ||
+      IsWithinGuarantee(ctx, content))
+    return false;
+  const policy::admission decided =
+      ctx.env.behaviour.admit(content, KnownWaits(ctx));
+  // An earlier call for the same job may still have it stored.
+  const bool is_repeat = std::ranges::any_of(
+      ctx.state.calls,
+      [&](const auto& row) { return row.second.job == content.job; });
+  if (decided.accepted || is_repeat)
+    return false;
+  ctx.Log("refused_for_backlog", incoming.content.path,
+          {Field("workspace", content.owner.value()),
+           Field("priority", content.priority),
+           Field("retry_after", decided.retry_after)});
+  ctx.Count("submissions_refused_for_backlog");
+  Reply(
+      ctx, incoming,
+      {.kind = work::answer_kind::kNotRun, .retry_after = decided.retry_after});
+  return true;
+}
+
 void Submit(const context& ctx,
             const incoming_call& incoming,
             const work::queue& queue,
@@ -184,18 +238,18 @@
            .faults = incoming.content.faults});
     return;
   }
-  StoreRecord(ctx, incoming, job,
-              work::job_submitted{
-                  .content = {.job = job,
-                              .queue = queue.id,
-                              .service = queue.service,
-                              .owner = owner,
-                              .priority = queue.priority,
-                              .max_attempts = queue.max_attempts,
-                              .stretch_permille = queue.stretch_permille,
-                              .target_latency = queue.target_latency,
-                              .submitted_at = ctx.now(),
-                              .request = *incoming.content.request}});
+  const work::submission content{.job = job,
+                                 .queue = queue.id,
+                                 .service = queue.service,
+                                 .owner = owner,
+                                 .priority = queue.priority,
+                                 .max_attempts = queue.max_attempts,
+                                 .stretch_permille = queue.stretch_permille,
+                                 .target_latency = queue.target_latency,
+                                 .submitted_at = ctx.now(),
+                                 .request = *incoming.content.request};
+  if (!RefuseForBacklog(ctx, incoming, content))
+    StoreRecord(ctx, incoming, job, work::job_submitted{.content = content});
 }
 
 bool Owns(const records::stored_job& job, const work::workspace_id& owner) {
--- a/source/dispatch/hooks.cc
+++ b/source/dispatch/hooks.cc
@@ -41,6 +41,11 @@
   return order;
 }
 
+policy::admission AcceptAll(const work::submission&,
+                            const std::vector<work::expected_wait>&) {
+  return {};
+}
+
 std::uint64_t StopCost(const running_unit& unit) {
   const work::duration lost =
       unit.checkpointed ? std::min(unit.ran, kCheckpointLoss) : unit.ran;
@@ -63,6 +68,7 @@
 hooks DefaultHooks() {
   return {.goes_first = ByRankThenSubmission,
           .share_order = policy::FairOrder,
+          .admit = policy::Admit,
           .stop_cost = StopCost,
           .may_preempt =
               [](rank waiting, rank running) {
@@ -74,6 +80,7 @@
 hooks BaselineHooks() {
   return {.goes_first = BySubmission,
           .share_order = AsSorted,
+          .admit = AcceptAll,
           .stop_cost = StopCost,
           .may_preempt = [](rank, rank) { return false; },
           .record_bytes = NoBytes};
--- a/source/dispatch/hooks.h
+++ b/source/dispatch/hooks.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <vector>
 
+#include "policy/admission.h"
 #include "policy/fair_share.h"
 #include "work/record.h"
 
@@ -65,6 +66,12 @@
       const policy::share_state& state)>
       share_order;
 
+  // Whether a submission is accepted, by the expected waits of its workspace.
+  std::function<policy::admission(
+      const work::submission& job,
+      const std::vector<work::expected_wait>& waits)>
+      admit;
+
   // Cost of stopping the unit now, in core-milliseconds of lost work.
   std::function<std::uint64_t(const running_unit&)> stop_cost;
 
--- a/source/dispatch/leadership/leadership.cc
+++ b/source/dispatch/leadership/leadership.cc
@@ -83,7 +83,8 @@
                    .resigning = ctx.state.shutdown.requested,
                    .store_slow = AreAppendsSlow(ctx),
                    .all_streams_reached = !IsAnyStreamFailing(ctx),
-                   .evacuations = ReportOf(ctx.state.evacuations)});
+                   .evacuations = ReportOf(ctx.state.evacuations),
+                   .waits = ctx.state.leader.waits});
   }
 }
 
@@ -349,6 +350,7 @@
     leadership.leader_reaches_store = message.store_reached;
     leadership.leader_reaches_all_streams = message.all_streams_reached;
     leadership.leader_store_slow = message.store_slow;
+    leadership.leader_waits = message.waits;
     if (message.store_reached)
       leadership.leader_reached_store_at = ctx.now();
   }
--- a/source/dispatch/planning/shares.cc
+++ b/source/dispatch/planning/shares.cc
@@ -183,6 +183,7 @@
     std::ranges::sort(permille, std::ranges::greater());
     permille.resize(std::min(permille.size(), kReportedWorkspaces));
     std::vector<work::log_field> fields;
+    fields.reserve(permille.size());
     for (const auto& [share, owner] : permille)
       fields.push_back(Field(owner + "_permille", share));
     ctx.Log("capacity_shared", service.value(), std::move(fields));
--- a/source/dispatch/reduce.cc
+++ b/source/dispatch/reduce.cc
@@ -114,6 +114,7 @@
     OpenDueSteps(ctx);
     AdvanceWorkers(ctx);
     AdvanceOrders(ctx);
+    MeasureWaitsIfDue(ctx);
     // The longer a unit waits, the more placements it accepts.
     s.leader.plan_due = true;
   }
--- a/source/dispatch/state.h
+++ b/source/dispatch/state.h
@@ -172,6 +172,8 @@
   bool leader_reaches_all_streams = false;
   // Whether appends to the store take long, according to the same.
   bool leader_store_slow = false;
+  // How long jobs would wait, according to the same.
+  std::vector<work::expected_wait> leader_waits;
   std::optional<timestamp> resigning_since;
   // Since when this follower has known from the records that the leader's
   // process has restarted. Candidates claim in turn from then on.
@@ -567,6 +569,9 @@
   // The unit of each service for which the latest planning pass kept room.
   std::map<work::service_id, work::unit_id> rooms_kept;
   timestamp next_share_report_at;
+  // How long further jobs would wait, as of the latest measurement.
+  std::vector<work::expected_wait> waits;
+  timestamp next_wait_measurement_at;
   bool plan_due = false;
   timestamp next_plan_at;
   // Starts are paced: those so far take the leader until this time.
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -116,6 +116,13 @@
                       faults)
 PARSLEYHITCH_DESCRIBE(client_answer, kind, phase, waiting, faults, retry_after)
 PARSLEYHITCH_DESCRIBE(evacuation_report, position, failure_domains)
+PARSLEYHITCH_DESCRIBE(expected_wait,
+                      service,
+                      owner,
+                      priority,
+                      wait,
+                      free,
+                      largest_free)
 PARSLEYHITCH_DESCRIBE(leader_heartbeat,
                       epoch,
                       address,
@@ -125,7 +132,8 @@
                       resigning,
                       store_slow,
                       all_streams_reached,
-                      evacuations)
+                      evacuations,
+                      waits)
 PARSLEYHITCH_DESCRIBE(heartbeat_reply,
                       epoch,
                       address,
--- a/source/work/peer_message.h
+++ b/source/work/peer_message.h
@@ -26,6 +26,19 @@
   bool operator==(const evacuation_report&) const = default;
 };
 
+// How long a further job of a workspace would wait at least.
+struct expected_wait {
+  service_id service;
+  workspace_id owner;
+  std::uint32_t priority = 0;
+  duration wait{0};
+  // Free capacity of the service: on all workers together, and the most of each
+  // resource on any one of them.
+  resources free;
+  resources largest_free;
+  bool operator==(const expected_wait&) const = default;
+};
+
 // From the leader to every member.
 struct leader_heartbeat {
   const std::uint64_t epoch = 0;
@@ -43,6 +56,9 @@
   // been started without a record.
   const bool all_streams_reached = false;
   const evacuation_report evacuations{};
+  // Of workspaces whose jobs wait; empty from leaders that know of none, and
+  // from those of older versions.
+  const std::vector<expected_wait> waits{};
   bool operator==(const leader_heartbeat&) const = default;
 };
 
--- a/tests/wire/work_codec_test.cc
+++ b/tests/wire/work_codec_test.cc
@@ -133,6 +133,21 @@
   cr_assert(codec_fixture::RoundTrip(relayed) == relayed);
 }
 
+// Guards against entries that refuse jobs by waits that arrive altered.
+Test(work_message, with_expected_waits_is_decoded_with_them) {
+  const work::peer_message message{
+      .from = work::entry_id("a"),
+      .content = work::leader_heartbeat{
+          .epoch = 3,
+          .waits = {{.service = work::service_id("pool"),
+                     .owner = work::workspace_id("team"),
+                     .priority = 2,
+                     .wait = work::duration(12000),
+                     .free = {.cpu_millis = 500},
+                     .largest_free = {.cpu_millis = 300}}}}};
+  cr_assert(codec_fixture::RoundTrip(message) == message);
+}
+
 // Guards against a release in which entries of the older version can't read
 // units, or count other failures.
 Test(unit_progress, read_by_an_older_version_has_the_number_of_failures) {
