--- a/source/dispatch/hooks.cc
+++ b/source/dispatch/hooks.cc
@@ -51,6 +51,11 @@
   return order;
 }
 
+policy::admission AcceptAll(const work::submission&,
+                            const std::vector<work::expected_wait>&) {
+  return {};
+}
+
 // The time of which each member is deprived by a stop. A stop takes a
 // checkpoint, so a unit with checkpoints loses no work by it.
 work::duration TimeLost(const work::platform_bounds& bounds,
@@ -95,6 +100,7 @@
 hooks DefaultHooks(const work::platform_bounds& bounds) {
   return {.goes_first = ByRankThenSubmission,
           .share_order = policy::FairOrder,
+          .admit = policy::Admit,
           .stop_cost = std::bind_front(StopCost, bounds),
           .may_preempt =
               [](rank waiting, rank running) {
@@ -108,6 +114,7 @@
 hooks BaselineHooks(const work::platform_bounds& bounds) {
   return {.goes_first = BySubmission,
           .share_order = AsSorted,
+          .admit = AcceptAll,
           .stop_cost = std::bind_front(StopCost, bounds),
           .may_preempt = [](rank, rank) { return false; },
           .allowed_wait =
--- a/source/dispatch/hooks.h
+++ b/source/dispatch/hooks.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "placement/room.h"
+#include "policy/admission.h"
 #include "policy/fair_share.h"
 #include "policy/reservation.h"
 #include "work/bounds.h"
@@ -73,6 +74,12 @@
       const policy::share_state& state)>
       share_order;
 
+  // Whether a submission is accepted, by the expected waits of its workspace.
+  std::function<policy::admission(
+      const work::submission& job,
+      const std::vector<work::expected_wait>& waits)>
+      admit;
+
   // Cost of stopping the unit now, in core-milliseconds of lost work.
   std::function<std::uint64_t(const running_unit&)> stop_cost;
 
--- a/source/dispatch/reduce.cc
+++ b/source/dispatch/reduce.cc
@@ -118,6 +118,7 @@
     AdvanceOrders(ctx);
     AdvanceSpeeds(ctx);
     MoveFromSlowWorkers(ctx);
+    MeasureWaitsIfDue(ctx);
     // The longer a unit waits, the more placements it accepts.
     s.leader.plan_due = true;
   }
