--- a/source/runtime/http_server.cc
+++ b/source/runtime/http_server.cc
@@ -132,8 +132,13 @@
   };
 
   void Start(const pending_read& read) {
-    if (!link_) {
-      Register();
+    if (!link_ && service_->accepted) {
+      Register(*std::exchange(service_->accepted, std::nullopt));
+    } else if (!link_) {
+      // The server was destroyed meanwhile.
+      asio::post(get_executor(),
+                 [read] { read.done(asio::error::connection_reset, 0); });
+      return;
     } else if (link_->passing && link_->request.empty()) {
       // RESTinio reads on once it has written the reply.
       link_->passing = false;
@@ -144,9 +149,7 @@
     Continue(read);
   }
 
-  void Register() {
-    accepted_connection accepted =
-        *std::exchange(service_->accepted, std::nullopt);
+  void Register(accepted_connection accepted) {
     link_ = std::make_unique<link>();
     link_->gate = std::move(accepted.gate);
     link_->id = accepted.id;
@@ -202,11 +205,8 @@
                                            .fields = progress.fields,
                                            .body_bytes = progress.body_bytes,
                                            .held_bytes = progress.held_bytes});
-    if (link_->closed || link_->refused) {
-      link_->reader.Clear();
-      return;
-    }
-    if (progress.phase != intake::reading::kComplete)
+    if (link_->closed || link_->refused ||
+        progress.phase != intake::reading::kComplete)
       return;
     link_->request = link_->reader.Take();
     link_->passing = true;
@@ -229,6 +229,7 @@
   // close with unread bytes would reset it.
   void Refuse(const intake::refuse_request& refusal) {
     link_->refused = true;
+    link_->reader.Clear();
     asio::error_code ignored;
     write_some(asio::buffer(RefusalBytes(refusal)), ignored);
     shutdown(shutdown_send, ignored);
@@ -237,6 +238,7 @@
   // RESTinio learns of it from the read that ends.
   void CloseNow() {
     link_->closed = true;
+    link_->reader.Clear();
     asio::error_code ignored;
     close(ignored);
   }
