Decisions under load can be turned off by the settings

The settings have a switch for each decision under load (policies), so that an operator can compare or be rid of one. The bound within which guaranteed work must begin reaches the program through the settings, instead of 2,700 ms.

--- a/source/dispatch/environment.h
+++ b/source/dispatch/environment.h
@@ -10,6 +10,7 @@
 #include "dispatch/hooks.h"
 #include "work/bounds.h"
 #include "work/limits.h"
+#include "work/policies.h"
 #include "work/record.h"
 
 namespace parsleyhitch::dispatch {
@@ -30,6 +31,7 @@
   std::uint64_t max_record_bytes = 262144;
   std::uint64_t max_append_bytes = 2097152;
   work::limits limits;
+  work::policies policies;
   hooks behaviour;
 };
 
--- a/source/dispatch/fleet/speeds.cc
+++ b/source/dispatch/fleet/speeds.cc
@@ -161,6 +161,10 @@
   observations& observed = ctx.state.leader.observed;
   if (!ctx.state.leader.restored || ctx.now() < observed.next_judgement_at)
     return;
+  if (!ctx.env.policies.worker_speeds) {
+    observed.judgements.clear();
+    return;
+  }
   const timestamp judged_before = observed.next_judgement_at - kJudgementPause;
   observed.next_judgement_at = ctx.now() + kJudgementPause;
   observed.speeds = policy::Pruned(std::move(observed.speeds), ctx.now());
--- a/source/dispatch/hooks.cc
+++ b/source/dispatch/hooks.cc
@@ -91,23 +91,35 @@
   return (cost * factor) << std::min(unit.preemptions, kMaxDoublings);
 }
 
+work::duration NoWait(const policy::unit_in_need&) {
+  return work::duration(0);
+}
+
+work::resources NoReserve(const policy::urgent_load&,
+                          const work::resources&,
+                          work::timestamp) {
+  return {};
+}
+
 std::uint64_t NoBytes(const work::record&) {
   return 0;
 }
 
 }  // namespace
 
-hooks DefaultHooks(const work::platform_bounds& bounds) {
+hooks DefaultHooks(const work::platform_bounds& bounds,
+                   const work::policies& used) {
   return {.goes_first = ByRankThenSubmission,
-          .share_order = policy::FairOrder,
-          .admit = policy::Admit,
+          .share_order = used.fair_sharing ? policy::FairOrder : AsSorted,
+          .admit = used.admission ? policy::Admit : AcceptAll,
           .stop_cost = std::bind_front(StopCost, bounds),
           .may_preempt =
               [](rank waiting, rank running) {
                 return waiting <= rank::kUrgent && waiting < running;
               },
-          .allowed_wait = policy::AllowedWait,
-          .reserve_for_urgent = policy::ReserveFor,
+          .allowed_wait = used.room_waits ? policy::AllowedWait : NoWait,
+          .reserve_for_urgent =
+              used.urgent_reserve ? policy::ReserveFor : NoReserve,
           .record_bytes = NoBytes};
 }
 
@@ -117,11 +129,8 @@
           .admit = AcceptAll,
           .stop_cost = std::bind_front(StopCost, bounds),
           .may_preempt = [](rank, rank) { return false; },
-          .allowed_wait =
-              [](const policy::unit_in_need&) { return work::duration(0); },
-          .reserve_for_urgent =
-              [](const policy::urgent_load&, const work::resources&,
-                 work::timestamp) { return work::resources(); },
+          .allowed_wait = NoWait,
+          .reserve_for_urgent = NoReserve,
           .record_bytes = NoBytes};
 }
 
--- a/source/dispatch/hooks.h
+++ b/source/dispatch/hooks.h
@@ -17,6 +17,7 @@
 #include "policy/fair_share.h"
 #include "policy/reservation.h"
 #include "work/bounds.h"
+#include "work/policies.h"
 #include "work/record.h"
 
 namespace parsleyhitch::dispatch {
@@ -106,8 +107,10 @@
   std::function<std::uint64_t(const work::record&)> record_bytes;
 };
 
-// The default policy, for a platform with these bounds.
-hooks DefaultHooks(const work::platform_bounds& bounds = {});
+// The default policy, for a platform with these bounds, without the decisions
+// that are turned off.
+hooks DefaultHooks(const work::platform_bounds& bounds = {},
+                   const work::policies& used = {});
 
 // First come, first served, without preemption: the baseline against which the
 // default policy is measured.
--- a/source/dispatch/planning/near_room.cc
+++ b/source/dispatch/planning/near_room.cc
@@ -24,17 +24,13 @@
 // How many racks a pass looks at. Units beyond that wait for a fixed share of
 // their slack.
 constexpr std::uint32_t kMaxRacks = 400;
-
-// A guaranteed unit begins all its tasks this long after its acceptance, away
-// from its data if need be. The starts themselves take up to the reserve, and
-// the stop of what is in the way.
-constexpr duration kGuaranteedBegin{2700};
 constexpr duration kBeginReserve{500};
 
 // The time left for a guaranteed unit that has waited this long to decide on
 // room elsewhere, also if that has to be freed.
 duration LeftToBegin(const context& ctx, duration waited) {
-  return kGuaranteedBegin - kBeginReserve - ctx.env.bounds.task_stop - waited;
+  return ctx.env.bounds.reclaim - kBeginReserve - ctx.env.bounds.task_stop -
+         waited;
 }
 
 // How long the unit's step has waited. A later one was not waiting while those
@@ -166,7 +162,8 @@
   const bool must_begin =
       waiting.importance == rank::kGuaranteed &&
       LeftToBegin(ctx_, WaitedSinceReady(ctx_, waiting)) <= duration(0);
-  return !must_begin && waiting.idle < ctx_.limits().shun_patience;
+  return ctx_.env.policies.locality_forecast && !must_begin &&
+         waiting.idle < ctx_.limits().shun_patience;
 }
 
 locality_decision near_room::Decide(const waiting_unit& waiting,
@@ -178,7 +175,8 @@
   const duration slack = SlackOf(ContentOf(job), step);
   const bool out_of_patience =
       waited >= slack * ctx_.limits().near_patience_permille / 1000;
-  if (racks_searched_ >= kMaxRacks || wanted.alone)
+  if (racks_searched_ >= kMaxRacks || wanted.alone ||
+      !ctx_.env.policies.locality_forecast)
     return {.runs_elsewhere = out_of_patience};
   ForecastIfDue(ctx_);
   const auto shortest = ShortestWait(wanted, capacity);
--- a/source/runtime/dispatch_process.cc
+++ b/source/runtime/dispatch_process.cc
@@ -50,12 +50,14 @@
               std::chrono::duration<double>(settings.checkpoint_interval_s)),
           .checkpoint_restore = settings.checkpoint_restore,
           .remote_permille =
-              static_cast<std::uint32_t>(settings.remote_slowdown * kPermille)};
+              static_cast<std::uint32_t>(settings.remote_slowdown * kPermille),
+          .reclaim = settings.reclaim_bound};
 }
 
 dispatch::environment EnvironmentOf(
     const settings::dispatch_settings& settings) {
-  dispatch::hooks behaviour = dispatch::DefaultHooks(BoundsOf(settings));
+  dispatch::hooks behaviour =
+      dispatch::DefaultHooks(BoundsOf(settings), settings.policies);
   behaviour.record_bytes = platform::EncodedBytes;
   return {.self = settings.entry,
           .peer_address = settings.peers_listen,
@@ -68,6 +70,7 @@
           .max_record_bytes = settings.max_record_bytes,
           .max_append_bytes = settings.max_append_bytes,
           .limits = settings.limits,
+          .policies = settings.policies,
           .behaviour = std::move(behaviour)};
 }
 
--- a/source/settings/dispatch_settings.cc
+++ b/source/settings/dispatch_settings.cc
@@ -39,7 +39,9 @@
                       idle_timeout,
                       max_client_connections,
                       max_operator_connections,
-                      max_connections_per_address)
+                      max_connections_per_address,
+                      reclaim_bound,
+                      policies)
 
 namespace {
 
--- a/source/settings/dispatch_settings.h
+++ b/source/settings/dispatch_settings.h
@@ -10,6 +10,7 @@
 #include "model/identifier.h"
 #include "wire/base.h"
 #include "work/limits.h"
+#include "work/policies.h"
 
 namespace parsleyhitch::settings {
 
@@ -65,6 +66,10 @@
   // Open connections of one client address; 0 for no limit, as a load balancer
   // forwards many callers from few addresses.
   const std::uint32_t max_connections_per_address = 0;
+  // Milliseconds from the acceptance of a job within its workspace's guarantee
+  // until all tasks of its first step must have begun.
+  const model::duration reclaim_bound{2700};
+  const work::policies policies;
 
   bool operator==(const dispatch_settings&) const = default;
 };
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -8,6 +8,7 @@
 #include "wire/describe.h"
 #include "work/limits.h"
 #include "work/peer_message.h"
+#include "work/policies.h"
 #include "work/record.h"
 
 namespace parsleyhitch::work {
@@ -199,6 +200,14 @@
 PARSLEYHITCH_DESCRIBE(answers_returned, epoch, answers)
 PARSLEYHITCH_DESCRIBE(peer_message, from, content)
 
+PARSLEYHITCH_DESCRIBE(policies,
+                      fair_sharing,
+                      admission,
+                      room_waits,
+                      urgent_reserve,
+                      worker_speeds,
+                      locality_forecast)
+
 PARSLEYHITCH_DESCRIBE(limits,
                       tick,
                       read_wait,
--- a/source/work/bounds.h
+++ b/source/work/bounds.h
@@ -21,6 +21,10 @@
   // belong on one rack across several, in thousandths.
   std::uint32_t remote_permille = 3000;
 
+  // From the acceptance of a job within its workspace's guarantee until all
+  // tasks of its first step must have begun.
+  model::duration reclaim{2700};
+
   bool operator==(const platform_bounds&) const = default;
 };
 
--- a/tests/settings/dispatch_settings_test.cc
+++ b/tests/settings/dispatch_settings_test.cc
@@ -104,6 +104,7 @@
         {"bounds.saveS", bounds.save_s},
         {"bounds.restoreMs", std::to_string(bounds.restore_ms)},
         {"bounds.farX", "3"},
+        {"bounds.reclaimMs", "2900"},
         {"bounds.status_s", "120"}};
     for (const auto& [name, value] : values) {
       const std::string placeholder = "{{" + name + "}}";
