Placement takes a relative run time on each worker

Cause: workers with room were ordered by tightness alone, so that nothing that is known of a worker could count in the choice.

Change: FindPlacement takes a function from a demand and a worker to thousandths of the usual time. Within the chosen scope it orders workers before tightness, in steps of a tenth. The scope, and whether there is room, do not depend on it.

Result: without the function the choice is as before; tests/placement.

--- a/source/placement/capacity_map.h
+++ b/source/placement/capacity_map.h
@@ -5,6 +5,7 @@
 #define PARSLEYHITCH_PLACEMENT_CAPACITY_MAP_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -106,6 +107,11 @@
   auto operator<=>(const demand&) const = default;
 };
 
+// How long the demand's tasks are expected to take on the worker, in
+// thousandths of the usual time. An empty function counts as 1000 everywhere.
+using relative_run_time =
+    std::function<std::uint32_t(const demand&, const worker_capacity&)>;
+
 // True when the worker may run the demand's tasks, regardless of free capacity.
 bool IsEligible(const demand& wanted, const worker_capacity& slot);
 
--- a/source/placement/room.cc
+++ b/source/placement/room.cc
@@ -1,5 +1,6 @@
 // Best fit: within a scope the workers with the least free capacity are filled
-// first; among racks, the one with room for the fewest members is chosen.
+// first, of those on which the tasks take equally long; among racks, the one
+// with room for the fewest members is chosen.
 
 #include "placement/room.h"
 
@@ -10,9 +11,15 @@
 
 namespace {
 
+// Smaller differences in run time do not outweigh a tighter fit, in
+// thousandths.
+constexpr std::uint32_t kRunTimeStep = 100;
+
 struct candidate {
   std::uint32_t slot = 0;
   std::uint32_t fits = 0;
+  // In steps.
+  std::uint32_t run_time = 0;
 };
 
 std::vector<candidate> CandidatesIn(const capacity_map& capacity,
@@ -43,9 +50,9 @@
   const auto tighter = [&](const candidate& a, const candidate& b) {
     const worker_capacity& one = capacity.slots()[a.slot];
     const worker_capacity& other = capacity.slots()[b.slot];
-    return std::tie(one.free.accelerators, one.free.cpu_millis, one.worker) <
-           std::tie(other.free.accelerators, other.free.cpu_millis,
-                    other.worker);
+    return std::tie(a.run_time, one.free.accelerators, one.free.cpu_millis,
+                    one.worker) < std::tie(b.run_time, other.free.accelerators,
+                                           other.free.cpu_millis, other.worker);
   };
   // Each candidate takes at least one member, so only this many need sorting.
   const auto used = static_cast<std::ptrdiff_t>(
@@ -99,7 +106,8 @@
 
 std::optional<std::vector<work::worker_id>> FindPlacement(
     const capacity_map& capacity,
-    const demand& wanted) {
+    const demand& wanted,
+    const relative_run_time& run_time) {
   if (!Fits(wanted.need, capacity.MaxFree(wanted.service)))
     return {};
   std::vector<candidate> best;
@@ -121,6 +129,12 @@
   }
   if (best.empty())
     return {};
+  if (run_time) {
+    for (candidate& each : best) {
+      each.run_time =
+          run_time(wanted, capacity.slots()[each.slot]) / kRunTimeStep;
+    }
+  }
   return AssignTightest(capacity, std::move(best), wanted.members);
 }
 
--- a/source/placement/room.h
+++ b/source/placement/room.h
@@ -25,10 +25,13 @@
 
 // One worker for each member, or nothing when no acceptable placement fits the
 // free capacity. Best fit: workers with the least free capacity are filled
-// first, so that empty workers remain for large tasks.
+// first, so that empty workers remain for large tasks. Workers on which the
+// tasks run in less time, in steps of a tenth of the usual time, are used
+// before tighter ones.
 std::optional<std::vector<work::worker_id>> FindPlacement(
     const capacity_map& capacity,
-    const demand& wanted);
+    const demand& wanted,
+    const relative_run_time& run_time = {});
 
 }  // namespace parsleyhitch::placement
 
--- a/tests/placement/room_test.cc
+++ b/tests/placement/room_test.cc
@@ -228,3 +228,58 @@
   cr_assert(chosen.has_value());
   cr_assert(chosen->stopped == std::vector<std::uint32_t>{1});
 }
+
+// Guards against tasks that are put beside others that slow them down while
+// other workers have room.
+Test(placement, with_run_times_prefers_workers_where_tasks_run_in_less_time) {
+  capacity_fixture fixture;
+  fixture.Use("a1", 4);
+  const auto slow_on_a1 = [](const placement::demand&,
+                             const placement::worker_capacity& slot) {
+    return slot.worker == work::worker_id("a1") ? 1500U : 1000U;
+  };
+  const auto found = placement::FindPlacement(fixture.capacity,
+                                              fixture.Demand(2, 8), slow_on_a1);
+  cr_assert(found.has_value());
+  const auto one = placement::FindPlacement(fixture.capacity,
+                                            fixture.Demand(1, 2), slow_on_a1);
+  cr_assert_eq(one->front().value(), "a2");
+}
+
+Test(placement, with_run_times_that_differ_little_prefers_the_tightest_fit) {
+  capacity_fixture fixture;
+  fixture.Use("b1", 4);
+  const auto little_slower_on_b1 = [](const placement::demand&,
+                                      const placement::worker_capacity& slot) {
+    return slot.worker == work::worker_id("b1") ? 1090U : 1010U;
+  };
+  const auto found = placement::FindPlacement(
+      fixture.capacity, fixture.Demand(1, 2), little_slower_on_b1);
+  cr_assert_eq(found->front().value(), "b1");
+}
+
+// Guards against units that wait, or leave their data, because of interference.
+Test(placement, with_run_times_uses_a_slow_worker_if_no_other_has_room) {
+  capacity_fixture fixture;
+  for (const char* worker : {"a2", "b1", "b2"})
+    fixture.Use(worker, 8);
+  const auto found = placement::FindPlacement(
+      fixture.capacity, fixture.Demand(1, 2),
+      [](const placement::demand&, const placement::worker_capacity&) {
+        return 5000U;
+      });
+  cr_assert_eq(found->front().value(), "a1");
+}
+
+Test(placement, with_run_times_stays_on_the_rack_of_the_data) {
+  capacity_fixture fixture;
+  placement::demand wanted = fixture.Demand(1, 2);
+  wanted.data_rack = work::rack_id("a");
+  wanted.accepts_remote = true;
+  const auto found = placement::FindPlacement(
+      fixture.capacity, wanted,
+      [](const placement::demand&, const placement::worker_capacity& slot) {
+        return slot.rack == work::rack_id("a") ? 3000U : 1000U;
+      });
+  cr_assert_eq(found->front().value(), "a1");
+}
