A step may name the image that its tasks run

Cause: the scheduler can't tell which tasks of different jobs behave alike.

Change: `image` in the JSON of a step is decoded into work::step_spec, and described at its end. A name has at most 256 bytes, as each entry keeps it.

Result: older versions skip it, and their records have none; tests/wire and tests/platform.

--- a/source/platform/client_codec.cc
+++ b/source/platform/client_codec.cc
@@ -26,6 +26,9 @@
 // Of all steps and occurrences together. A leader holds them all in memory.
 constexpr std::uint64_t kMaxJobTasks = 100000;
 
+// Every step of every open job holds its image, and so does each entry.
+constexpr std::size_t kMaxImageBytes = 256;
+
 constexpr char kJson[] = "application/json";
 
 std::string HeaderValue(const wire::http_call& call, const char* name) {
@@ -64,6 +67,9 @@
   const std::uint64_t tasks = step.Number("count");
   if (tasks == 0 || tasks > kMaxTasks)
     step.AddFinding("count", "must be from 1 to 10000");
+  std::string image = step.String("image");
+  if (image.size() > kMaxImageBytes)
+    step.AddFinding("image", "must have at most 256 bytes");
   return {
       .tasks = static_cast<std::uint32_t>(tasks),
       .need = {.cpu_millis = static_cast<std::int64_t>(step.Number("cpu")),
@@ -81,7 +87,8 @@
       .data_rack = work::rack_id(step.String("affinity")),
       // The limit of tasks on one worker, not a label to avoid.
       .max_per_worker = static_cast<std::uint32_t>(step.Number("antiAffinity")),
-      .may_be_away = static_cast<std::uint32_t>(step.Number("mayMiss"))};
+      .may_be_away = static_cast<std::uint32_t>(step.Number("mayMiss")),
+      .image = std::move(image)};
 }
 
 work::schedule DecodeSchedule(const json_fields& job) {
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -63,7 +63,8 @@
                       required_label,
                       data_rack,
                       max_per_worker,
-                      may_be_away)
+                      may_be_away,
+                      image)
 PARSLEYHITCH_DESCRIBE(schedule, first_due, interval, occurrences)
 PARSLEYHITCH_DESCRIBE(job_request, spec, steps, when)
 PARSLEYHITCH_DESCRIBE(submission,
--- a/source/work/job.h
+++ b/source/work/job.h
@@ -52,6 +52,8 @@
   // For an endless step: how many tasks the scheduler may keep stopped at a
   // time.
   const std::uint32_t may_be_away = 0;
+  // What the tasks run; tasks of one image behave alike. Empty if not given.
+  const std::string image{};
 
   bool operator==(const step_spec&) const = default;
 };
--- a/tests/platform/client_codec_test.cc
+++ b/tests/platform/client_codec_test.cc
@@ -61,6 +61,24 @@
   cr_assert_eq(call.patience.count(), 2500);
 }
 
+Test(submission, that_names_an_image_is_decoded_with_it) {
+  const work::client_call call = call_fixture::Submit(
+      R"({"phases":[{"count":1,"image":"encode:4"},{"count":1}]})");
+  cr_assert(call.faults.empty());
+  cr_assert_eq(call.request->steps[0].image, "encode:4");
+  cr_assert_eq(call.request->steps[1].image, "");
+}
+
+// Guards against callers that fill the memory of entries with names.
+Test(submission, that_names_an_image_of_more_than_256_bytes_is_refused) {
+  const std::string start = R"({"phases":[{"count":1,"image":")";
+  const std::string end = R"("}]})";
+  cr_assert(
+      call_fixture::FindingPlaces(start + std::string(256, 'x') + end).empty());
+  cr_assert(call_fixture::FindingPlaces(start + std::string(257, 'x') + end) ==
+            places{"/phases/0/image"});
+}
+
 Test(submission, with_several_errors_reports_the_path_of_each) {
   const places found = call_fixture::FindingPlaces(
       R"({"spec":5,"phases":[{"count":0},{"count":1,"dependsOn":[1]},
--- a/tests/wire/work_codec_test.cc
+++ b/tests/wire/work_codec_test.cc
@@ -40,6 +40,40 @@
                       losses,
                       later_losses)
 
+// A step in versions without `image`.
+struct older_step {
+  const std::uint32_t tasks = 0;
+  const work::resources need;
+  const work::duration estimate{0};
+  const std::vector<std::uint32_t> after{};
+  const bool gang = false;
+  const bool same_rack = false;
+  const bool checkpointed = false;
+  const bool duplicates_allowed = false;
+  const bool endless = false;
+  const bool fills_idle = false;
+  const std::string required_label;
+  const work::rack_id data_rack;
+  const std::uint32_t max_per_worker = 0;
+  const std::uint32_t may_be_away = 0;
+};
+
+PARSLEYHITCH_DESCRIBE(older_step,
+                      tasks,
+                      need,
+                      estimate,
+                      after,
+                      gang,
+                      same_rack,
+                      checkpointed,
+                      duplicates_allowed,
+                      endless,
+                      fills_idle,
+                      required_label,
+                      data_rack,
+                      max_per_worker,
+                      may_be_away)
+
 struct codec_fixture {
   static work::record RoundTrip(const work::record& record) {
     return wire::DecodeRecord(wire::EncodeRecord(record)).value();
@@ -56,7 +90,8 @@
                .need = {.cpu_millis = 500, .accelerators = 2},
                .estimate = work::duration(900),
                .gang = true,
-               .data_rack = work::rack_id("r1")},
+               .data_rack = work::rack_id("r1"),
+               .image = "encode"},
               {.tasks = 1, .after = {0}}}};
 
 }  // namespace
@@ -159,3 +194,16 @@
       .failures = 2, .attempt = 1002, .attempt_failed = true, .losses = 1};
   cr_assert(read == expected);
 }
+
+// Guards against a release in which entries of the older version can't read
+// jobs, or jobs of the older version are lost.
+Test(step_spec, is_read_by_and_from_an_older_version_without_its_image) {
+  const work::step_spec named{.tasks = 4, .may_be_away = 2, .image = "encode"};
+  const auto older = wire::FromProto<older_step>(wire::ToProto(named)).value();
+  cr_assert_eq(older.tasks, 4U);
+  cr_assert_eq(older.may_be_away, 2U);
+  const auto newer =
+      wire::FromProto<work::step_spec>(wire::ToProto(older)).value();
+  const work::step_spec expected{.tasks = 4, .may_be_away = 2};
+  cr_assert(newer == expected);
+}
