Tasks that slow each other down are noticed and kept apart

Cause: tasks of some images run slower beside tasks of others. Placement did not know it and filled workers by tightness alone.

Change: the leader compares the progress of tasks beside each other image with that of the image without it, and with all else on the same worker, so that a slow worker is not taken for interference. Pairs that at least three workers show beyond the error of the estimates become known. Among workers with room, those on which a unit and what runs there lose least come first. Setting interference_weight_permille; 0 turns it off.

--- a/source/dispatch/fleet/fleet.cc
+++ b/source/dispatch/fleet/fleet.cc
@@ -8,6 +8,7 @@
 
 #include "dispatch/backoff.h"
 #include "dispatch/fleet/fleet.h"
+#include "dispatch/fleet/interference.h"
 #include "dispatch/fleet/loads.h"
 #include "dispatch/jobs/steps.h"
 #include "dispatch/leadership/leadership.h"
@@ -203,6 +204,7 @@
   for (const work::running_task& task : listing.running)
     OnTaskRunning(ctx, worker, task);
   EndMissingTasks(ctx, worker, listing, clock, requested_at);
+  ObserveInterference(ctx, worker, listing);
 }
 
 // Delays the next hold of a worker that lists ends which can't be acknowledged
--- a/source/dispatch/leadership/load_report.cc
+++ b/source/dispatch/leadership/load_report.cc
@@ -86,6 +86,8 @@
       Figure("records_age", AgeOfRecords(ctx)),
       Figure("registry_age", AgeOfRegistry(ctx)),
       {.name = "client_calls", .value = s.calls.size()},
+      {.name = "interfering_pairs",
+       .value = leader.observed.interference.known.size()},
       Figure("tick_delay", s.longest_tick_delay)};
 }
 
--- a/source/dispatch/observations.h
+++ b/source/dispatch/observations.h
@@ -8,6 +8,7 @@
 
 #include "model/value_table.h"
 #include "policy/expected_end.h"
+#include "policy/interference.h"
 #include "work/worker.h"
 
 namespace parsleyhitch::dispatch {
@@ -24,6 +25,8 @@
 struct observations {
   // Tasks that run, as far as they were listed.
   model::value_table<work::task_id, task_observation> tasks;
+  // A successor knows no pair.
+  policy::interference interference;
 
   bool operator==(const observations&) const = default;
 };
--- a/source/dispatch/planning/planning.cc
+++ b/source/dispatch/planning/planning.cc
@@ -13,6 +13,7 @@
 #include "dispatch/orders/orders.h"
 #include "dispatch/planning/demands.h"
 #include "dispatch/planning/planning.h"
+#include "dispatch/planning/run_time.h"
 #include "placement/room.h"
 
 namespace parsleyhitch::dispatch {
@@ -36,12 +37,18 @@
     if (demand.alone && quarantine_.left[demand.service] < demand.members)
       return;
     if (!unplaceable_demands_.contains(demand)) {
-      const auto workers = placement::FindPlacement(capacity_, demand);
+      const placement::relative_run_time run_time =
+          RunTimeOf(ctx_, waiting, images_);
+      const auto workers =
+          placement::FindPlacement(capacity_, demand, run_time);
       if (workers) {
+        CountIfMovedApart(waiting, demand, *workers);
         ReserveCapacity(*workers, demand.need);
         if (demand.alone)
           Quarantine(*workers, demand.service);
         PlaceUnit(ctx_, waiting.unit, *workers);
+        for (const work::worker_id& worker : *workers)
+          images_.erase(worker);
         started_ += workers->size();
         return;
       }
@@ -54,6 +61,16 @@
   }
 
  private:
+  // Counts a placement that would be another one but for interference.
+  void CountIfMovedApart(const waiting_unit& waiting,
+                         const placement::demand& demand,
+                         const std::vector<work::worker_id>& workers) {
+    if (!InterferenceFactor(ctx_, waiting, images_))
+      return;
+    if (placement::FindPlacement(capacity_, demand) != workers)
+      ctx_.Count("interference_placements");
+  }
+
   void ReserveCapacity(const std::vector<work::worker_id>& workers,
                        const work::resources& need) {
     for (const work::worker_id& worker : workers)
@@ -122,6 +139,7 @@
   const std::set<work::service_id> half_idle_;
   quarantine quarantine_;
   placement::capacity_map capacity_;
+  worker_images images_;
   std::size_t started_ = 0;
   // Victims for the rank `victims_for_`. One set suffices, as units are
   // considered in the order of their ranks.
--- a/source/dispatch/reduce.cc
+++ b/source/dispatch/reduce.cc
@@ -8,6 +8,7 @@
 
 #include "dispatch/callers/callers.h"
 #include "dispatch/fleet/fleet.h"
+#include "dispatch/fleet/interference.h"
 #include "dispatch/jobs/jobs.h"
 #include "dispatch/leadership/leadership.h"
 #include "dispatch/orders/orders.h"
@@ -114,6 +115,7 @@
     OpenDueSteps(ctx);
     AdvanceWorkers(ctx);
     AdvanceOrders(ctx);
+    AdvanceInterference(ctx);
     // The longer a unit waits, the more placements it accepts.
     s.leader.plan_due = true;
   }
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -243,7 +243,8 @@
                       proxy_silent,
                       forward_pause,
                       forward_margin,
-                      deletion_pause)
+                      deletion_pause,
+                      interference_weight_permille)
 
 }  // namespace parsleyhitch::work
 
--- a/source/work/limits.h
+++ b/source/work/limits.h
@@ -143,6 +143,10 @@
   // Every entry reads what is written.
   const duration deletion_pause{5000};
 
+  // How much a slowdown of tasks beside others counts in the choice among
+  // workers with room, in thousandths; 0 neither learns nor uses any.
+  const std::uint32_t interference_weight_permille = 1000;
+
   bool operator==(const limits&) const = default;
 };
 
--- a/tests/support/platform_simulation.cc
+++ b/tests/support/platform_simulation.cc
@@ -119,7 +119,9 @@
             .self = work::entry_id("entry-" + std::to_string(i)),
             .peer_address = PeerAddress(i),
             .cpu_millis = options.cpu_millis,
-            .limits = {.workers_per_core = options.workers_per_core},
+            .limits = {.workers_per_core = options.workers_per_core,
+                       .interference_weight_permille =
+                           options.interference_weight_permille},
             .behaviour = options.behaviour});
     entries_[i].life = 0;
     Start(i);
--- a/tests/support/platform_simulation.h
+++ b/tests/support/platform_simulation.h
@@ -52,6 +52,8 @@
   // `workers_per_core` of the entries' limits. The default never has an entry
   // forward its orders.
   std::uint32_t workers_per_core = 1000000;
+  // `interference_weight_permille` of the entries' limits.
+  std::uint32_t interference_weight_permille = 1000;
   // Of each queue.
   std::uint32_t max_attempts = 3;
   // Jobs whose tasks crash the workers that start them.
--- a/tests/support/simulated_worker.cc
+++ b/tests/support/simulated_worker.cc
@@ -137,11 +137,15 @@
   if (!run.working)
     return 0;
   const work::duration duration = duration_of(task);
-  const work::duration worked =
-      std::min(advanced_to_ - run.working_since, duration);
+  const work::duration worked = std::min(Worked(run), duration);
   return static_cast<std::uint32_t>(worked * kAllPercent / duration);
 }
 
+work::duration simulated_worker::Worked(const simulated_run& run) const {
+  return std::chrono::floor<work::duration>(advanced_to_ - run.working_since -
+                                            run.lost);
+}
+
 bool simulated_worker::HasEndAfter(std::uint64_t after) const {
   return last_end_number_ > after;
 }
@@ -173,6 +177,11 @@
   if (!alive)
     return;
   std::vector<std::pair<work::task_id, work::run_end_kind>> due;
+  const std::chrono::microseconds passed = now - advanced_to_;
+  for (auto& [task, run] : running_) {
+    if (run.working)
+      run.lost += passed - passed * 1000 / slowdown_of(task, *this);
+  }
   advanced_to_ = now;
   const bool lease_expired = Clock(now) >= lease_until_;
   if (lease_expired)
@@ -190,7 +199,7 @@
       due.emplace_back(task, work::run_end_kind::kStopped);
     else if (run.working && fails_all_tasks)
       due.emplace_back(task, work::run_end_kind::kFailed);
-    else if (run.working && now - run.working_since >= duration_of(task))
+    else if (run.working && Worked(run) >= duration_of(task))
       due.emplace_back(task, work::run_end_kind::kDone);
     else if (!run.working && now - run.started >= kGangTimeout)
       due.emplace_back(task, work::run_end_kind::kGangIncomplete);
--- a/tests/support/simulated_worker.h
+++ b/tests/support/simulated_worker.h
@@ -5,6 +5,7 @@
 #ifndef PARSLEYHITCH_TESTS_SUPPORT_SIMULATED_WORKER_H_
 #define PARSLEYHITCH_TESTS_SUPPORT_SIMULATED_WORKER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -22,6 +23,8 @@
   // Valid if `working`. A member of a gang works only once all are present.
   work::duration working_since{0};
   bool working = false;
+  // Time that it has lost beside other tasks.
+  std::chrono::microseconds lost{0};
   work::duration stops_at{0};
   bool stopping = false;
 };
@@ -72,6 +75,11 @@
   std::function<bool(const work::task_id&, std::uint64_t attempt)>
       is_gang_present;
   std::function<void(const work::task_id&)> on_started;
+  // How much longer a task takes now, beside the others on the worker, in
+  // thousandths.
+  std::function<std::uint32_t(const work::task_id&, const simulated_worker&)>
+      slowdown_of =
+          [](const work::task_id&, const simulated_worker&) { return 1000U; };
   // True for a task that crashes the worker when it starts.
   std::function<bool(const work::task_id&)> is_deadly =
       [](const work::task_id&) { return false; };
@@ -110,6 +118,8 @@
   void FinishWithGang(const work::task_id& task);
 
  private:
+  // The time that the task's work would have taken alone.
+  work::duration Worked(const simulated_run& run) const;
   void End(const work::task_id& task, work::run_end_kind how);
   // Returns false if a newer token was seen.
   bool AcceptToken(std::uint64_t token);
