--- a/tests/dispatch/interference_test.cc
+++ b/tests/dispatch/interference_test.cc
@@ -58,13 +58,17 @@
 
   static work::step_spec StepOf(const std::string& image,
                                 std::uint32_t tasks,
-                                std::int64_t accelerators = 1) {
+                                std::int64_t accelerators = 1,
+                                std::vector<std::uint32_t> after = {},
+                                const std::string& data_rack = "") {
     return {.tasks = tasks,
             .need = {.cpu_millis = 1000,
                      .memory_mb = 1024,
                      .accelerators = accelerators},
             // Off by a quarter.
             .estimate = work::duration(2250),
+            .after = std::move(after),
+            .data_rack = work::rack_id(data_rack),
             .image = image};
   }
 
@@ -77,7 +81,8 @@
   void SubmitLoad(char image,
                   const std::string& name,
                   const std::string& queue = "normal") {
-    simulation.Submit(Follower(), NextJob(image), {StepOf(name, 6)}, queue);
+    simulation.Submit(Follower(), NextJob(image),
+                      {StepOf(name, 6, 1, {}, data_rack)}, queue);
   }
 
   // A load of which jobs `b` are a part every other six seconds.
@@ -118,6 +123,8 @@
   }
 
   std::uint32_t jobs = 0;
+  // Of the data of all jobs of the load.
+  std::string data_rack;
 };
 
 }  // namespace
@@ -223,6 +230,52 @@
   cr_assert(fixture.LinesOf("interference_found").empty());
 }
 
+// Guards against tasks that are slow away from their data, and are taken for
+// slowed down by others.
+Test(interference, of_tasks_away_from_their_data_is_not_learned) {
+  load_fixture fixture;
+  fixture.data_rack = "r-elsewhere";
+  fixture.SlowDownBeside(2500);
+  fixture.RunLoad(kLearningSeconds);
+  cr_assert(fixture.LinesOf("interference_found").empty());
+}
+
+Test(interference, of_two_images_is_found_while_workers_restart) {
+  load_fixture fixture;
+  fixture.SlowDownBeside(2500);
+  for (std::uint32_t i = 0; i < kWorkers; ++i) {
+    fixture.RunLoad(kLearningSeconds / kWorkers);
+    fixture.simulation.worker(i).Restart(fixture.simulation.now());
+  }
+  cr_assert_eq(fixture.Known().size(), 1U);
+  cr_assert_eq(fixture.Violation(), "");
+}
+
+Test(task, whose_image_interferes_is_placed_apart_while_the_store_is_away) {
+  load_fixture fixture;
+  fixture.Learn();
+  fixture.simulation.Submit(fixture.Follower(), kJob,
+                            {load_fixture::StepOf("other", 1),
+                             load_fixture::StepOf("encode", 1, 1, {0}),
+                             load_fixture::StepOf("shuffle", 1, 1, {0})});
+  cr_assert(fixture.Runs(kJob, work::duration(1000)));
+  fixture.simulation.store().down = true;
+  const auto running_on = [&] {
+    std::vector<std::size_t> tasks;
+    for (std::uint32_t i = 0; i < kWorkers; ++i) {
+      if (!fixture.simulation.worker(i).running().empty())
+        tasks.push_back(fixture.simulation.worker(i).running().size());
+    }
+    return tasks;
+  };
+  // Workers whose ends can't be stored are asked less often.
+  cr_assert(fixture.simulation.RunUntil(
+      [&] {
+        return running_on() == std::vector<std::size_t>{1, 1};
+      },
+      kTaskDuration + work::duration(1500)));
+}
+
 Test(successor, starts_with_no_pair_and_learns_it_again) {
   load_fixture fixture;
   fixture.SlowDownBeside(2500);
--- a/tests/policy/interference_test.cc
+++ b/tests/policy/interference_test.cc
@@ -44,6 +44,8 @@
   // Culprits run only on the workers before this one.
   std::size_t culprits_on = 1000;
   bool comparable = true;
+  // The share of listings that do not arrive.
+  double lost_listings = 0;
   policy::interference learned;
   std::vector<policy::pair_change> changes;
   std::mt19937 random{42};
@@ -116,8 +118,12 @@
       now += kListingInterval;
       for (std::size_t i = 0; i < workers.size(); ++i) {
         Work(workers[i]);
-        learned = policy::ObserveWorker(std::move(learned), workers[i].id,
-                                        Listing(workers[i]), now);
+        const bool arrives =
+            lost_listings <= 0 || Uniform(0, 1) >= lost_listings;
+        if (arrives) {
+          learned = policy::ObserveWorker(std::move(learned), workers[i].id,
+                                          Listing(workers[i]), now);
+        }
         Fill(i);
       }
       Advance();
@@ -216,6 +222,40 @@
   cr_assert(fixture.learned.pairs.empty());
 }
 
+Test(interference, is_found_if_half_of_the_listings_are_lost) {
+  load_fixture fixture(12);
+  fixture.slowdown = 2;
+  fixture.lost_listings = 0.5;
+  fixture.Run(duration(60000));
+  cr_assert(fixture.Known(kVictim, kCulprit).has_value());
+}
+
+Test(interference, of_no_pair_is_found_by_listings_that_are_lost) {
+  load_fixture fixture(12);
+  fixture.lost_listings = 0.5;
+  fixture.Run(duration(300000));
+  cr_assert(fixture.changes.empty());
+}
+
+// Guards against progress that is measured from the attempt before.
+Test(interference, of_a_task_that_is_started_again_is_measured_anew) {
+  const timestamp start(duration(1000000));
+  const work::worker_id worker("w");
+  const auto task = [](std::uint64_t attempt, std::uint32_t percent) {
+    return policy::shown_task{.attempt = attempt,
+                              .image = "a",
+                              .estimate = duration(10000),
+                              .percent = percent};
+  };
+  policy::interference learned =
+      policy::ObserveWorker({}, worker, {task(1, 10)}, start);
+  learned = policy::ObserveWorker(std::move(learned), worker, {task(2, 90)},
+                                  start + duration(3000));
+  cr_assert(learned.images.empty());
+  cr_assert_eq(learned.watched.at(worker).tasks.begin()->second.first_percent,
+               90U);
+}
+
 Test(interference, of_a_pair_that_no_longer_runs_is_forgotten) {
   load_fixture fixture(12);
   fixture.slowdown = 2;
