--- a/tests/dispatch/interference_test.cc
+++ b/tests/dispatch/interference_test.cc
@@ -98,7 +98,7 @@
     }
   }
 
-  // Until nothing runs any more.
+  // Until nothing runs any more, and the leader has read of it.
   void Drain() {
     cr_assert(simulation.RunUntil(
         [&] {
@@ -109,6 +109,7 @@
           return true;
         },
         work::duration(20000)));
+    simulation.RunFor(work::duration(1000));
   }
 
   void Learn() {
