--- a/source/dispatch/observations.h
+++ b/source/dispatch/observations.h
@@ -11,6 +11,7 @@
 
 #include "model/value_table.h"
 #include "policy/expected_end.h"
+#include "policy/interference.h"
 #include "policy/reservation.h"
 #include "policy/worker_speed.h"
 #include "work/worker.h"
@@ -88,6 +89,8 @@
   model::timestamp next_forecast_at;
   // Units that were stopped as their worker is slow or hangs, until they are.
   std::set<work::unit_id> moving;
+  // A successor knows no pair.
+  policy::interference interference;
 
   bool operator==(const observations&) const = default;
 };
--- a/source/dispatch/planning/planning.cc
+++ b/source/dispatch/planning/planning.cc
@@ -51,7 +51,7 @@
     placement::demand demand = DemandOf(ctx_, waiting, half_idle_);
     if (demand.alone && quarantine_.left[demand.service] < demand.members)
       return;
-    if (const auto workers = FindWorkers(demand)) {
+    if (const auto workers = FindWorkers(waiting, demand)) {
       Place(waiting, demand, *workers);
       return;
     }
@@ -89,7 +89,7 @@
                     placement::demand& demand,
                     bool urgent) {
     demand.accepts_remote = true;
-    const auto workers = FindWorkers(demand);
+    const auto workers = FindWorkers(waiting, demand);
     demand.accepts_remote = false;
     if (!workers && !urgent)
       return false;
@@ -108,10 +108,13 @@
   }
 
   std::optional<std::vector<work::worker_id>> FindWorkers(
+      const waiting_unit& waiting,
       const placement::demand& demand) {
     if (unplaceable_demands_.contains(demand))
       return {};
-    auto workers = placement::FindPlacement(capacity_, demand, run_time_);
+    auto workers =
+        placement::FindPlacement(capacity_, demand, run_time_,
+                                 InterferenceFactor(ctx_, waiting, images_));
     if (!workers)
       unplaceable_demands_.insert(demand);
     return workers;
@@ -121,19 +124,33 @@
   void Place(const waiting_unit& waiting,
              const placement::demand& demand,
              const std::vector<work::worker_id>& workers) {
-    const bool held_back = reserve_.HoldsBack(waiting, demand);
-    ReserveCapacity(workers, demand.need);
-    if (held_back)
+    if (reserve_.HoldsBack(waiting, demand)) {
+      ReserveCapacity(workers, demand.need);
       return;
+    }
+    CountIfMovedApart(waiting, demand, workers);
+    ReserveCapacity(workers, demand.need);
     if (demand.alone)
       Quarantine(workers, demand.service);
     PlaceUnit(ctx_, waiting.unit, workers);
+    for (const work::worker_id& worker : workers)
+      images_.erase(worker);
     started_ += workers.size();
     NoteRoomCame(waiting.unit);
     if (waiting.passes_earlier)
       ctx_.Count("units_placed_out_of_order");
   }
 
+  // Counts a placement that would be another one but for interference.
+  void CountIfMovedApart(const waiting_unit& waiting,
+                         const placement::demand& demand,
+                         const std::vector<work::worker_id>& workers) {
+    if (!InterferenceFactor(ctx_, waiting, images_))
+      return;
+    if (placement::FindPlacement(capacity_, demand, run_time_) != workers)
+      ctx_.Count("interference_placements");
+  }
+
   void ReserveCapacity(const std::vector<work::worker_id>& workers,
                        const work::resources& need) {
     for (const work::worker_id& worker : workers)
@@ -305,6 +322,7 @@
   urgent_reserve reserve_;
   const placement::run_time_function run_time_;
   near_room near_room_;
+  worker_images images_;
   std::size_t started_ = 0;
   // Victims for the rank `victims_for_`. One set suffices, as units are
   // considered in the order of their ranks.
--- a/source/dispatch/reduce.cc
+++ b/source/dispatch/reduce.cc
@@ -8,6 +8,7 @@
 
 #include "dispatch/callers/callers.h"
 #include "dispatch/fleet/fleet.h"
+#include "dispatch/fleet/interference.h"
 #include "dispatch/fleet/speeds.h"
 #include "dispatch/jobs/jobs.h"
 #include "dispatch/leadership/leadership.h"
@@ -119,6 +120,7 @@
     AdvanceSpeeds(ctx);
     MoveFromSlowWorkers(ctx);
     MeasureWaitsIfDue(ctx);
+    AdvanceInterference(ctx);
     // The longer a unit waits, the more placements it accepts.
     s.leader.plan_due = true;
   }
--- a/source/placement/room.cc
+++ b/source/placement/room.cc
@@ -20,11 +20,15 @@
 constexpr std::uint32_t kFineStep = 200;
 constexpr std::uint32_t kWideStep = 500;
 
+// Smaller differences by interference do not outweigh a tighter fit.
+constexpr std::uint32_t kInterferenceStep = 100;
+
 struct candidate {
   std::uint32_t slot = 0;
   std::uint32_t fits = 0;
-  // The step of its run time.
+  // The step of its run time, and of its interference.
   std::uint32_t step = 0;
+  std::uint32_t interference = 0;
 };
 
 std::uint32_t StepOf(const demand& wanted, std::uint32_t run_time) {
@@ -82,9 +86,10 @@
   const auto tighter = [&](const candidate& a, const candidate& b) {
     const worker_capacity& one = capacity.slots()[a.slot];
     const worker_capacity& other = capacity.slots()[b.slot];
-    return std::tie(a.step, one.free.accelerators, one.free.cpu_millis,
-                    one.worker) < std::tie(b.step, other.free.accelerators,
-                                           other.free.cpu_millis, other.worker);
+    return std::tie(a.step, a.interference, one.free.accelerators,
+                    one.free.cpu_millis, one.worker) <
+           std::tie(b.step, b.interference, other.free.accelerators,
+                    other.free.cpu_millis, other.worker);
   };
   // Each candidate takes at least one member, so only this many need sorting.
   const auto used = static_cast<std::ptrdiff_t>(
@@ -143,7 +148,8 @@
 std::optional<std::vector<work::worker_id>> FindPlacement(
     const capacity_map& capacity,
     const demand& wanted,
-    const run_time_function& relative_run_time) {
+    const run_time_function& relative_run_time,
+    const run_time_function& interference) {
   if (!Fits(wanted.need, capacity.MaxFree(wanted.service)))
     return {};
   std::vector<candidate> best;
@@ -171,6 +177,12 @@
   }
   if (best.empty())
     return {};
+  if (interference) {
+    for (candidate& each : best) {
+      each.interference =
+          interference(wanted, capacity.slots()[each.slot]) / kInterferenceStep;
+    }
+  }
   return AssignTightest(capacity, std::move(best), wanted.members);
 }
 
--- a/source/placement/room.h
+++ b/source/placement/room.h
@@ -39,11 +39,14 @@
 // free capacity. Workers with a shorter run time are filled first, in steps.
 // Within a step best fit: those with the least free capacity first, so that
 // empty workers remain for large tasks. For a demand that is to finish first
-// the steps are finer, and the slowest member decides between racks.
+// the steps are finer, and the slowest member decides between racks. Of equally
+// fast workers, those with less interference come first, in steps of a tenth;
+// an empty function stands for none.
 std::optional<std::vector<work::worker_id>> FindPlacement(
     const capacity_map& capacity,
     const demand& wanted,
-    const run_time_function& relative_run_time = UsualRunTime);
+    const run_time_function& relative_run_time = UsualRunTime,
+    const run_time_function& interference = {});
 
 }  // namespace parsleyhitch::placement
 
--- a/source/platform/client_codec.cc
+++ b/source/platform/client_codec.cc
@@ -31,6 +31,8 @@
 // largest valid submission, 200 steps that each name all earlier ones, has
 // fewer than 30,000.
 constexpr std::ptrdiff_t kMaxValues = 100000;
+// Every step of every open job holds its image, and so does each entry.
+constexpr std::size_t kMaxImageBytes = 256;
 
 constexpr char kJson[] = "application/json";
 
@@ -70,6 +72,9 @@
   const std::uint64_t tasks = step.Number("count");
   if (tasks == 0 || tasks > kMaxTasks)
     step.AddFinding("count", "must be from 1 to 10000");
+  std::string image = step.String("image");
+  if (image.size() > kMaxImageBytes)
+    step.AddFinding("image", "must have at most 256 bytes");
   return {
       .tasks = static_cast<std::uint32_t>(tasks),
       .need = {.cpu_millis = static_cast<std::int64_t>(step.Number("cpu")),
@@ -87,7 +92,8 @@
       .data_rack = work::rack_id(step.String("affinity")),
       // The limit of tasks on one worker, not a label to avoid.
       .max_per_worker = static_cast<std::uint32_t>(step.Number("antiAffinity")),
-      .may_be_away = static_cast<std::uint32_t>(step.Number("mayMiss"))};
+      .may_be_away = static_cast<std::uint32_t>(step.Number("mayMiss")),
+      .image = std::move(image)};
 }
 
 work::schedule DecodeSchedule(const json_fields& job) {
--- a/source/wire/work_describe.h
+++ b/source/wire/work_describe.h
@@ -64,7 +64,8 @@
                       required_label,
                       data_rack,
                       max_per_worker,
-                      may_be_away)
+                      may_be_away,
+                      image)
 PARSLEYHITCH_DESCRIBE(schedule, first_due, interval, occurrences)
 PARSLEYHITCH_DESCRIBE(job_request, spec, steps, when)
 PARSLEYHITCH_DESCRIBE(submission,
@@ -259,7 +260,8 @@
                       proxy_silent,
                       forward_pause,
                       forward_margin,
-                      deletion_pause)
+                      deletion_pause,
+                      interference_weight_permille)
 
 }  // namespace parsleyhitch::work
 
--- a/tests/support/simulated_worker.cc
+++ b/tests/support/simulated_worker.cc
@@ -178,14 +178,18 @@
     return;
   std::vector<std::pair<work::task_id, work::run_end_kind>> due;
   const work::duration passed = now - advanced_to_;
+  for (auto& [task, run] : running_) {
+    constexpr double kPermille = 1000.0;
+    const double pace = speed * kPermille / slowdown_of(task, *this);
+    if (run.working)
+      run.behind += (1.0 - pace) * static_cast<double>(passed.count());
+  }
   advanced_to_ = now;
   const bool lease_expired = Clock(now) >= lease_until_;
   if (lease_expired)
     ended_at_.clear();
   const bool tasks_expire = !running_.empty() && lease_expired;
   for (auto& [task, run] : running_) {
-    if (run.working)
-      run.behind += (1.0 - speed) * static_cast<double>(passed.count());
     const bool present = is_gang_present(task, run.attempt);
     if (present && !run.working) {
       run.working = true;
