--- a/tests/hostile/hostile_clients_test.cc
+++ b/tests/hostile/hostile_clients_test.cc
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 #include <criterion/logging.h>
 
+#include <csignal>
 #include <cstdint>
 #include <string>
 
@@ -167,3 +168,13 @@
   fixture.ExpectServiceWithinBounds();
   cr_expect(fixture.site.IsReady(0));
 }
+
+// Guards against connections that outlive what decides about them.
+Test(hostile_clients, connected_while_the_entry_stops_let_it_end) {
+  hostile_fixture fixture;
+  fixture.Add(kHeads, {});
+  fixture.Add(kHeads, EndlessHead());
+  fixture.crowd.Run();
+  fixture.site.Signal(0, SIGTERM);
+  cr_expect_eq(fixture.site.AwaitExit(0), 0);
+}
