--- a/tests/dispatch/fair_sharing_test.cc
+++ b/tests/dispatch/fair_sharing_test.cc
@@ -35,7 +35,7 @@
   std::string Submit(const char* workspace,
                      const std::vector<work::step_spec>& steps,
                      const std::string& queue = "normal") {
-    const std::string job = JobName(++jobs_);
+    std::string job = JobName(++jobs_);
     simulation.SubmitAs(workspace, Leader(), job, steps, queue);
     return job;
   }
