Workspaces share capacity in proportion to their guarantees

Change: shares are divided by weights, the guaranteed accelerators relative to the mean and at least a quarter of it. Without any guarantee all are equal, as before.

--- a/source/dispatch/planning/demands.cc
+++ b/source/dispatch/planning/demands.cc
@@ -33,16 +33,6 @@
   return most;
 }
 
-std::map<work::workspace_id, std::int64_t> Guarantees(const context& ctx) {
-  std::map<work::workspace_id, std::int64_t> guaranteed;
-  const work::published_catalog* current = ctx.state.in_force.Get();
-  if (current == nullptr)
-    return guaranteed;
-  for (const work::workspace& each : current->content.workspaces)
-    guaranteed[each.id] = each.guaranteed_accelerators;
-  return guaranteed;
-}
-
 rank RankOf(std::uint32_t priority) {
   if (priority == 0)
     return rank::kUrgent;
@@ -91,6 +81,16 @@
 
 }  // namespace
 
+std::map<work::workspace_id, std::int64_t> Guarantees(const context& ctx) {
+  std::map<work::workspace_id, std::int64_t> guaranteed;
+  const work::published_catalog* current = ctx.state.in_force.Get();
+  if (current == nullptr)
+    return guaranteed;
+  for (const work::workspace& each : current->content.workspaces)
+    guaranteed[each.id] = each.guaranteed_accelerators;
+  return guaranteed;
+}
+
 job_ranks RankJobs(const context& ctx) {
   std::map<work::workspace_id, std::int64_t> left = Guarantees(ctx);
   std::vector<std::pair<std::uint64_t, work::job_id>> by_submission;
--- a/source/dispatch/planning/demands.h
+++ b/source/dispatch/planning/demands.h
@@ -17,6 +17,10 @@
 
 using job_ranks = std::map<work::job_id, rank>;
 
+// The accelerators that each workspace of the catalog in force can claim at any
+// time.
+std::map<work::workspace_id, std::int64_t> Guarantees(const context& ctx);
+
 // The rank of each job. A planning pass uses one ranking throughout.
 job_ranks RankJobs(const context& ctx);
 
--- a/source/dispatch/planning/shares.cc
+++ b/source/dispatch/planning/shares.cc
@@ -118,8 +118,10 @@
     if (starts_are_short || !work::Fits(room.wanted, room.free))
       shares.capacity[service] = room.capacity;
   }
-  if (!shares.capacity.empty())
-    shares.held = HeldOn(ctx, ranked, shares.capacity);
+  if (shares.capacity.empty())
+    return shares;
+  shares.held = HeldOn(ctx, ranked, shares.capacity);
+  shares.weights = policy::WeightsOf(Guarantees(ctx));
   return shares;
 }
 
--- a/source/policy/fair_share.cc
+++ b/source/policy/fair_share.cc
@@ -81,21 +81,26 @@
     counted_rank_ = std::max(counted_rank_, rank);
   }
 
-  // The part of the service that each workspace would have if all that hold or
-  // wait for some of it had the same.
-  std::map<work::service_id, double> EqualParts() const {
-    std::map<work::service_id, double> workspaces;
+  double WeightOf(const share_account& account) const {
+    const auto found = state_.weights.find(account.owner);
+    return found == state_.weights.end() ? 1.0 : found->second;
+  }
+
+  // The share for its weight that each workspace would have if all that hold or
+  // wait for some of the service had the same.
+  std::map<work::service_id, double> EqualShares() const {
+    std::map<work::service_id, double> equal;
     for (const auto& [account, row] : accounts_) {
       if (!row.waiting.empty() || row.held != work::resources())
-        workspaces[account.service] += 1.0;
+        equal[account.service] += WeightOf(account);
     }
-    for (auto& [service, count] : workspaces)
-      count = 1.0 / count;
-    return workspaces;
+    for (auto& [service, weights] : equal)
+      weights = 1.0 / weights;
+    return equal;
   }
 
   void ServeOverdue(std::size_t first, std::size_t last) {
-    const std::map<work::service_id, double> equal_parts = EqualParts();
+    const std::map<work::service_id, double> equal_shares = EqualShares();
     std::set<work::service_id> done;
     for (std::size_t i = first; i < last; ++i) {
       const share_claim& claim = claims_[i];
@@ -103,7 +108,7 @@
           !state_.capacity.contains(claim.account.service))
         continue;
       account_row& row = accounts_.at(claim.account);
-      if (ShareOf(claim.account, row) >= equal_parts.at(claim.account.service))
+      if (ShareOf(claim.account, row) >= equal_shares.at(claim.account.service))
         continue;
       done.insert(claim.account.service);
       std::erase(row.waiting, i);
@@ -120,7 +125,7 @@
     const auto found = state_.capacity.find(account.service);
     return found == state_.capacity.end()
                ? 0.0
-               : DominantShare(row.held, found->second);
+               : DominantShare(row.held, found->second) / WeightOf(account);
   }
 
   const std::vector<share_claim>& claims_;
@@ -152,6 +157,23 @@
   return progressive_filling(claims, state).Result();
 }
 
+std::map<work::workspace_id, double> WeightsOf(
+    const std::map<work::workspace_id, std::int64_t>& guaranteed_accelerators) {
+  constexpr double kLeastWeight = 0.25;
+  double sum = 0.0;
+  for (const auto& [workspace, accelerators] : guaranteed_accelerators)
+    sum += static_cast<double>(accelerators);
+  std::map<work::workspace_id, double> weights;
+  if (sum <= 0.0)
+    return weights;
+  const double mean = sum / static_cast<double>(guaranteed_accelerators.size());
+  for (const auto& [workspace, accelerators] : guaranteed_accelerators) {
+    weights[workspace] =
+        std::max(static_cast<double>(accelerators) / mean, kLeastWeight);
+  }
+  return weights;
+}
+
 bool IsOverdue(duration waited, duration slack, duration run_time) {
   const duration least_slack = std::max(slack, kLeastSlack);
   duration interval = std::max(least_slack / 4, run_time);
--- a/source/policy/fair_share.h
+++ b/source/policy/fair_share.h
@@ -48,6 +48,9 @@
   std::map<work::service_id, work::resources> capacity;
   // What placed units hold, by their rank.
   std::map<std::uint32_t, std::map<share_account, work::resources>> held;
+  // Parts of the capacity are in proportion to these; 1 for a workspace that is
+  // not named.
+  std::map<work::workspace_id, double> weights;
 
   bool operator==(const share_state&) const = default;
 };
@@ -58,15 +61,21 @@
 
 // Indexes of the claims in the order in which they are to be served. The claims
 // must be sorted by rank, and within a rank by submission. Within a rank, the
-// account with the smallest dominant share is next, and its oldest claim counts
-// as held from then on. Units of lower ranks do not count, as they were placed
-// only where no unit of this rank wanted the capacity. One overdue claim for
-// each service goes before the others of its rank, provided that its workspace
-// holds less than an equal part of the service.
-// Takes O(n log n) for n claims.
+// account with the smallest dominant share for its weight is next, and its
+// oldest claim counts as held from then on. Units of lower ranks do not count,
+// as they were placed only where no unit of this rank wanted the capacity. One
+// overdue claim for each service goes before the others of its rank, provided
+// that its workspace holds less than its part of the service. Takes O(n log n)
+// for n claims.
 std::vector<std::size_t> FairOrder(const std::vector<share_claim>& claims,
                                    const share_state& state);
 
+// The weights of workspaces that were sold so many accelerators each: relative
+// to the mean, and at least a quarter of it, so that a workspace without a
+// guarantee is served too. Empty if none has a guarantee.
+std::map<work::workspace_id, double> WeightsOf(
+    const std::map<work::workspace_id, std::int64_t>& guaranteed_accelerators);
+
 // True when a unit that has waited so long is to go before others and to have
 // room kept for it: from the last quarter of its slack on, for the rest of the
 // slack or its estimated run time, whichever is longer. If it was not placed
--- a/tests/policy/fair_share_test.cc
+++ b/tests/policy/fair_share_test.cc
@@ -84,6 +84,30 @@
   ExpectOrder(fixture, "bbbabaa");
 }
 
+// Guards against large workspaces that get no more than small ones although
+// they were sold more.
+Test(fair_order, gives_parts_in_proportion_to_the_weights) {
+  share_fixture fixture;
+  fixture.state.weights = {{work::workspace_id("a"), 3.0}};
+  fixture.Wait("aaaaaabb");
+  ExpectOrder(fixture, "abaaabaa");
+}
+
+Test(weights, of_workspaces_follow_their_guarantees_down_to_a_quarter) {
+  const auto weights = policy::WeightsOf({{work::workspace_id("a"), 90},
+                                          {work::workspace_id("b"), 30},
+                                          {work::workspace_id("c"), 0}});
+  cr_assert_float_eq(weights.at(work::workspace_id("a")), 2.25, 1e-9);
+  cr_assert_float_eq(weights.at(work::workspace_id("b")), 0.75, 1e-9);
+  cr_assert_float_eq(weights.at(work::workspace_id("c")), 0.25, 1e-9);
+}
+
+Test(weights, of_workspaces_without_any_guarantee_are_equal) {
+  cr_assert(policy::WeightsOf(
+                {{work::workspace_id("a"), 0}, {work::workspace_id("b"), 0}})
+                .empty());
+}
+
 // Guards against a workspace that gets more than others by larger claims.
 Test(fair_order, counts_amounts_rather_than_claims) {
   share_fixture fixture;
