Shares are compared in whole parts

Change: within a whole part of its share a workspace keeps the order of submission; one that holds a part more than others goes behind them, so that a flood is still put back.

--- a/source/dispatch/planning/shares.cc
+++ b/source/dispatch/planning/shares.cc
@@ -21,6 +21,11 @@
 
 namespace {
 
+// A workspace is put behind others once it holds a whole part more than they
+// do. Below that the order of submission serves more jobs in time: each that
+// goes before an older one takes some of that one's slack.
+constexpr double kShareStep = 1.0;
+
 constexpr duration kShareReportInterval{1000};
 // Of the workspaces with the largest shares; the rest show in `units_waiting`.
 constexpr std::size_t kReportedWorkspaces = 10;
@@ -122,6 +127,7 @@
     return shares;
   shares.held = HeldOn(ctx, ranked, shares.capacity);
   shares.weights = policy::WeightsOf(Guarantees(ctx));
+  shares.step = kShareStep;
   return shares;
 }
 
--- a/source/policy/fair_share.cc
+++ b/source/policy/fair_share.cc
@@ -4,6 +4,7 @@
 #include "policy/fair_share.h"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <set>
 #include <tuple>
@@ -53,11 +54,13 @@
     CountHeldUpTo(claims_[first].rank);
     for (std::size_t i = first; i < last; ++i)
       accounts_[claims_[i].account].waiting.push_back(i);
+    equal_shares_ = EqualShares();
     ServeOverdue(first, last);
     std::set<heap_item> heap;
     for (const auto& [account, row] : accounts_) {
       if (!row.waiting.empty())
-        heap.insert({ShareOf(account, row), row.waiting.front(), &account});
+        heap.insert(
+            {ComparedShare(account, row), row.waiting.front(), &account});
     }
     while (!heap.empty()) {
       const share_account& next =
@@ -68,7 +71,7 @@
       row.waiting.pop_front();
       Serve(served, row);
       if (!row.waiting.empty())
-        heap.insert({ShareOf(next, row), row.waiting.front(), &next});
+        heap.insert({ComparedShare(next, row), row.waiting.front(), &next});
     }
   }
 
@@ -100,7 +103,6 @@
   }
 
   void ServeOverdue(std::size_t first, std::size_t last) {
-    const std::map<work::service_id, double> equal_shares = EqualShares();
     std::set<work::service_id> done;
     for (std::size_t i = first; i < last; ++i) {
       const share_claim& claim = claims_[i];
@@ -108,7 +110,8 @@
           !state_.capacity.contains(claim.account.service))
         continue;
       account_row& row = accounts_.at(claim.account);
-      if (ShareOf(claim.account, row) >= equal_shares.at(claim.account.service))
+      if (ShareOf(claim.account, row) >=
+          equal_shares_.at(claim.account.service))
         continue;
       done.insert(claim.account.service);
       std::erase(row.waiting, i);
@@ -128,8 +131,20 @@
                : DominantShare(row.held, found->second) / WeightOf(account);
   }
 
+  // The share as far as it matters for the order.
+  double ComparedShare(const share_account& account,
+                       const account_row& row) const {
+    const double share = ShareOf(account, row);
+    return state_.step > 0.0
+               ? std::floor(share /
+                            (equal_shares_.at(account.service) * state_.step))
+               : share;
+  }
+
   const std::vector<share_claim>& claims_;
   const share_state& state_;
+  // Of the current rank.
+  std::map<work::service_id, double> equal_shares_;
   std::map<share_account, account_row> accounts_;
   // What units of this rank and before it hold is counted.
   std::uint32_t counted_rank_ = kGuaranteedRank;
--- a/source/policy/fair_share.h
+++ b/source/policy/fair_share.h
@@ -51,6 +51,9 @@
   // Parts of the capacity are in proportion to these; 1 for a workspace that is
   // not named.
   std::map<work::workspace_id, double> weights;
+  // Shares are compared in steps of so many parts, within which the order is
+  // that of submission; with 0 each difference counts.
+  double step = 0.0;
 
   bool operator==(const share_state&) const = default;
 };
--- a/tests/policy/fair_share_test.cc
+++ b/tests/policy/fair_share_test.cc
@@ -93,6 +93,25 @@
   ExpectOrder(fixture, "abaaabaa");
 }
 
+// Guards against urgent jobs that are late because newer ones of workspaces
+// with a little less go before them.
+Test(fair_order, in_whole_parts_is_that_of_submission_below_a_part) {
+  share_fixture fixture;
+  fixture.state.step = 1.0;
+  fixture.Hold('a', 20);
+  fixture.Wait("aaabbb");
+  ExpectOrder(fixture, "aaabbb");
+}
+
+// Guards against a flood that takes more than its part while others wait.
+Test(fair_order, in_whole_parts_serves_others_before_a_flood) {
+  share_fixture fixture;
+  fixture.state.step = 1.0;
+  fixture.Hold('a', 48);
+  fixture.Wait("aaaabb");
+  ExpectOrder(fixture, "aabbaa");
+}
+
 Test(weights, of_workspaces_follow_their_guarantees_down_to_a_quarter) {
   const auto weights = policy::WeightsOf({{work::workspace_id("a"), 90},
                                           {work::workspace_id("b"), 30},
