A restarted entry listens on addresses whose old connections still wait

Cause: the acceptor options that bound receive buffers replaced RESTinio's default setter, which sets reuse_address.

Change: the option is set.

--- a/soak/main.cc
+++ b/soak/main.cc
@@ -22,7 +22,8 @@
             "with more and longer tasks");
 DEFINE_bool(operations,
             false,
-            "draw from what operators ask for as well, beside all faults");
+            "draw from evacuations and slow workers as well, "
+            "beside all faults");
 DEFINE_uint32(seconds, 10, "seconds during which faults are injected");
 DEFINE_uint32(entries, 3, "number of entries");
 DEFINE_uint32(workers, 6, "number of workers");
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -62,12 +62,13 @@
 std::string FaultName(fault_kind kind) {
   static const std::array<const char*,
                           static_cast<std::size_t>(fault_kind::kCount)>
-      names{
-          "kill_entry",     "freeze_entry",  "stop_entry",     "store_down",
-          "lose_answers",   "compact",       "cut_worker",     "failing_worker",
-          "restart_worker", "delay_link",    "reset_link",     "silence_link",
-          "one_way_link",   "store_sheds",   "shed_orders",    "late_starts",
-          "crash_worker",   "unlist_worker", "evacuate_domain"};
+      names{"kill_entry",      "freeze_entry",   "stop_entry",
+            "store_down",      "lose_answers",   "compact",
+            "cut_worker",      "failing_worker", "restart_worker",
+            "delay_link",      "reset_link",     "silence_link",
+            "one_way_link",    "store_sheds",    "shed_orders",
+            "late_starts",     "crash_worker",   "unlist_worker",
+            "evacuate_domain", "slow_worker"};
   return names.at(static_cast<std::size_t>(kind));
 }
 
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -30,13 +30,14 @@
   kCrashWorker,
   kUnlistWorker,
   kEvacuateDomain,
+  kSlowWorker,
   kCount,
 };
 
 // Which faults a schedule draws from: the basic ones are those up to
 // `kOneWayLink`, all faults those up to `kUnlistWorker`; operations are what
-// operators ask for besides. Schedules of a set stay as they are for their
-// seeds.
+// operators ask for, and uneven workers, besides. Schedules of a set stay as
+// they are for their seeds.
 enum class fault_set : std::uint8_t { kBasic, kAll, kAllAndOperations };
 
 // One fault, repaired after `duration`. `target` selects the entry, worker or
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -160,7 +160,8 @@
     json control{{"cut", json::array()},      {"failing", json::array()},
                  {"restart", json::array()},  {"shedding", json::array()},
                  {"late", json::array()},     {"crashed", json::array()},
-                 {"unlisted", json::array()}, {"evacuated", json::array()}};
+                 {"unlisted", json::array()}, {"evacuated", json::array()},
+                 {"slow", json::array()}};
     json links = json::array();
     for (const fault* each : active_) {
       const std::uint32_t worker = each->target % site_.workers();
@@ -183,6 +184,8 @@
         control["unlisted"] = WorkersFrom(worker, site_.workers() / 4);
       else if (each->kind == fault_kind::kEvacuateDomain)
         control["evacuated"].push_back(each->target % kFailureDomains);
+      else if (each->kind == fault_kind::kSlowWorker)
+        control["slow"] = WorkersFrom(worker, site_.workers() / 4);
       else if (each->kind >= fault_kind::kDelayLink)
         links.push_back({{"link", link},
                          {"mode", LinkMode(each->kind)},
--- a/source/runtime/http_server.cc
+++ b/source/runtime/http_server.cc
@@ -410,6 +410,10 @@
             .write_http_response_timelimit(detail::kWriteTimeout)
             .read_next_http_message_timelimit(detail::kReadTimeout)
             .acceptor_options_setter([](auto& options) {
+              // This setter replaces the default one, which does the same:
+              // without it a restarted process can't listen while connections
+              // of the former one wait for late packets.
+              options.set_option(asio::socket_base::reuse_address(true));
               options.set_option(asio::socket_base::receive_buffer_size(
                   detail::kReceiveBufferBytes));
             })
--- a/tests/stand_ins/site_journal.h
+++ b/tests/stand_ins/site_journal.h
@@ -37,6 +37,8 @@
   const std::vector<std::uint32_t> unlisted{};
   // Failure domains that the operators have evacuated, by number.
   const std::vector<std::uint32_t> evacuated{};
+  // Indexes of workers on which tasks take five times as long.
+  const std::vector<std::uint32_t> slow{};
 };
 PARSLEYHITCH_DESCRIBE(site_control,
                       store_down,
@@ -50,7 +52,8 @@
                       late,
                       crashed,
                       unlisted,
-                      evacuated)
+                      evacuated,
+                      slow)
 
 struct site_journal {
   // Descriptions of breaches of the platform's rules, oldest first.
--- a/tests/stand_ins/site_stand_in.cc
+++ b/tests/stand_ins/site_stand_in.cc
@@ -43,6 +43,8 @@
 // than this, also while the store is in trouble.
 constexpr work::duration kEvacuationBound{11000};
 
+constexpr double kSlowSpeed = 0.2;
+
 std::string DomainName(std::size_t worker) {
   return "domain-" + std::to_string(worker % kFailureDomains);
 }
@@ -250,6 +252,8 @@
       late_[i] = std::ranges::count(control->late, i) > 0;
       workers_[i].cut_from_store = std::ranges::count(control->unlisted, i) > 0;
       SetCrashed(workers_[i], std::ranges::count(control->crashed, i) > 0);
+      workers_[i].speed =
+          std::ranges::count(control->slow, i) > 0 ? kSlowSpeed : 1.0;
     }
     for (std::uint32_t i = 0; i < kFailureDomains; ++i)
       SetEvacuated(i, std::ranges::count(control->evacuated, i) > 0);
