--- a/source/dispatch/observations.h
+++ b/source/dispatch/observations.h
@@ -60,11 +60,11 @@
 };
 
 // Resources of a running task, and when it is expected to end.
-struct expected_room {
+struct freed_room {
   model::timestamp at;
   work::resources amount;
 
-  bool operator==(const expected_room&) const = default;
+  bool operator==(const freed_room&) const = default;
 };
 
 struct observations {
@@ -85,7 +85,7 @@
   model::timestamp next_move_at;
   // What becomes free on each worker, as of the latest forecast. It is made
   // when a unit needs it.
-  std::map<work::worker_id, std::vector<expected_room>> coming_room;
+  std::map<work::worker_id, std::vector<freed_room>> coming_room;
   model::timestamp next_forecast_at;
   // Units that were stopped as their worker is slow or hangs, until they are.
   std::set<work::unit_id> moving;
--- a/source/dispatch/planning/near_room.cc
+++ b/source/dispatch/planning/near_room.cc
@@ -61,9 +61,9 @@
                          same_attempt ? seen->progress : unobserved, ctx.now());
 }
 
-std::vector<expected_room> ComingRoomOn(const context& ctx,
+std::vector<freed_room> ComingRoomOn(const context& ctx,
                                         const work::worker_id& worker) {
-  std::vector<expected_room> coming;
+  std::vector<freed_room> coming;
   const leader_state& leader = ctx.state.leader;
   for (const auto& [id, index] : LoadOf(ctx, worker).tasks) {
     const unit* each = leader.units.Find(id);
@@ -96,7 +96,7 @@
   const auto coming = all.find(slot.worker);
   if (coming == all.end())
     return found;
-  for (const expected_room& each : coming->second) {
+  for (const freed_room& each : coming->second) {
     found.coming.push_back({.in = std::max(each.at - ctx.now(), kLeastWait),
                             .amount = each.amount});
   }
--- a/source/dispatch/planning/shares.cc
+++ b/source/dispatch/planning/shares.cc
@@ -39,12 +39,6 @@
 
 using service_rooms = std::map<work::service_id, service_room>;
 
-work::resources Times(const work::resources& need, std::uint32_t count) {
-  return {.cpu_millis = need.cpu_millis * count,
-          .memory_mb = need.memory_mb * count,
-          .accelerators = need.accelerators * count};
-}
-
 policy::share_account AccountOf(const active_job& job) {
   return {.service = ContentOf(job).service, .owner = ContentOf(job).owner};
 }
@@ -56,10 +50,9 @@
   claims.reserve(waiting.size());
   for (const waiting_unit& each : waiting) {
     const active_job& job = *ctx.state.leader.jobs.Find(each.unit.job);
-    claims.push_back(
-        {.rank = static_cast<std::uint32_t>(each.importance),
-         .account = AccountOf(job),
-         .need = Times(NeedOf(StepOf(job, each.unit)), each.members)});
+    claims.push_back({.rank = static_cast<std::uint32_t>(each.importance),
+                      .account = AccountOf(job),
+                      .need = NeedOf(StepOf(job, each.unit)) * each.members});
   }
   return claims;
 }
@@ -109,7 +102,7 @@
     const auto running = static_cast<std::uint32_t>(std::ranges::count_if(
         each.members,
         [](const member& one) { return one.state != member_state::kEnded; }));
-    *sum = *sum + Times(NeedOf(StepOf(*job, id)), running);
+    *sum = *sum + NeedOf(StepOf(*job, id)) * running;
   }
   return held;
 }
--- a/source/dispatch/planning/urgent_reserve.cc
+++ b/source/dispatch/planning/urgent_reserve.cc
@@ -17,12 +17,6 @@
 // the start.
 constexpr duration kLongestHeldBack{1500};
 
-work::resources Times(const work::resources& need, std::uint32_t count) {
-  return {.cpu_millis = need.cpu_millis * count,
-          .memory_mb = need.memory_mb * count,
-          .accelerators = need.accelerators * count};
-}
-
 work::resources CapacityOf(const context& ctx,
                            const work::service_id& service) {
   work::resources all;
@@ -55,7 +49,7 @@
     return;
   policy::urgent_load& load =
       ctx.state.leader.observed.urgent_loads[content.service];
-  load = policy::WithArrival(load, Times(NeedOf(step), step.tasks), ctx.now());
+  load = policy::WithArrival(load, NeedOf(step) * step.tasks, ctx.now());
 }
 
 void NotePreemption(const context& ctx, const work::service_id& service) {
@@ -69,7 +63,7 @@
   if (behaviour.may_preempt(waiting.importance, rank::kBackground))
     return false;
   service_reserve& here = ReserveOf(demand.service);
-  const work::resources need = Times(demand.need, demand.members);
+  const work::resources need = demand.need * demand.members;
   if (work::Fits(here.kept, here.free - need) ||
       here.kept == work::resources()) {
     here.free = here.free - need;
--- a/source/work/resources.h
+++ b/source/work/resources.h
@@ -31,6 +31,13 @@
           .accelerators = a.accelerators - b.accelerators};
 }
 
+// What so many tasks need together.
+inline resources operator*(const resources& each, std::uint32_t count) {
+  return {.cpu_millis = each.cpu_millis * count,
+          .memory_mb = each.memory_mb * count,
+          .accelerators = each.accelerators * count};
+}
+
 // True when `need` fits in the free capacity `rest`.
 inline bool Fits(const resources& need, const resources& rest) {
   return need.cpu_millis <= rest.cpu_millis &&
