--- a/source/dispatch/planning/near_room.cc
+++ b/source/dispatch/planning/near_room.cc
@@ -62,7 +62,7 @@
 }
 
 std::vector<freed_room> ComingRoomOn(const context& ctx,
-                                        const work::worker_id& worker) {
+                                     const work::worker_id& worker) {
   std::vector<freed_room> coming;
   const leader_state& leader = ctx.state.leader;
   for (const auto& [id, index] : LoadOf(ctx, worker).tasks) {
