--- a/review/stand_in_3/site.h
+++ b/review/stand_in_3/site.h
@@ -1054,6 +1054,7 @@
   }
 
   std::uint16_t StorePort(std::size_t entry) const { return Port(entry, 4); }
+  std::uint16_t CallersPort(std::size_t entry) const { return Port(entry, 0); }
   std::string Log(std::size_t entry) const {
     return directory_ + "/entry-" + std::to_string(entry) + ".log";
   }
